--- /dev/null
+++ b/bench/experiment_placeholder.cpp
@@ -0,0 +1,6 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+int main()
+{
+	return 0;
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Builds everything and runs all tests: properties, unit tests, and scenarios on real processes.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+[ "${CI:-}" = true ] || scripts/build.sh | tail -1
+cd build
+ctest --output-on-failure -j "$(nproc)" "$@"
--- /dev/null
+++ b/src/configuration/configuration_state.cpp
@@ -0,0 +1,250 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file configuration_state.cpp The configuration in force at one instance. */
+
+#include "configuration/configuration_state.h"
+#include <algorithm>
+#include <cstring>
+#include <nlohmann/json.hpp>
+
+namespace cottonspool {
+
+using Json = nlohmann::json;
+
+/** @return The first bytes of \a digest, to look an account up by. */
+static uint64_t KeyIndex(const KeyDigest &digest)
+{
+	uint64_t index = 0;
+	std::memcpy(&index, digest.data(), sizeof(index));
+	return index;
+}
+
+bool ConfigurationState::Apply(const Entry &entry)
+{
+	if (entry.sequence != this->sequence + 1) return false;
+	this->sequence = entry.sequence;
+	for (const RecordChange &record : entry.change.records) this->ApplyRecord(record, entry.sequence);
+	this->Remember({entry.change.id, entry.change.author, entry.sequence});
+	return true;
+}
+
+void ConfigurationState::Remember(AcceptedChange change)
+{
+	this->accepted.push_back(std::move(change));
+	if (this->accepted.size() > MAX_REMEMBERED) this->accepted.pop_front();
+}
+
+void ConfigurationState::SetAccount(const std::string &name, const AccountRecord &account, uint64_t at)
+{
+	this->RemoveAccount(name);
+	auto added = this->accounts.emplace(name, Versioned<AccountRecord>{account, at}).first;
+	this->keys.emplace(KeyIndex(account.key), &*added);
+}
+
+void ConfigurationState::RemoveAccount(const std::string &name)
+{
+	auto found = this->accounts.find(name);
+	if (found == this->accounts.end()) return;
+	auto [first, last] = this->keys.equal_range(KeyIndex(found->second.record.key));
+	for (auto it = first; it != last; ++it) {
+		if (it->second != &*found) continue;
+		this->keys.erase(it);
+		break;
+	}
+	this->accounts.erase(found);
+}
+
+/** Put the parsed \a record into \a records, or take it out; content that cannot be read is left out. */
+template <typename Record, typename Parse>
+static void ApplyTo(std::map<std::string, Versioned<Record>> &records, const RecordChange &change, uint64_t at, Parse parse)
+{
+	if (change.removed) {
+		records.erase(change.name);
+		return;
+	}
+	Result<Record> record = parse(change.name, change.content);
+	if (record) records[change.name] = Versioned<Record>{record.value(), at};
+}
+
+void ConfigurationState::ApplyRecord(const RecordChange &record, uint64_t at)
+{
+	if (record.removed) this->removed[{record.kind, record.name}] = at;
+	switch (record.kind) {
+	case RecordKind::Account:
+		if (record.removed) return this->RemoveAccount(record.name);
+		if (auto account = ParseAccount(record.name, record.content)) this->SetAccount(record.name, account.value(), at);
+		return;
+	case RecordKind::Model:
+		return ApplyTo(this->models, record, at, ParseModel);
+	case RecordKind::Target:
+		return ApplyTo(this->targets, record, at, ParseTarget);
+	case RecordKind::Share:
+		return ApplyTo(this->shares, record, at, ParseShare);
+	case RecordKind::Policy:
+		return ApplyTo(this->policies, record, at, ParsePolicy);
+	}
+}
+
+/** Write \a records under \a kind, with the sequence that set each. */
+template <typename Records, typename Format> static void WriteRecords(Json &to, const char *kind, const Records &records, Format format)
+{
+	Json list = Json::array();
+	for (const auto &[name, versioned] : records) list.push_back({name, versioned.changed, format(versioned.record)});
+	to[kind] = std::move(list);
+}
+
+std::string ConfigurationState::Snapshot() const
+{
+	Json document{{"sequence", this->sequence}};
+	WriteRecords(document, "account", this->accounts, FormatAccount);
+	WriteRecords(document, "model", this->models, [](const ModelRecord &model) {
+		return Json{{"context_tokens", model.context_tokens}}.dump();
+	});
+	WriteRecords(document, "target", this->targets, FormatTarget);
+	WriteRecords(document, "share", this->shares, [](const ShareRecord &share) {
+		Json halls = Json::object();
+		for (const HallPreference &preference : share.halls) halls[preference.hall] = preference.weight;
+		return halls.dump();
+	});
+	WriteRecords(document, "policy", this->policies, [](const PolicyRecord &policy) { return Json{{"program", policy.program}}.dump(); });
+	Json remembered = Json::array();
+	for (const AcceptedChange &change : this->accepted) remembered.push_back({change.id, change.author, change.sequence});
+	document["accepted"] = std::move(remembered);
+	Json gone = Json::array();
+	for (const auto &[key, at] : this->removed) gone.push_back({static_cast<int>(key.first), key.second, at});
+	document["removed"] = std::move(gone);
+	return document.dump();
+}
+
+Result<bool> ConfigurationState::Load(const std::string &snapshot)
+{
+	Json document = Json::parse(snapshot, nullptr, false);
+	if (!document.is_object() || !document["sequence"].is_number_unsigned()) {
+		return Error{Step::Configuration, "snapshot", "cannot be read"};
+	}
+	if (document["sequence"].get<uint64_t>() <= this->sequence) return false;
+	ConfigurationState loaded;
+	try {
+		for (size_t i = 0; i < RECORD_KIND_COUNT; i++) {
+			auto kind = static_cast<RecordKind>(i);
+			for (const Json &item : document.at(RecordKindName(kind))) {
+				loaded.ApplyRecord({kind, item.at(0), false, item.at(2)}, item.at(1).get<uint64_t>());
+			}
+		}
+		for (const Json &item : document.at("accepted")) loaded.Remember({item.at(0), item.at(1), item.at(2)});
+		for (const Json &item : document.at("removed"))
+			loaded.removed[{static_cast<RecordKind>(item.at(0).get<int>()), item.at(1)}] = item.at(2);
+	} catch (const Json::exception &error) {
+		return Error{Step::Configuration, "snapshot", error.what()};
+	}
+	loaded.sequence = document["sequence"].get<uint64_t>();
+	*this = std::move(loaded);
+	return true;
+}
+
+uint64_t ConfigurationState::ChangedAt(RecordKind kind, const std::string &name) const
+{
+	auto in = [&](const auto &records) {
+		auto found = records.find(name);
+		return found == records.end() ? 0 : found->second.changed;
+	};
+	uint64_t changed = 0;
+	switch (kind) {
+	case RecordKind::Account:
+		changed = in(this->accounts);
+		break;
+	case RecordKind::Model:
+		changed = in(this->models);
+		break;
+	case RecordKind::Target:
+		changed = in(this->targets);
+		break;
+	case RecordKind::Share:
+		changed = in(this->shares);
+		break;
+	case RecordKind::Policy:
+		changed = in(this->policies);
+		break;
+	}
+	auto gone = this->removed.find({kind, name});
+	return gone == this->removed.end() ? changed : std::max(changed, gone->second);
+}
+
+std::optional<AcceptedChange> ConfigurationState::FindConflict(const Change &change) const
+{
+	for (const RecordChange &record : change.records) {
+		uint64_t changed = this->ChangedAt(record.kind, record.name);
+		if (changed <= change.base) continue;
+		for (const AcceptedChange &other : this->accepted) {
+			if (other.sequence == changed) return other;
+		}
+		return AcceptedChange{"(no longer remembered)", "(no longer remembered)", changed};
+	}
+	return std::nullopt;
+}
+
+std::optional<AcceptedChange> ConfigurationState::FindAccepted(const std::string &id) const
+{
+	for (const AcceptedChange &change : this->accepted) {
+		if (change.id == id) return change;
+	}
+	return std::nullopt;
+}
+
+const std::pair<const std::string, Versioned<AccountRecord>> *ConfigurationState::FindAccount(const KeyDigest &digest) const
+{
+	auto [first, last] = this->keys.equal_range(KeyIndex(digest));
+	for (auto it = first; it != last; ++it) {
+		if (it->second->second.record.key == digest) return it->second;
+	}
+	return nullptr;
+}
+
+const ShareRecord *ConfigurationState::FindShare(const std::string &account, const std::string &model) const
+{
+	for (const std::string &name : {"account:" + account, "model:" + model, std::string("*")}) {
+		auto found = this->shares.find(name);
+		if (found != this->shares.end()) return &found->second.record;
+	}
+	return nullptr;
+}
+
+Result<void> ConfigurationState::ValidateTarget(const RecordChange &record, const Change &change) const
+{
+	BOOST_OUTCOME_TRY(target, ParseTarget(record.name, record.content));
+	if (target.kind == TargetKind::Service) return outcome::success();
+	for (const std::string &model : target.serves) {
+		bool in_change = std::any_of(change.records.begin(), change.records.end(), [&](const RecordChange &other) {
+			return other.kind == RecordKind::Model && other.name == model && !other.removed;
+		});
+		if (!in_change && !this->models.contains(model)) {
+			return Error{Step::Configuration, "target." + record.name, "serves the unknown model " + model};
+		}
+	}
+	return outcome::success();
+}
+
+Result<void> ConfigurationState::ValidateRecord(const RecordChange &record, const Change &change, const PolicyCheck &check_policy) const
+{
+	BOOST_OUTCOME_TRYV(CheckRecordSchema(record));
+	if (record.kind == RecordKind::Target) return this->ValidateTarget(record, change);
+	if (record.kind == RecordKind::Policy && check_policy) return check_policy(ParsePolicy(record.name, record.content).value());
+	if (record.kind != RecordKind::Account) return outcome::success();
+	const auto *other = this->FindAccount(ParseAccount(record.name, record.content).value().key);
+	if (other == nullptr || other->first == record.name) return outcome::success();
+	return Error{Step::Configuration, "account." + record.name, "has the same key as account " + other->first};
+}
+
+Result<void> ConfigurationState::Validate(const Change &change, const PolicyCheck &check_policy) const
+{
+	if (change.id.empty() || change.id.size() > 128) return Error{Step::Configuration, "change.id", "must have 1 to 128 characters"};
+	if (change.author.empty()) return Error{Step::Configuration, "change.author", "is required"};
+	if (change.records.empty()) return Error{Step::Configuration, "change.records", "is empty"};
+	for (const RecordChange &record : change.records) {
+		if (record.removed) continue;
+		BOOST_OUTCOME_TRYV(this->ValidateRecord(record, change, check_policy));
+	}
+	return outcome::success();
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/decision/call_queue.cpp
@@ -0,0 +1,131 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file call_queue.cpp Calls that wait at an instance. */
+
+#include "decision/call_queue.h"
+#include <algorithm>
+
+namespace cottonspool {
+
+bool CallQueue::Push(const CallSpec &call, double tokens)
+{
+	if (this->index.size() >= this->limits.max_calls) return false;
+	ClassLines &lines = this->classes[static_cast<size_t>(call.service_class)];
+	auto line = lines.lines.find(LineKey(this->limits, call.account));
+	if (line != lines.lines.end() && line->second.calls.size() >= this->limits.max_calls_per_account) return false;
+	this->Insert(call, tokens, false);
+	return true;
+}
+
+void CallQueue::PushFront(const CallSpec &call, double tokens)
+{
+	this->Insert(call, tokens, true);
+}
+
+void CallQueue::Insert(const CallSpec &call, double tokens, bool front)
+{
+	ClassLines &lines = this->classes[static_cast<size_t>(call.service_class)];
+	uint32_t key = LineKey(this->limits, call.account);
+	Line &line = lines.lines[key];
+	if (line.calls.empty()) {
+		line.tag = std::max(line.tag, lines.clock);
+		lines.order.emplace(line.tag, key);
+	}
+	Waiting waiting{call, tokens};
+	auto later = [](const Waiting &a, const Waiting &b) { return a.call.priority > b.call.priority; };
+	auto place = front ? line.calls.begin() : std::upper_bound(line.calls.begin(), line.calls.end(), waiting, later);
+	line.calls.insert(place, waiting);
+	line.tokens += tokens;
+	lines.tokens += tokens;
+	lines.calls++;
+	this->index.emplace(call.id, std::make_pair(call.service_class, key));
+	this->deadlines.emplace(call.deadline, call.id);
+}
+
+void CallQueue::Unlink(ClassLines &lines, uint32_t account)
+{
+	auto [first, last] = lines.order.equal_range(lines.lines[account].tag);
+	for (auto it = first; it != last; ++it) {
+		if (it->second != account) continue;
+		lines.order.erase(it);
+		return;
+	}
+}
+
+void CallQueue::TakeHead(ClassLines &lines, uint32_t account, bool charge)
+{
+	Line &line = lines.lines[account];
+	Waiting head = line.calls.front();
+	this->Unlink(lines, account);
+	line.calls.pop_front();
+	line.tokens -= head.tokens;
+	lines.tokens -= head.tokens;
+	lines.calls--;
+	if (charge) {
+		lines.clock = std::max(lines.clock, line.tag);
+		line.tag += head.tokens / std::max(head.call.account_weight, 1e-6);
+	}
+	if (!line.calls.empty()) lines.order.emplace(line.tag, account);
+	if (lines.calls == 0) lines.tokens = 0;
+	this->index.erase(head.call.id);
+	auto [first, last] = this->deadlines.equal_range(head.call.deadline);
+	for (auto it = first; it != last; ++it) {
+		if (it->second != head.call.id) continue;
+		this->deadlines.erase(it);
+		break;
+	}
+	if (line.calls.empty() && lines.lines.size() > MAX_IDLE_LINES) lines.lines.erase(account);
+}
+
+bool CallQueue::Remove(CallId call)
+{
+	auto found = this->index.find(call);
+	if (found == this->index.end()) return false;
+	ClassLines &lines = this->classes[static_cast<size_t>(found->second.first)];
+	uint32_t account = found->second.second;
+	Line &line = lines.lines[account];
+	auto waiting = std::find_if(line.calls.begin(), line.calls.end(), [&](const Waiting &w) { return w.call.id == call; });
+	std::rotate(line.calls.begin(), waiting, waiting + 1);
+	this->TakeHead(lines, account, false);
+	return true;
+}
+
+std::vector<CallSpec> CallQueue::TakeExpired(TimePoint now)
+{
+	std::vector<CallSpec> expired;
+	while (!this->deadlines.empty() && this->deadlines.begin()->first <= now) {
+		CallId call = this->deadlines.begin()->second;
+		auto [service_class, account] = this->index.at(call);
+		const Line &line = this->classes[static_cast<size_t>(service_class)].lines[account];
+		auto waiting = std::find_if(line.calls.begin(), line.calls.end(), [&](const Waiting &w) { return w.call.id == call; });
+		expired.push_back(waiting->call);
+		this->Remove(call);
+	}
+	return expired;
+}
+
+double CallQueue::TokensAhead(ServiceClass service_class, AccountNumber account) const
+{
+	double ahead = 0;
+	for (size_t i = 0; i < static_cast<size_t>(service_class); i++) ahead += this->classes[i].tokens;
+	const ClassLines &lines = this->classes[static_cast<size_t>(service_class)];
+	if (!this->limits.fair) return ahead + lines.tokens;
+	auto own = lines.lines.find(account.value);
+	double own_tokens = own == lines.lines.end() ? 0 : own->second.tokens;
+	size_t active = lines.order.size() + (own_tokens > 0 ? 0 : 1);
+	return ahead + std::min(lines.tokens, own_tokens * static_cast<double>(std::max<size_t>(active, 1)));
+}
+
+void CallQueue::Correct(AccountNumber account, ServiceClass service_class, double weight, double tokens)
+{
+	ClassLines &lines = this->classes[static_cast<size_t>(service_class)];
+	uint32_t key = LineKey(this->limits, account);
+	auto found = lines.lines.find(key);
+	if (found == lines.lines.end()) return;
+	bool linked = !found->second.calls.empty();
+	if (linked) this->Unlink(lines, key);
+	found->second.tag += tokens / std::max(weight, 1e-6);
+	if (linked) lines.order.emplace(found->second.tag, key);
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/decision/dispatcher.cpp
@@ -0,0 +1,192 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file dispatcher.cpp The decisions about calls. */
+
+#include "decision/dispatcher.h"
+#include "core/hash_func.h"
+#include <algorithm>
+
+namespace cottonspool {
+
+static constexpr Duration RATE_WINDOW = std::chrono::seconds(1); ///< Window over which the dispatch rate is measured.
+static constexpr double RATE_SMOOTHING = 0.3;                    ///< Weight of the newest window.
+static constexpr Duration SLOW_CHECK = std::chrono::seconds(1);  ///< Time between looks for slow targets.
+static constexpr size_t MAX_ACCOUNT_BUDGETS = 4096;              ///< Account budgets remembered; all are dropped beyond.
+
+/** Engine priority of each class: what is smallest is preempted first. */
+static constexpr std::array<int, SERVICE_CLASS_COUNT> CLASS_PRIORITY{200, 100, 0};
+
+Dispatcher::Dispatcher(DispatchLimits limits, std::unique_ptr<Router> router)
+    : limits(limits), lengths(limits.lengths), targets(limits.targets, this->lengths), queue(limits.queue), router(std::move(router))
+{
+}
+
+double Dispatcher::ExpectedTokens(const CallSpec &call) const
+{
+	if (!call.generated) return 1;
+	return call.prompt_tokens + this->lengths.Residual(call, 0);
+}
+
+bool Dispatcher::AnyTarget(const CallSpec &call) const
+{
+	for (TargetNumber number : this->targets.ForModel(call.model)) {
+		if (!this->targets.Get(number).leaving) return true;
+	}
+	return false;
+}
+
+Duration Dispatcher::RetryAfter(ServiceClass service_class, AccountNumber account) const
+{
+	if (this->rate <= 0) return this->limits.retry_after_min;
+	Duration wait = FromSeconds(this->queue.TokensAhead(service_class, account) / this->rate);
+	return std::clamp(wait, this->limits.retry_after_min, this->limits.retry_after_max);
+}
+
+void Dispatcher::GiveUp(const CallSpec &call, GiveUpReason reason, Decisions &decisions)
+{
+	this->counters.given_up[static_cast<size_t>(reason)]++;
+	decisions.give_ups.push_back({call.id, reason, this->RetryAfter(call.service_class, call.account)});
+	this->calls.erase(call.id);
+}
+
+Decisions Dispatcher::Submit(const CallSpec &call, TimePoint now)
+{
+	Decisions decisions;
+	this->counters.submitted++;
+	this->calls.emplace(call.id, Tracked{.call = call});
+	if (!this->AnyTarget(call)) {
+		this->GiveUp(call, GiveUpReason::NoTarget, decisions);
+		return decisions;
+	}
+	double ahead = this->queue.TokensAhead(call.service_class, call.account);
+	if (this->limits.refuse_early && this->rate > 0 && ahead > 0 && now + FromSeconds(ahead / this->rate) > call.deadline) {
+		this->GiveUp(call, GiveUpReason::WaitTooLong, decisions);
+		return decisions;
+	}
+	if (!this->queue.Push(call, this->ExpectedTokens(call))) {
+		this->GiveUp(call, GiveUpReason::QueueFull, decisions);
+		return decisions;
+	}
+	this->Drain(now, decisions);
+	return decisions;
+}
+
+void Dispatcher::Withdraw(CallId call)
+{
+	this->queue.Remove(call);
+	this->calls.erase(call);
+}
+
+bool Dispatcher::TrySend(const CallSpec &call, TimePoint now, Decisions &decisions)
+{
+	Tracked &tracked = this->calls.at(call.id);
+	if (now < tracked.not_before) return false;
+	std::optional<TargetNumber> target = this->router->Choose(call, this->targets, now);
+	if (!target) return false;
+	tracked.holder = target;
+	tracked.charged = this->ExpectedTokens(call);
+	if (tracked.attempts++ > 0) this->counters.retries++;
+	this->counters.sends++;
+	this->in_flight++;
+	this->targets.OnSent(*target, call, now);
+	this->target_budgets.try_emplace(target->value, this->limits.retry).first->second.OnFirstAttempt();
+	if (this->account_budgets.size() > MAX_ACCOUNT_BUDGETS) this->account_budgets.clear();
+	this->account_budgets.try_emplace(call.account.value, this->limits.retry).first->second.OnFirstAttempt();
+	this->rate_tokens += tracked.charged;
+	decisions.sends.push_back({call.id, *target, CLASS_PRIORITY[static_cast<size_t>(call.service_class)] + call.priority});
+	return true;
+}
+
+void Dispatcher::Drain(TimePoint now, Decisions &decisions)
+{
+	auto visit = [&](const CallSpec &call) { return this->TrySend(call, now, decisions); };
+	while (this->queue.ForEachHead(this->limits.heads_tried, visit) > 0) {}
+}
+
+void Dispatcher::OnToken(CallId call, TimePoint now)
+{
+	auto found = this->calls.find(call);
+	if (found == this->calls.end() || !found->second.holder) return;
+	this->targets.OnToken(*found->second.holder, call, now);
+}
+
+void Dispatcher::SendAgain(Tracked &tracked, SendEnd end, TimePoint now, Decisions &decisions)
+{
+	CallSpec call = tracked.call;
+	if (tracked.attempts >= this->limits.max_attempts || now >= call.deadline) {
+		this->GiveUp(call, GiveUpReason::DeadlinePassed, decisions);
+		return;
+	}
+	RetryBudget &target = this->target_budgets.at(tracked.holder->value);
+	RetryBudget &account = this->account_budgets.try_emplace(call.account.value, this->limits.retry).first->second;
+	if (!target.TryRetry() || !account.TryRetry()) {
+		this->GiveUp(call, GiveUpReason::RetryBudget, decisions);
+		return;
+	}
+	uint64_t random = HashText("backoff", call.id.value * 31 + tracked.attempts);
+	tracked.not_before = end == SendEnd::NotRun ? now : now + target.Backoff(tracked.attempts, random);
+	tracked.holder.reset();
+	this->queue.PushFront(call, this->ExpectedTokens(call));
+}
+
+Decisions Dispatcher::OnSendEnded(CallId id, SendEnd end, TimePoint now)
+{
+	Decisions decisions;
+	auto found = this->calls.find(id);
+	if (found == this->calls.end() || !found->second.holder) return decisions;
+	Tracked &tracked = found->second;
+	bool healthy = end == SendEnd::Complete || end == SendEnd::CallerGone;
+	uint32_t generated = this->targets.OnEnded(*tracked.holder, id, healthy, now);
+	this->in_flight--;
+	if (end == SendEnd::Complete && tracked.call.generated) this->lengths.Learn(tracked.call, generated);
+	double cost = tracked.call.generated ? tracked.call.prompt_tokens + generated : 1;
+	this->queue.Correct(tracked.call.account, tracked.call.service_class, tracked.call.account_weight, cost - tracked.charged);
+	bool again = end == SendEnd::NotRun || (end == SendEnd::Lost && tracked.call.repeatable);
+	if (again) {
+		this->SendAgain(tracked, end, now, decisions);
+	} else {
+		this->calls.erase(found);
+	}
+	this->Drain(now, decisions);
+	return decisions;
+}
+
+Decisions Dispatcher::OnReport(TargetNumber target, const LoadReport &report, TimePoint now)
+{
+	Decisions decisions;
+	this->targets.OnReport(target, report, now);
+	this->Drain(now, decisions);
+	return decisions;
+}
+
+void Dispatcher::MeasureRate(double tokens, TimePoint now)
+{
+	if (now - this->rate_since < RATE_WINDOW) return;
+	double measured = tokens / Seconds(now - this->rate_since);
+	bool saturated = this->queue.Size() > 0;
+	if (saturated) this->rate = this->rate == 0 ? measured : this->rate + RATE_SMOOTHING * (measured - this->rate);
+	if (!saturated) this->rate = std::max(this->rate, measured);
+	this->rate_tokens = 0;
+	this->rate_since = now;
+}
+
+Decisions Dispatcher::OnTick(TimePoint now)
+{
+	Decisions decisions;
+	for (const CallSpec &call : this->queue.TakeExpired(now)) this->GiveUp(call, GiveUpReason::DeadlinePassed, decisions);
+	if (now - this->slow_checked >= SLOW_CHECK) {
+		this->targets.RefreshSlow();
+		this->slow_checked = now;
+	}
+	this->Drain(now, decisions);
+	this->MeasureRate(this->rate_tokens, now);
+	return decisions;
+}
+
+std::optional<TargetNumber> Dispatcher::Holder(CallId call) const
+{
+	auto found = this->calls.find(call);
+	return found == this->calls.end() ? std::nullopt : found->second.holder;
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/decision/dispatcher.h
@@ -0,0 +1,121 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file dispatcher.h The decisions about calls: wait, send, send again, refuse. Pure: events and times in, decisions out. */
+
+#pragma once
+
+#include "decision/call_queue.h"
+#include "decision/retry_budget.h"
+#include "decision/router_base.h"
+
+namespace cottonspool {
+
+/** Settings of a dispatcher. */
+struct DispatchLimits {
+	TargetLimits targets;                                      ///< Admission and health of targets.
+	QueueLimits queue;                                         ///< Waiting calls.
+	RetryLimits retry;                                         ///< Retries.
+	LengthEstimateLimits lengths;                              ///< Length estimate.
+	bool refuse_early = true;                                  ///< Give up at once when the expected wait passes the deadline.
+	uint32_t max_attempts = 3;                                 ///< Most sends of one call.
+	size_t heads_tried = 24;                                   ///< Waiting accounts tried per class and event.
+	Duration retry_after_min = std::chrono::milliseconds(500); ///< Least time told to come back after.
+	Duration retry_after_max = std::chrono::seconds(30);       ///< Largest time told to come back after.
+};
+
+/** How a send ended. */
+enum class SendEnd : uint8_t {
+	Complete,     ///< The whole answer came.
+	NotRun,       ///< Certain: the target has not begun.
+	Lost,         ///< In doubt, or the run is lost with nothing delivered.
+	LostAfterUse, ///< Lost after something reached the caller; never sent again.
+	CallerGone,   ///< The caller went away.
+};
+
+/** Counters of a dispatcher since its start. */
+struct DispatchCounters {
+	uint64_t submitted = 0;                                ///< Calls taken in.
+	uint64_t sends = 0;                                    ///< Sends, first and repeated.
+	uint64_t retries = 0;                                  ///< Repeated sends.
+	std::array<uint64_t, GIVE_UP_REASON_COUNT> given_up{}; ///< Refusals by reason.
+};
+
+/** Decides for all calls of one instance. */
+class Dispatcher {
+public:
+	Dispatcher(DispatchLimits limits, std::unique_ptr<Router> router);
+
+	/** A new call has come in. */
+	Decisions Submit(const CallSpec &call, TimePoint now);
+
+	/** The caller of \a call went away while it waited. */
+	void Withdraw(CallId call);
+
+	/** A token of \a call came. */
+	void OnToken(CallId call, TimePoint now);
+
+	/** The send of \a call has ended. A call that may run again waits again; otherwise it is forgotten or given up. */
+	Decisions OnSendEnded(CallId call, SendEnd end, TimePoint now);
+
+	/** A load report of \a target came. */
+	Decisions OnReport(TargetNumber target, const LoadReport &report, TimePoint now);
+
+	/** Time has passed; to be called some ten times a second. */
+	Decisions OnTick(TimePoint now);
+
+	/** @return The targets, to configure and to look at. */
+	TargetTable &Targets() { return this->targets; }
+
+	/** @return The target that holds \a call, or nothing while it waits. */
+	std::optional<TargetNumber> Holder(CallId call) const;
+
+	/** @return Calls waiting here. */
+	const CallQueue &Queue() const { return this->queue; }
+
+	/** @return Calls sent and not yet ended. */
+	size_t InFlight() const { return this->in_flight; }
+
+	/** @return Counters since the start. */
+	const DispatchCounters &Counters() const { return this->counters; }
+
+	/** @return Expected lengths. */
+	const LengthEstimate &Lengths() const { return this->lengths; }
+
+	/** @return When a caller refused now should come back. */
+	Duration RetryAfter(ServiceClass service_class, AccountNumber account) const;
+
+private:
+	/** A call that is waiting or sent. */
+	struct Tracked {
+		CallSpec call;                      ///< The call.
+		std::optional<TargetNumber> holder; ///< Target that has it.
+		uint32_t attempts = 0;              ///< Sends so far.
+		double charged = 0;                 ///< Tokens its account was charged.
+		TimePoint not_before;               ///< Earliest next send, after a failed one.
+	};
+
+	bool TrySend(const CallSpec &call, TimePoint now, Decisions &decisions);
+	void Drain(TimePoint now, Decisions &decisions);
+	void GiveUp(const CallSpec &call, GiveUpReason reason, Decisions &decisions);
+	void SendAgain(Tracked &tracked, SendEnd end, TimePoint now, Decisions &decisions);
+	void MeasureRate(double tokens, TimePoint now);
+	double ExpectedTokens(const CallSpec &call) const;
+	bool AnyTarget(const CallSpec &call) const;
+
+	DispatchLimits limits;                                     ///< Settings.
+	LengthEstimate lengths;                                    ///< Expected lengths.
+	TargetTable targets;                                       ///< Targets.
+	CallQueue queue;                                           ///< Waiting calls.
+	std::unique_ptr<Router> router;                            ///< Choice of a target.
+	std::unordered_map<CallId, Tracked, StrongIdHash> calls;   ///< Calls not yet ended.
+	std::unordered_map<uint32_t, RetryBudget> target_budgets;  ///< Retries caused by each target.
+	std::unordered_map<uint32_t, RetryBudget> account_budgets; ///< Retries spent for each account.
+	DispatchCounters counters;                                 ///< Counters.
+	size_t in_flight = 0;                                      ///< Calls sent and not ended.
+	double rate = 0;                                           ///< Tokens dispatched a second while calls waited; 0 while unknown.
+	double rate_tokens = 0;                                    ///< Tokens dispatched in the running window.
+	TimePoint rate_since;                                      ///< Start of the running window.
+	TimePoint slow_checked;                                    ///< When slow targets were last looked for.
+};
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/decision/length_estimate.cpp
@@ -0,0 +1,97 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file length_estimate.cpp Learned distribution of output lengths. */
+
+#include "decision/length_estimate.h"
+#include <algorithm>
+#include <cmath>
+
+namespace cottonspool {
+
+static constexpr float DECAY = 0.995F;               ///< Factor on what was learned before, for each new output.
+static constexpr uint64_t ALL_ACCOUNTS = UINT32_MAX; ///< Stands for every account in a group's key.
+static constexpr double GROWTH_BEYOND_SEEN = 0.5;    ///< Part of its length an output longer than any seen is expected to grow by.
+
+/** @return The bucket of an output of \a tokens. */
+static size_t BucketOf(uint32_t tokens)
+{
+	double position = 2.0 * std::log2(std::max<uint32_t>(tokens, 1));
+	return std::min<size_t>(31, static_cast<size_t>(position));
+}
+
+/** @return The middle length of \a bucket, in tokens. */
+static double BucketMiddle(size_t bucket)
+{
+	return std::exp2((static_cast<double>(bucket) + 0.5) / 2.0);
+}
+
+/** @return The key of a group of outputs. */
+static uint64_t GroupKey(const CallSpec &call, uint64_t account)
+{
+	return (account << 32) | (static_cast<uint64_t>(call.model.value) << 4) | static_cast<uint64_t>(call.service_class);
+}
+
+void LengthHistogram::Add(uint32_t tokens)
+{
+	for (float &weight : this->weights) weight *= DECAY;
+	this->weights[BucketOf(tokens)] += 1;
+	this->total = this->total * DECAY + 1;
+}
+
+double LengthHistogram::Residual(uint32_t generated) const
+{
+	double weight = 0;
+	double sum = 0;
+	for (size_t bucket = BucketOf(std::max<uint32_t>(generated, 1)); bucket < BUCKETS; bucket++) {
+		double left = BucketMiddle(bucket) - generated;
+		if (left <= 0 || this->weights[bucket] <= 0) continue;
+		weight += this->weights[bucket];
+		sum += this->weights[bucket] * left;
+	}
+	return weight < 1e-3 ? -1.0 : sum / weight;
+}
+
+LengthEstimate::Group &LengthEstimate::Touch(uint64_t key)
+{
+	auto found = this->groups.find(key);
+	if (found != this->groups.end()) {
+		this->order.splice(this->order.begin(), this->order, found->second.position);
+		return found->second;
+	}
+	if (this->groups.size() >= this->limits.max_groups) {
+		this->groups.erase(this->order.back());
+		this->order.pop_back();
+	}
+	this->order.push_front(key);
+	Group &group = this->groups[key];
+	group.position = this->order.begin();
+	return group;
+}
+
+void LengthEstimate::Learn(const CallSpec &call, uint32_t tokens)
+{
+	this->Touch(GroupKey(call, call.account.value)).histogram.Add(tokens);
+	this->Touch(GroupKey(call, ALL_ACCOUNTS)).histogram.Add(tokens);
+}
+
+double LengthEstimate::Residual(const CallSpec &call, uint32_t generated) const
+{
+	double expected = generated == 0 ? this->limits.prior_tokens : std::max(16.0, generated * GROWTH_BEYOND_SEEN);
+	auto all = this->groups.find(GroupKey(call, ALL_ACCOUNTS));
+	if (all != this->groups.end()) {
+		double residual = all->second.histogram.Residual(generated);
+		if (residual >= 0) expected = residual;
+	}
+	auto own = this->groups.find(GroupKey(call, call.account.value));
+	if (own != this->groups.end()) {
+		double residual = own->second.histogram.Residual(generated);
+		double weight = own->second.histogram.Weight();
+		double part = weight / (weight + this->limits.account_outputs);
+		if (residual >= 0) expected = part * residual + (1 - part) * expected;
+	}
+	if (call.max_tokens == 0) return expected;
+	double left = call.max_tokens > generated ? call.max_tokens - generated : 0;
+	return std::min(expected, left);
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/decision/router.cpp
@@ -0,0 +1,179 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file router.cpp Choice of a target: headroom (ours) and the baselines. */
+
+#include "core/hash_func.h"
+#include "decision/router_base.h"
+#include <algorithm>
+#include <limits>
+
+namespace cottonspool {
+
+static constexpr double PREFIX_BONUS = 0.15;          ///< Pressure that a cached prefix outweighs.
+static constexpr double PREFIX_PRESSURE_LIMIT = 0.70; ///< Pressure above which a cached prefix no longer counts.
+static constexpr double OTHER_HALL_PENALTY = 0.30;    ///< Pressure that the next preferred hall has to be better by.
+
+/** @return Penalty of the hall of \a target for \a call, or nothing when the hall gets no new work. */
+static std::optional<double> HallPenalty(const CallSpec &call, const TargetState &target)
+{
+	if (call.halls.empty()) return 0.0;
+	double penalty = 0;
+	for (const HallPreference &preference : call.halls) {
+		if (preference.hall == target.hall) return preference.weight > 0 ? std::optional<double>(penalty) : std::nullopt;
+		penalty += OTHER_HALL_PENALTY;
+	}
+	return std::nullopt;
+}
+
+/** @return The targets that may get \a call now. */
+static std::vector<TargetNumber> Usable(const CallSpec &call, const TargetTable &targets, TimePoint now)
+{
+	std::vector<TargetNumber> usable;
+	for (TargetNumber number : targets.ForModel(call.model)) {
+		const TargetState &target = targets.Get(number);
+		if (targets.IsUsable(target, call.model, now) && HallPenalty(call, target)) usable.push_back(number);
+	}
+	return usable;
+}
+
+/** @return Load as a naive balancer sees it: the last report plus own calls that it cannot contain yet. */
+static double ReportedLoad(const TargetState &target)
+{
+	double fresh = static_cast<double>(target.in_flight.size()) - target.own_calls_at_report;
+	return target.report.running + target.report.waiting + std::max(0.0, fresh);
+}
+
+namespace {
+
+/** Ours: room for the expected length first, then the least pressure, a cached prefix, and the preferred hall. */
+class HeadroomRouter : public Router {
+public:
+	explicit HeadroomRouter(HeadroomRules rules) : rules(rules) {}
+
+	std::optional<TargetNumber> Choose(const CallSpec &call, const TargetTable &targets, TimePoint now) override
+	{
+		std::optional<TargetNumber> best;
+		double best_score = std::numeric_limits<double>::max();
+		for (TargetNumber number : targets.ForModel(call.model)) {
+			const TargetState &target = targets.Get(number);
+			if (!targets.IsUsable(target, call.model, now)) continue;
+			std::optional<double> penalty = HallPenalty(call, target);
+			if (!penalty || (this->rules.use_headroom && !HasRoom(call, target, targets, now))) continue;
+			double score = this->Score(call, target, targets) + *penalty;
+			if (score >= best_score) continue;
+			best = number;
+			best_score = score;
+		}
+		return best;
+	}
+
+private:
+	static bool HasRoom(const CallSpec &call, const TargetState &target, const TargetTable &targets, TimePoint now)
+	{
+		double need = targets.Need(target, call);
+		if (targets.Allowance(target, call, now) >= need) return true;
+		bool idle = target.in_flight.empty() && target.report.running + target.report.waiting == 0;
+		return idle && target.spent_since_report == 0;
+	}
+
+	double Score(const CallSpec &call, const TargetState &target, const TargetTable &targets) const
+	{
+		double pressure = targets.Pressure(target);
+		bool cached = call.prefix != 0 && target.prefixes.contains(call.prefix);
+		if (this->rules.use_prefix && cached && pressure < PREFIX_PRESSURE_LIMIT) pressure -= PREFIX_BONUS;
+		return pressure;
+	}
+
+	HeadroomRules rules; ///< Switches.
+};
+
+/** Baseline: each target in turn. */
+class RoundRobinRouter : public Router {
+public:
+	std::optional<TargetNumber> Choose(const CallSpec &call, const TargetTable &targets, TimePoint now) override
+	{
+		std::vector<TargetNumber> usable = Usable(call, targets, now);
+		if (usable.empty()) return std::nullopt;
+		return usable[this->next++ % usable.size()];
+	}
+
+private:
+	uint64_t next = 0; ///< Calls routed so far.
+};
+
+/** Baseline: the least reported load. */
+class LeastLoadRouter : public Router {
+public:
+	std::optional<TargetNumber> Choose(const CallSpec &call, const TargetTable &targets, TimePoint now) override
+	{
+		std::optional<TargetNumber> best;
+		for (TargetNumber number : Usable(call, targets, now)) {
+			if (!best || ReportedLoad(targets.Get(number)) < ReportedLoad(targets.Get(*best))) best = number;
+		}
+		return best;
+	}
+};
+
+/** Baseline: the less loaded of two random targets. */
+class TwoChoicesRouter : public Router {
+public:
+	explicit TwoChoicesRouter(uint64_t seed) : seed(seed) {}
+
+	std::optional<TargetNumber> Choose(const CallSpec &call, const TargetTable &targets, TimePoint now) override
+	{
+		std::vector<TargetNumber> usable = Usable(call, targets, now);
+		if (usable.empty()) return std::nullopt;
+		TargetNumber first = usable[this->Random() % usable.size()];
+		TargetNumber second = usable[this->Random() % usable.size()];
+		return ReportedLoad(targets.Get(second)) < ReportedLoad(targets.Get(first)) ? second : first;
+	}
+
+private:
+	uint64_t Random() { return HashText("two-choices", this->seed + 0x9e3779b97f4a7c15ULL * ++this->drawn); }
+
+	uint64_t seed;      ///< Seed of the draws.
+	uint64_t drawn = 0; ///< Draws so far.
+};
+
+/** Baseline, from the paper: a weighted sum of the caller's rank (delay) and the target's rank (cost) of each target. */
+class RankWeightedRouter : public Router {
+public:
+	std::optional<TargetNumber> Choose(const CallSpec &call, const TargetTable &targets, TimePoint now) override
+	{
+		std::vector<TargetNumber> usable = Usable(call, targets, now);
+		if (usable.empty()) return std::nullopt;
+		auto delay = [&](TargetNumber n) { return targets.Get(n).interval * (1 + targets.Get(n).report.waiting); };
+		auto cost = [&](TargetNumber n) { return ReportedLoad(targets.Get(n)); };
+		TargetNumber best = usable.front();
+		double best_score = std::numeric_limits<double>::max();
+		for (TargetNumber number : usable) {
+			double score = BETA * Rank(usable, number, delay) + (1 - BETA) * Rank(usable, number, cost);
+			if (score >= best_score) continue;
+			best = number;
+			best_score = score;
+		}
+		return best;
+	}
+
+private:
+	static constexpr double BETA = 0.5; ///< Weight of the caller's side.
+
+	template <typename Key> static double Rank(const std::vector<TargetNumber> &all, TargetNumber of, Key key)
+	{
+		return static_cast<double>(std::count_if(all.begin(), all.end(), [&](TargetNumber other) { return key(other) < key(of); }));
+	}
+};
+
+} // namespace
+
+std::unique_ptr<Router> MakeRouter(std::string_view name, uint64_t seed, HeadroomRules rules)
+{
+	if (name == "headroom") return std::make_unique<HeadroomRouter>(rules);
+	if (name == "round-robin") return std::make_unique<RoundRobinRouter>();
+	if (name == "least-load") return std::make_unique<LeastLoadRouter>();
+	if (name == "two-choices") return std::make_unique<TwoChoicesRouter>(seed);
+	if (name == "rank-weighted") return std::make_unique<RankWeightedRouter>();
+	return nullptr;
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/decision/target_table.cpp
@@ -0,0 +1,251 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file target_table.cpp What one instance knows of its targets. */
+
+#include "decision/target_table.h"
+#include "core/hash_func.h"
+#include <algorithm>
+#include <cmath>
+
+namespace cottonspool {
+
+static constexpr uint32_t RESIDUAL_REFRESH_TOKENS = 16; ///< Tokens after which the expected rest of a call is computed anew.
+static constexpr double GROWTH_ON_PREEMPTION = 1.25;    ///< Factor on the reserved growth after a report with preemptions.
+static constexpr double GROWTH_ON_QUIET = 0.995;        ///< Factor on the reserved growth after a report without.
+static constexpr double INTERVAL_SMOOTHING = 0.05;      ///< Weight of the newest time between tokens.
+static constexpr double RESIDUAL_SMOOTHING = 0.02;      ///< Weight of the newest residual.
+static constexpr size_t SLOW_MIN_TARGETS = 3;           ///< Fewest measured targets from which a median says something.
+static constexpr double TURN_PART = 0.5;                ///< Part of the headroom that goes to one instance in turn.
+
+TargetNumber TargetTable::Configure(std::string_view name, std::string_view hall, const std::vector<ModelNumber> &models, bool engine)
+{
+	auto [entry, added] = this->numbers.try_emplace(std::string(name), TargetNumber{this->Size()});
+	if (added) {
+		this->targets.emplace_back();
+		this->targets.back().name = name;
+		this->targets.back().growth = this->limits.growth_start;
+	}
+	TargetState &target = this->targets[entry->second.value];
+	target.hall = hall;
+	target.engine = engine;
+	target.models = std::set<ModelNumber>(models.begin(), models.end());
+	target.known = true;
+	this->RebuildIndex();
+	return entry->second;
+}
+
+void TargetTable::Forget(TargetNumber target)
+{
+	this->targets[target.value].known = false;
+	this->RebuildIndex();
+}
+
+void TargetTable::RebuildIndex()
+{
+	this->by_model.clear();
+	for (uint32_t i = 0; i < this->Size(); i++) {
+		if (!this->targets[i].known) continue;
+		for (ModelNumber model : this->targets[i].models) this->by_model[model.value].push_back(TargetNumber{i});
+	}
+}
+
+void TargetTable::MarkLeaving(TargetNumber target)
+{
+	this->targets[target.value].leaving = true;
+}
+
+void TargetTable::ClearLeaving(TargetNumber target)
+{
+	this->targets[target.value].leaving = false;
+}
+
+void TargetTable::UpdateGrowth(TargetState &target, const LoadReport &report)
+{
+	if (!this->limits.use_growth_feedback) return;
+	bool preempted = report.preemptions > target.report.preemptions;
+	target.growth *= preempted ? GROWTH_ON_PREEMPTION : GROWTH_ON_QUIET;
+	target.growth = std::clamp(target.growth, this->limits.growth_min, this->limits.growth_max);
+}
+
+void TargetTable::OnReport(TargetNumber number, const LoadReport &report, TimePoint now)
+{
+	TargetState &target = this->targets[number.value];
+	bool restarted = target.report.incarnation != report.incarnation;
+	if (!restarted && target.ready && report.sequence <= target.report.sequence) return;
+	if (restarted) {
+		target.prefixes.clear();
+	} else {
+		this->UpdateGrowth(target, report);
+	}
+	if (report.leaving) target.leaving = true;
+	target.report = report;
+	target.report_at = now;
+	target.ready = true;
+	target.own_at_report = 0;
+	target.own_calls_at_report = 0;
+	target.spent_since_report = 0;
+	TimePoint made_at = now - report.age;
+	for (const auto &[id, flight] : target.in_flight) {
+		if (flight.sent < made_at) {
+			target.own_at_report += flight.call.prompt_tokens + flight.generated;
+			target.own_calls_at_report++;
+		} else {
+			target.spent_since_report += this->Need(target, flight.call);
+		}
+	}
+	target.prefixes.insert(report.prefixes.begin(), report.prefixes.end());
+}
+
+void TargetTable::SetUnreported(TargetNumber number, uint64_t slots)
+{
+	TargetState &target = this->targets[number.value];
+	target.ready = true;
+	if (target.report.capacity_tokens == 0) target.report.capacity_tokens = slots;
+}
+
+void TargetTable::OnSent(TargetNumber number, const CallSpec &call, TimePoint now)
+{
+	TargetState &target = this->targets[number.value];
+	InFlightCall flight{call, 0, call.generated ? this->lengths.Residual(call, 0) : 0, now, now};
+	target.own_tokens += call.prompt_tokens;
+	target.own_residual += flight.residual;
+	target.spent_since_report += call.prompt_tokens + target.growth * flight.residual;
+	if (now < target.ejected_until || target.failures >= this->limits.eject_failures) target.probing = true;
+	target.in_flight.emplace(call.id, std::move(flight));
+}
+
+void TargetTable::OnToken(TargetNumber number, CallId call, TimePoint now)
+{
+	TargetState &target = this->targets[number.value];
+	auto found = target.in_flight.find(call);
+	if (found == target.in_flight.end()) return;
+	InFlightCall &flight = found->second;
+	if (flight.generated > 0) {
+		double interval = Seconds(now - flight.last_token);
+		target.interval = target.interval == 0 ? interval : target.interval + INTERVAL_SMOOTHING * (interval - target.interval);
+	}
+	flight.last_token = now;
+	flight.generated++;
+	target.own_tokens++;
+	double residual = std::max(0.0, flight.residual - 1);
+	if (flight.generated % RESIDUAL_REFRESH_TOKENS == 0) {
+		residual = this->lengths.Residual(flight.call, flight.generated);
+		this->mean_residual += RESIDUAL_SMOOTHING * (residual - this->mean_residual);
+	}
+	target.own_residual += residual - flight.residual;
+	flight.residual = residual;
+}
+
+uint32_t TargetTable::OnEnded(TargetNumber number, CallId call, bool healthy, TimePoint now)
+{
+	TargetState &target = this->targets[number.value];
+	auto found = target.in_flight.find(call);
+	if (found == target.in_flight.end()) return 0;
+	uint32_t generated = found->second.generated;
+	target.own_tokens -= found->second.call.prompt_tokens + generated;
+	target.own_residual -= found->second.residual;
+	target.in_flight.erase(found);
+	if (target.in_flight.empty()) target.own_tokens = target.own_residual = 0;
+	target.probing = false;
+	if (healthy) {
+		target.failures = target.ejections = 0;
+		target.ejected_until = TimePoint{};
+	} else if (++target.failures >= this->limits.eject_failures) {
+		this->Eject(target, now);
+	}
+	return generated;
+}
+
+void TargetTable::Eject(TargetState &target, TimePoint now)
+{
+	auto length = this->limits.eject_base * (1U << std::min<uint32_t>(target.ejections, 10));
+	target.ejected_until = now + std::min<Duration>(length, this->limits.eject_max);
+	target.ejections++;
+}
+
+bool TargetTable::IsUsable(const TargetState &target, ModelNumber model, TimePoint now) const
+{
+	if (!target.known || !target.ready || target.leaving) return false;
+	if (now < target.ejected_until || target.probing) return false;
+	return target.models.contains(model);
+}
+
+double TargetTable::Need(const TargetState &target, const CallSpec &call) const
+{
+	if (!call.generated) return 1;
+	return call.prompt_tokens + target.growth * this->lengths.Residual(call, 0);
+}
+
+double TargetTable::OthersCommitted(const TargetState &target) const
+{
+	double used = std::max(0.0, static_cast<double>(target.report.used_tokens) - target.own_at_report);
+	if (!target.engine) return used;
+	uint32_t reported = target.report.running + target.report.waiting;
+	uint32_t calls = reported > target.own_calls_at_report ? reported - target.own_calls_at_report : 0;
+	return used + static_cast<double>(target.report.waiting_tokens) + target.growth * calls * this->mean_residual;
+}
+
+double TargetTable::Pressure(const TargetState &target) const
+{
+	double capacity = std::max<double>(1, static_cast<double>(target.report.capacity_tokens));
+	double own = target.own_tokens + target.growth * target.own_residual;
+	double pressure = (own + this->OthersCommitted(target)) / capacity;
+	return target.slow ? pressure * this->limits.slow_factor + 0.25 : pressure;
+}
+
+double TargetTable::Allowance(const TargetState &target, const CallSpec &call, TimePoint now) const
+{
+	double capacity = static_cast<double>(target.report.capacity_tokens) * this->limits.fill[static_cast<size_t>(call.service_class)];
+	if (target.slow) capacity /= this->limits.slow_factor;
+	double own = target.own_tokens + target.growth * target.own_residual;
+	bool has_report = target.report.sequence != 0;
+	if (!has_report || now - target.report_at > this->limits.report_stale) {
+		if (!has_report) return capacity - static_cast<double>(target.in_flight.size());
+		return capacity / this->instances - own;
+	}
+	double free = capacity - own - this->OthersCommitted(target);
+	if (!this->limits.use_shares || this->instances <= 1) return free;
+	double at_report = std::max(0.0, free + target.spent_since_report);
+	uint32_t turn = HashText(target.name, target.report.sequence) % this->instances;
+	double share = (1 - TURN_PART) / this->instances + (turn == this->rank ? TURN_PART : 0);
+	return std::min(free, at_report * share - target.spent_since_report);
+}
+
+void TargetTable::RefreshSlow()
+{
+	for (const auto &[model, numbers] : this->by_model) {
+		std::vector<double> intervals;
+		for (TargetNumber number : numbers) {
+			if (this->Get(number).interval > 0) intervals.push_back(this->Get(number).interval);
+		}
+		if (intervals.size() < SLOW_MIN_TARGETS) continue;
+		auto middle = intervals.begin() + static_cast<long>(intervals.size() / 2);
+		std::nth_element(intervals.begin(), middle, intervals.end());
+		for (TargetNumber number : numbers) {
+			TargetState &target = this->targets[number.value];
+			target.slow = target.interval > this->limits.slow_factor * *middle;
+		}
+	}
+}
+
+void TargetTable::SetInstances(uint32_t new_rank, uint32_t count)
+{
+	this->rank = new_rank;
+	this->instances = std::max<uint32_t>(count, 1);
+}
+
+std::optional<TargetNumber> TargetTable::Find(std::string_view name) const
+{
+	auto found = this->numbers.find(std::string(name));
+	if (found == this->numbers.end()) return std::nullopt;
+	return found->second;
+}
+
+const std::vector<TargetNumber> &TargetTable::ForModel(ModelNumber model) const
+{
+	static const std::vector<TargetNumber> none;
+	auto found = this->by_model.find(model.value);
+	return found == this->by_model.end() ? none : found->second;
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/decision/target_table.h
@@ -0,0 +1,143 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file target_table.h What one instance knows of its targets: reports, its own calls in flight, health, departures. */
+
+#pragma once
+
+#include "core/name_table.h"
+#include "decision/length_estimate.h"
+#include <set>
+#include <unordered_map>
+
+namespace cottonspool {
+
+/** Limits of admission and of the judgement of targets. */
+struct TargetLimits {
+	std::array<double, SERVICE_CLASS_COUNT> fill{0.97, 0.90, 0.75}; ///< Part of a target's memory each class may plan to fill.
+	Duration report_stale = std::chrono::seconds(6);                ///< Age at which a report says nothing any more.
+	double growth_start = 0.7;                                      ///< Part of the expected growth that is reserved, at first.
+	double growth_min = 0.3;                                        ///< Least part reserved.
+	double growth_max = 2.0;                                        ///< Largest part reserved.
+	uint32_t eject_failures = 3;                                    ///< Failures in a row after which a target is ejected.
+	Duration eject_base = std::chrono::seconds(1);                  ///< First ejection; doubles up to eject_max.
+	Duration eject_max = std::chrono::seconds(30);                  ///< Longest ejection.
+	double slow_factor = 3.0;                                       ///< Token interval against the median that makes a target slow.
+	bool use_shares = true;                                         ///< Keep to a share of reported headroom.
+	bool use_growth_feedback = true;                                ///< Adapt the reserved growth to preemptions.
+};
+
+/** One call that this instance has in flight at a target. */
+struct InFlightCall {
+	CallSpec call;          ///< The call.
+	uint32_t generated = 0; ///< Tokens seen so far.
+	double residual = 0;    ///< Expected tokens still to come, when last computed.
+	TimePoint sent;         ///< When it was sent.
+	TimePoint last_token;   ///< When the last token came.
+};
+
+/** One target as seen by this instance. */
+struct TargetState {
+	std::string name;                 ///< Name in the configuration.
+	std::string hall;                 ///< Data hall it stands in.
+	bool engine = true;               ///< Generates tokens; false for a plain service, whose capacity is counted in calls.
+	std::set<ModelNumber> models;     ///< Models (or the service) it answers for.
+	bool known = false;               ///< The configuration in force names it.
+	bool ready = false;               ///< It has reported at least once, or is a service without reports.
+	bool leaving = false;             ///< Gets nothing new; see TargetTable::MarkLeaving().
+	LoadReport report;                ///< Last report.
+	TimePoint report_at;              ///< When the last report came.
+	double own_at_report = 0;         ///< Own tokens that the last report already counts.
+	uint32_t own_calls_at_report = 0; ///< Own calls that the last report already counts.
+	double spent_since_report = 0;    ///< Own need sent since the last report was made.
+	double growth = 0.7;              ///< Part of the expected growth that is reserved.
+	double own_tokens = 0;            ///< Tokens held by own calls.
+	double own_residual = 0;          ///< Expected further tokens of own calls.
+	bool slow = false;                ///< Much slower than the median of its like; see RefreshSlow().
+	double interval = 0;              ///< Smoothed time between tokens, in seconds; 0 while unknown.
+	uint32_t failures = 0;            ///< Failures in a row.
+	uint32_t ejections = 0;           ///< Ejections in a row.
+	TimePoint ejected_until;          ///< Gets nothing new before this.
+	bool probing = false;             ///< One call is on its way to find out whether it is well again.
+	std::set<uint64_t> prefixes;      ///< Prefixes believed to be cached.
+	std::unordered_map<CallId, InFlightCall, StrongIdHash> in_flight; ///< Own calls.
+};
+
+/** All targets of one instance. */
+class TargetTable {
+public:
+	TargetTable(TargetLimits limits, LengthEstimate &lengths) : limits(limits), lengths(lengths) {}
+
+	/** Add a target or change what the configuration says of it. @return Its number. */
+	TargetNumber Configure(std::string_view name, std::string_view hall, const std::vector<ModelNumber> &models, bool engine = true);
+
+	/** The configuration no longer names \a target: nothing new goes there, what is in flight finishes. */
+	void Forget(TargetNumber target);
+
+	/** Nothing new to \a target. Sticky: only a new incarnation or ClearLeaving() ends it. */
+	void MarkLeaving(TargetNumber target);
+
+	/** The configuration says that \a target may be used again. */
+	void ClearLeaving(TargetNumber target);
+
+	/** Take in a load report that arrived at \a now. Older ones than the last are dropped. */
+	void OnReport(TargetNumber target, const LoadReport &report, TimePoint now);
+
+	/** A service that never reports is usable with \a slots calls at once. */
+	void SetUnreported(TargetNumber target, uint64_t slots);
+
+	/** This instance sends \a call to \a target. */
+	void OnSent(TargetNumber target, const CallSpec &call, TimePoint now);
+
+	/** A token of \a call came. */
+	void OnToken(TargetNumber target, CallId call, TimePoint now);
+
+	/** \a call has ended at \a target; \a healthy tells whether the target behaved. @return Tokens generated. */
+	uint32_t OnEnded(TargetNumber target, CallId call, bool healthy, TimePoint now);
+
+	/** @return Whether \a target may get anything new for \a model at \a now. */
+	bool IsUsable(const TargetState &target, ModelNumber model, TimePoint now) const;
+
+	/** @return Memory, in tokens, that this instance may still plan to fill at \a target with calls like \a call. */
+	double Allowance(const TargetState &target, const CallSpec &call, TimePoint now) const;
+
+	/** @return Memory, in tokens, that \a call is planned to need at \a target. */
+	double Need(const TargetState &target, const CallSpec &call) const;
+
+	/** @return The part of the target's memory that is planned to be filled, 0 to above 1. */
+	double Pressure(const TargetState &target) const;
+
+	/** Find anew which targets are much slower than the median of their like; to be called about once a second. */
+	void RefreshSlow();
+
+	/** This instance is number \a rank of \a count instances that share the targets. */
+	void SetInstances(uint32_t rank, uint32_t count);
+
+	/** @return The state of \a target. */
+	const TargetState &Get(TargetNumber target) const { return this->targets[target.value]; }
+
+	/** @return Number of targets ever known. */
+	uint32_t Size() const { return static_cast<uint32_t>(this->targets.size()); }
+
+	/** @return The number of the target \a name, or nothing. */
+	std::optional<TargetNumber> Find(std::string_view name) const;
+
+	/** @return Targets that the configuration names for \a model. */
+	const std::vector<TargetNumber> &ForModel(ModelNumber model) const;
+
+private:
+	void RebuildIndex();
+	void UpdateGrowth(TargetState &target, const LoadReport &report);
+	void Eject(TargetState &target, TimePoint now);
+	double OthersCommitted(const TargetState &target) const;
+
+	TargetLimits limits;                                              ///< Limits.
+	LengthEstimate &lengths;                                          ///< Expected lengths.
+	std::vector<TargetState> targets;                                 ///< Targets by number.
+	std::unordered_map<std::string, TargetNumber> numbers;            ///< Numbers by name.
+	std::unordered_map<uint32_t, std::vector<TargetNumber>> by_model; ///< Targets of each model.
+	uint32_t rank = 0;                                                ///< Rank of this instance.
+	uint32_t instances = 1;                                           ///< Instances that share the targets.
+	double mean_residual = 128;                                       ///< Smoothed residual of own calls, for the calls of others.
+};
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/http/http_client.cpp
@@ -0,0 +1,334 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file http_client.cpp HTTP calls to other processes, by libcurl on the libuv loop. */
+
+#include "http/http_client.h"
+#include <curl/curl.h>
+#include <unordered_map>
+#include <unordered_set>
+#include <uv.h>
+
+namespace cottonspool {
+
+static constexpr uint64_t SWEEP_MS = 50;           ///< Time between looks at the limits of all calls.
+static constexpr long MAX_IDLE_CONNECTIONS = 1024; ///< Idle connections kept for reuse.
+
+struct Transfer;
+
+/** libcurl's handles and the calls under way. */
+struct HttpClient::State {
+	uv_loop_t *loop = nullptr;                                         ///< Loop.
+	CURLM *multi = nullptr;                                            ///< libcurl's multi handle.
+	uv_timer_t timer{};                                                ///< libcurl's timer.
+	uv_timer_t sweep{};                                                ///< Looks at the limits.
+	std::unordered_map<uint64_t, std::unique_ptr<Transfer>> transfers; ///< Calls under way.
+	std::unordered_set<uint64_t> ready;                                ///< Calls with something to hand on.
+	uint64_t next = 1;                                                 ///< Next number.
+	bool closed = false;                                               ///< Shutdown() was called.
+
+	void Deliver();
+	void Collect();
+	void Remove(uint64_t number);
+	void CheckLimits(TimePoint now);
+};
+
+/** One call under way. What libcurl delivers is queued here and handed on outside of libcurl's callbacks. */
+struct Transfer {
+	uint64_t number = 0;                 ///< Number of the call.
+	HttpClient::State *client = nullptr; ///< Client that makes it.
+	CURL *easy = nullptr;                ///< libcurl's handle.
+	curl_slist *headers = nullptr;       ///< Request headers.
+	HttpCall call;                       ///< The call.
+	HttpHeaders answer_headers;          ///< Headers of the answer so far.
+	bool head_complete = false;          ///< The empty line after the headers came.
+	bool head_told = false;              ///< on_head was called.
+	std::string inbox;                   ///< Body not yet handed on.
+	bool over = false;                   ///< libcurl is done with it.
+	HttpEnd end;                         ///< How it ended, when over.
+	TimePoint started;                   ///< When it was started.
+	TimePoint last_activity;             ///< When anything last came.
+	bool paused = false;                 ///< Reading is paused.
+};
+
+/** A socket that libcurl wants watched. */
+struct WatchedSocket {
+	uv_poll_t poll;           ///< Watcher.
+	HttpClient::State *state; ///< Client.
+	curl_socket_t socket;     ///< Socket.
+};
+
+static size_t OnHeaderLine(char *data, size_t size, size_t count, void *user)
+{
+	auto *transfer = static_cast<Transfer *>(user);
+	std::string_view line(data, size * count);
+	while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) line.remove_suffix(1);
+	if (line.substr(0, 5) == "HTTP/") {
+		transfer->answer_headers.clear();
+	} else if (line.empty()) {
+		transfer->head_complete = true;
+		transfer->client->ready.insert(transfer->number);
+	} else if (size_t colon = line.find(':'); colon != std::string_view::npos) {
+		std::string_view value = line.substr(colon + 1);
+		while (!value.empty() && value.front() == ' ') value.remove_prefix(1);
+		transfer->answer_headers.push_back({std::string(line.substr(0, colon)), std::string(value)});
+	}
+	return size * count;
+}
+
+static size_t OnBody(char *data, size_t size, size_t count, void *user)
+{
+	auto *transfer = static_cast<Transfer *>(user);
+	transfer->inbox.append(data, size * count);
+	transfer->client->ready.insert(transfer->number);
+	return size * count;
+}
+
+/** @return How a transfer ended, from libcurl's result; certain of NotSent only when no byte of the request has left. */
+static HttpEnd MakeEnd(CURL *easy, CURLcode code, bool timed_out)
+{
+	HttpEnd end;
+	long status = 0;
+	long request_bytes = 0;
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+	end.status = static_cast<int>(status);
+	if (code == CURLE_OK && !timed_out) {
+		end.kind = HttpEndKind::Answered;
+	} else if (request_bytes == 0) {
+		end.kind = HttpEndKind::NotSent;
+	} else {
+		end.kind = timed_out || code == CURLE_OPERATION_TIMEDOUT ? HttpEndKind::TimedOut : HttpEndKind::Broken;
+	}
+	end.message = timed_out ? "limit passed" : curl_easy_strerror(code);
+	return end;
+}
+
+void HttpClient::State::Collect()
+{
+	int left = 0;
+	while (CURLMsg *message = curl_multi_info_read(this->multi, &left)) {
+		if (message->msg != CURLMSG_DONE) continue;
+		Transfer *transfer = nullptr;
+		curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+		transfer->over = true;
+		transfer->end = MakeEnd(message->easy_handle, message->data.result, false);
+		this->ready.insert(transfer->number);
+	}
+}
+
+void HttpClient::State::Deliver()
+{
+	TimePoint now = MonotonicNow();
+	while (!this->ready.empty()) {
+		uint64_t number = *this->ready.begin();
+		this->ready.erase(this->ready.begin());
+		auto found = this->transfers.find(number);
+		if (found == this->transfers.end()) continue;
+		Transfer *transfer = found->second.get();
+		transfer->last_activity = now;
+		if (transfer->head_complete && !transfer->head_told) {
+			transfer->head_told = true;
+			long status = 0;
+			curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+			if (transfer->call.on_head) transfer->call.on_head(static_cast<int>(status), transfer->answer_headers);
+			if (!this->transfers.contains(number)) continue;
+		}
+		if (!transfer->inbox.empty()) {
+			std::string data = std::move(transfer->inbox);
+			transfer->inbox.clear();
+			if (transfer->call.on_data) transfer->call.on_data(data);
+			if (!this->transfers.contains(number)) continue;
+		}
+		if (!transfer->over) continue;
+		HttpEnd end = std::move(transfer->end);
+		auto on_end = std::move(transfer->call.on_end);
+		this->Remove(number);
+		if (on_end) on_end(end);
+	}
+}
+
+void HttpClient::State::Remove(uint64_t number)
+{
+	auto found = this->transfers.find(number);
+	if (found == this->transfers.end()) return;
+	std::unique_ptr<Transfer> transfer = std::move(found->second);
+	this->transfers.erase(found);
+	curl_multi_remove_handle(this->multi, transfer->easy);
+	curl_easy_cleanup(transfer->easy);
+	curl_slist_free_all(transfer->headers);
+}
+
+void HttpClient::State::CheckLimits(TimePoint now)
+{
+	for (auto &[number, transfer] : this->transfers) {
+		if (transfer->over) continue;
+		Duration age = now - transfer->started;
+		bool silent = transfer->head_complete && !transfer->paused && now - transfer->last_activity > transfer->call.idle_limit;
+		bool late = !transfer->head_complete && age > transfer->call.first_byte_limit;
+		if (!silent && !late && age <= transfer->call.total_limit) continue;
+		transfer->over = true;
+		transfer->end = MakeEnd(transfer->easy, CURLE_OPERATION_TIMEDOUT, true);
+		this->ready.insert(number);
+	}
+	this->Deliver();
+}
+
+/** Let libcurl act on \a socket and hand on what came of it. */
+static void Act(HttpClient::State *state, curl_socket_t socket, int events)
+{
+	int running = 0;
+	curl_multi_socket_action(state->multi, socket, events, &running);
+	state->Collect();
+	state->Deliver();
+}
+
+static void OnPoll(uv_poll_t *poll, int status, int events)
+{
+	auto *watched = static_cast<WatchedSocket *>(poll->data);
+	int flags = 0;
+	if (status < 0) flags |= CURL_CSELECT_ERR;
+	if (events & UV_READABLE) flags |= CURL_CSELECT_IN;
+	if (events & UV_WRITABLE) flags |= CURL_CSELECT_OUT;
+	Act(watched->state, watched->socket, flags);
+}
+
+static int OnSocketWanted(CURL *, curl_socket_t socket, int what, void *user, void *socket_data)
+{
+	auto *state = static_cast<HttpClient::State *>(user);
+	auto *watched = static_cast<WatchedSocket *>(socket_data);
+	if (what == CURL_POLL_REMOVE) {
+		if (watched == nullptr) return 0;
+		uv_poll_stop(&watched->poll);
+		uv_close(reinterpret_cast<uv_handle_t *>(&watched->poll),
+		         [](uv_handle_t *handle) { delete static_cast<WatchedSocket *>(handle->data); });
+		curl_multi_assign(state->multi, socket, nullptr);
+		return 0;
+	}
+	if (watched == nullptr) {
+		watched = new WatchedSocket{{}, state, socket};
+		uv_poll_init_socket(state->loop, &watched->poll, socket);
+		watched->poll.data = watched;
+		curl_multi_assign(state->multi, socket, watched);
+	}
+	int events = (what & CURL_POLL_IN ? UV_READABLE : 0) | (what & CURL_POLL_OUT ? UV_WRITABLE : 0);
+	uv_poll_start(&watched->poll, events, OnPoll);
+	return 0;
+}
+
+static int OnTimerWanted(CURLM *, long timeout_ms, void *user)
+{
+	auto *state = static_cast<HttpClient::State *>(user);
+	if (state->closed) return 0;
+	if (timeout_ms < 0) {
+		uv_timer_stop(&state->timer);
+		return 0;
+	}
+	uv_timer_start(
+	        &state->timer, [](uv_timer_t *timer) { Act(static_cast<HttpClient::State *>(timer->data), CURL_SOCKET_TIMEOUT, 0); },
+	        static_cast<uint64_t>(timeout_ms), 0);
+	return 0;
+}
+
+HttpClient::HttpClient(uv_loop_s *loop) : state(std::make_shared<State>())
+{
+	static const CURLcode initialised = curl_global_init(CURL_GLOBAL_ALL);
+	(void)initialised;
+	this->state->loop = loop;
+	this->state->multi = curl_multi_init();
+	curl_multi_setopt(this->state->multi, CURLMOPT_SOCKETFUNCTION, OnSocketWanted);
+	curl_multi_setopt(this->state->multi, CURLMOPT_SOCKETDATA, this->state.get());
+	curl_multi_setopt(this->state->multi, CURLMOPT_TIMERFUNCTION, OnTimerWanted);
+	curl_multi_setopt(this->state->multi, CURLMOPT_TIMERDATA, this->state.get());
+	curl_multi_setopt(this->state->multi, CURLMOPT_MAXCONNECTS, MAX_IDLE_CONNECTIONS);
+	uv_timer_init(loop, &this->state->timer);
+	uv_timer_init(loop, &this->state->sweep);
+	this->state->timer.data = this->state.get();
+	this->state->sweep.data = this->state.get();
+	uv_timer_start(
+	        &this->state->sweep, [](uv_timer_t *timer) { static_cast<State *>(timer->data)->CheckLimits(MonotonicNow()); }, SWEEP_MS,
+	        SWEEP_MS);
+}
+
+HttpClient::~HttpClient()
+{
+	this->Shutdown();
+}
+
+uint64_t HttpClient::Start(HttpCall call)
+{
+	auto transfer = std::make_unique<Transfer>();
+	uint64_t number = this->state->next++;
+	transfer->number = number;
+	transfer->client = this->state.get();
+	transfer->call = std::move(call);
+	transfer->started = transfer->last_activity = MonotonicNow();
+	transfer->easy = curl_easy_init();
+	CURL *easy = transfer->easy;
+	for (const HttpHeader &header : transfer->call.headers) {
+		transfer->headers = curl_slist_append(transfer->headers, (header.name + ": " + header.value).c_str());
+	}
+	transfer->headers = curl_slist_append(transfer->headers, "Expect:");
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
+	curl_easy_setopt(easy, CURLOPT_URL, transfer->call.url.c_str());
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, transfer->call.method.c_str());
+	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHeaderLine);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer.get());
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+	                 static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(transfer->call.connect_limit).count()));
+	if (!transfer->call.body.empty() || transfer->call.method == "POST" || transfer->call.method == "PUT") {
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(transfer->call.body.size()));
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->call.body.c_str());
+	}
+	if (transfer->call.method == "HEAD") curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+	if (transfer->call.single_send) curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
+	this->state->transfers.emplace(number, std::move(transfer));
+	curl_multi_add_handle(this->state->multi, easy);
+	return number;
+}
+
+bool HttpClient::Cancel(uint64_t number)
+{
+	auto found = this->state->transfers.find(number);
+	if (found == this->state->transfers.end()) return true;
+	long request_bytes = 0;
+	curl_easy_getinfo(found->second->easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+	this->state->Remove(number);
+	return request_bytes > 0;
+}
+
+void HttpClient::Pause(uint64_t number, bool paused)
+{
+	auto found = this->state->transfers.find(number);
+	if (found == this->state->transfers.end() || found->second->paused == paused) return;
+	found->second->paused = paused;
+	found->second->last_activity = MonotonicNow();
+	curl_easy_pause(found->second->easy, paused ? CURLPAUSE_RECV : CURLPAUSE_CONT);
+}
+
+size_t HttpClient::Calls() const
+{
+	return this->state->transfers.size();
+}
+
+void HttpClient::Shutdown()
+{
+	if (this->state->closed) return;
+	this->state->closed = true;
+	while (!this->state->transfers.empty()) this->state->Remove(this->state->transfers.begin()->first);
+	curl_multi_cleanup(this->state->multi);
+	auto *keep = new std::shared_ptr<State>(this->state);
+	this->state->sweep.data = keep;
+	uv_timer_stop(&this->state->timer);
+	uv_timer_stop(&this->state->sweep);
+	uv_close(reinterpret_cast<uv_handle_t *>(&this->state->timer), nullptr);
+	uv_close(reinterpret_cast<uv_handle_t *>(&this->state->sweep),
+	         [](uv_handle_t *handle) { delete static_cast<std::shared_ptr<State> *>(handle->data); });
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/instance/configuration_keeper.cpp
@@ -0,0 +1,175 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file configuration_keeper.cpp Keeps one instance's configuration at the head. */
+
+#include "instance/configuration_keeper.h"
+#include "metrics/log.h"
+#include <algorithm>
+
+namespace cottonspool {
+
+static const char *const ENTRY_PREFIX = "config/entry/";
+static const char *const SNAPSHOT_KEY = "config/snapshot";
+
+/** @return The key of entry number \a sequence; keys sort like sequences. */
+static std::string EntryKey(uint64_t sequence)
+{
+	std::string digits = std::to_string(sequence);
+	return ENTRY_PREFIX + std::string(12 - std::min<size_t>(12, digits.size()), '0') + digits;
+}
+
+void ConfigurationKeeper::Boot()
+{
+	this->platform.ReadObject(SNAPSHOT_KEY, [this](Result<PlatformRow> row) {
+		if (row && !row.value().version.empty()) {
+			this->OnSnapshot(row.value().value);
+		}
+		this->Poll();
+	});
+}
+
+void ConfigurationKeeper::Announce(std::vector<std::string> entries)
+{
+	this->changed(entries);
+}
+
+bool ConfigurationKeeper::ApplyText(const std::string &text, uint64_t *counter)
+{
+	Result<Entry> entry = ParseEntry(text);
+	if (!entry || !this->state.Apply(entry.value())) return false;
+	(*counter)++;
+	this->recent.emplace_back(entry.value().sequence, text);
+	if (this->recent.size() > MAX_RECENT) this->recent.pop_front();
+	return true;
+}
+
+void ConfigurationKeeper::PollThen(PollDone done)
+{
+	TimePoint asked = MonotonicNow();
+	this->platform.ScanRows(ENTRY_PREFIX, EntryKey(this->state.Sequence()),
+	                        [this, asked, done = std::move(done)](Result<std::vector<PlatformRow>> rows) {
+		                        if (!rows) return done(false);
+		                        std::vector<std::string> applied;
+		                        for (const PlatformRow &row : rows.value()) {
+			                        if (this->ApplyText(row.value, &this->counters.from_table)) applied.push_back(row.value);
+		                        }
+		                        if (!applied.empty()) this->Announce(std::move(applied));
+		                        if (rows.value().size() >= SCAN_PAGE) return this->PollThen(done);
+		                        this->OnConfirmed(asked);
+		                        done(true);
+	                        });
+}
+
+void ConfigurationKeeper::Poll()
+{
+	if (this->polling) return;
+	this->polling = true;
+	this->PollThen([this](bool) { this->polling = false; });
+}
+
+bool ConfigurationKeeper::OnEntries(const std::vector<std::string> &entries)
+{
+	std::vector<std::string> applied;
+	bool complete = true;
+	for (const std::string &text : entries) {
+		if (this->ApplyText(text, &this->counters.from_peers)) {
+			applied.push_back(text);
+			continue;
+		}
+		Result<Entry> entry = ParseEntry(text);
+		if (entry && entry.value().sequence > this->state.Sequence() + 1) complete = false;
+	}
+	if (!applied.empty()) this->Announce(std::move(applied));
+	return complete;
+}
+
+void ConfigurationKeeper::OnSnapshot(const std::string &snapshot)
+{
+	Result<bool> moved = this->state.Load(snapshot);
+	if (!moved) {
+		Log(LogLevel::Error, "snapshot-unreadable", {{"error", moved.error().message}});
+		return;
+	}
+	if (!moved.value()) return;
+	this->recent.clear();
+	this->Announce({});
+}
+
+PeerMessage ConfigurationKeeper::AnswerFetch(uint64_t after) const
+{
+	bool remembered = !this->recent.empty() && this->recent.front().first <= after + 1;
+	if (!remembered) return SnapshotMessage{this->state.Snapshot()};
+	EntriesMessage message;
+	for (const auto &[sequence, text] : this->recent) {
+		if (sequence > after) message.entries.push_back(text);
+	}
+	return message;
+}
+
+void ConfigurationKeeper::Accept(const Change &change, ApplyDone done)
+{
+	this->AcceptRound(std::make_shared<Acceptance>(Acceptance{change, std::move(done)}));
+}
+
+void ConfigurationKeeper::AcceptRound(std::shared_ptr<Acceptance> acceptance)
+{
+	if (acceptance->tries++ >= MAX_TRIES) {
+		ApplyEnd end = acceptance->doubtful ? ApplyEnd::Unknown : ApplyEnd::Failed;
+		return acceptance->done({end, 0, false, {}, "the table gave no clear answer; repeat with the same id"});
+	}
+	this->PollThen([this, acceptance](bool reached) {
+		if (reached) return this->AcceptAtHead(acceptance);
+		if (acceptance->doubtful) return this->AcceptRound(acceptance);
+		acceptance->done({ApplyEnd::Failed, 0, false, {}, "the table cannot be reached; nothing was written"});
+	});
+}
+
+void ConfigurationKeeper::AcceptAtHead(const std::shared_ptr<Acceptance> &acceptance)
+{
+	const Change &change = acceptance->change;
+	if (auto accepted = this->state.FindAccepted(change.id)) {
+		return acceptance->done({ApplyEnd::Accepted, accepted->sequence, acceptance->tries == 1, {}, {}});
+	}
+	if (auto other = this->state.FindConflict(change)) {
+		this->counters.conflicts++;
+		return acceptance->done({ApplyEnd::Conflict, 0, false, *other, "changed meanwhile"});
+	}
+	Result<void> valid = this->state.Validate(change, this->check_policy);
+	if (!valid) return acceptance->done({ApplyEnd::Invalid, 0, false, {}, valid.error().peer + ": " + valid.error().message});
+	Entry entry{this->state.Sequence() + 1, change};
+	std::string text = FormatEntry(entry);
+	this->platform.InsertRow(EntryKey(entry.sequence), text,
+	                         [this, acceptance, text](const WriteOutcome &outcome) { this->OnInserted(acceptance, text, outcome); });
+}
+
+void ConfigurationKeeper::OnInserted(const std::shared_ptr<Acceptance> &acceptance, const std::string &text, const WriteOutcome &outcome)
+{
+	if (outcome.result == WriteResult::Unknown) acceptance->doubtful = true;
+	// Not done, taken by another, or in doubt: look at the rows again; our change is found there by its id if it took effect.
+	if (outcome.result != WriteResult::Done) return this->AcceptRound(acceptance);
+	Result<Entry> entry = ParseEntry(text);
+	this->counters.accepted++;
+	if (this->ApplyText(text, &this->counters.from_table)) this->Announce({text});
+	Log(LogLevel::Info, "change-accepted",
+	    {{"change", acceptance->change.id}, {"author", acceptance->change.author}, {"sequence", std::to_string(entry.value().sequence)}});
+	acceptance->done({ApplyEnd::Accepted, entry.value().sequence, false, {}, {}});
+	this->MaybeSnapshot();
+}
+
+void ConfigurationKeeper::MaybeSnapshot()
+{
+	if (this->state.Sequence() % static_cast<uint64_t>(this->snapshot_every) != 0) return;
+	uint64_t sequence = this->state.Sequence();
+	std::string snapshot = this->state.Snapshot();
+	this->platform.ReadObject(SNAPSHOT_KEY, [this, sequence, snapshot](Result<PlatformRow> row) {
+		if (!row) return;
+		ConfigurationState there;
+		bool readable = !row.value().version.empty() && there.Load(row.value().value);
+		if (readable && there.Sequence() >= sequence) return;
+		this->platform.WriteObject(SNAPSHOT_KEY, snapshot, row.value().version, [this](const WriteOutcome &outcome) {
+			if (outcome.result == WriteResult::Done) this->counters.snapshots++;
+		});
+	});
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/instance/instance.h
@@ -0,0 +1,121 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file instance.h One entry instance: the loop's shells around the decisions. */
+
+#pragma once
+
+#include "http/http_server.h"
+#include "instance/claim_store.h"
+#include "instance/configuration_keeper.h"
+#include "instance/event_ring.h"
+#include "instance/order_keeper.h"
+#include "instance/target_watch.h"
+#include "metrics/metrics.h"
+#include "peer/peer_links.h"
+#include "policy/policy_engine.h"
+#include "settings/settings_type.h"
+#include <pcg_random.hpp>
+
+namespace cottonspool {
+
+class Call;
+
+/** One entry instance. All its work is done on one loop's thread. */
+class Instance {
+public:
+	Instance(uv_loop_s *loop, Settings settings);
+	~Instance();
+	Instance(const Instance &) = delete;
+	Instance &operator=(const Instance &) = delete;
+
+	/** Listen, boot the configuration, begin to serve. */
+	Result<void> Start();
+
+	/** Begin to stop: fail readiness, finish what is in flight, then end the loop. A second call ends at once. */
+	void Stop();
+
+	/** @return Calls cut by the end of the instance. */
+	size_t CutCalls() const { return this->cut_calls; }
+
+	/** Carry out decisions of the dispatcher. */
+	void Carry(Decisions decisions);
+
+	/** The final answer of \a call has been given. */
+	void OnCallOver(CallId call);
+
+	/** @return Whether the configuration was confirmed recently enough for calls that must not be repeated. */
+	bool IsConfigurationFresh() const;
+
+	/** @return A text that no other instance or try has used. */
+	std::string NewNonce();
+
+	/** @return The instance's state as JSON, for operators. */
+	std::string StatusJson() const;
+
+	Settings settings;                 ///< Settings.
+	HttpClient client;                 ///< Calls to other processes.
+	NameTable<ModelNumber> models;     ///< Numbers of models and services.
+	NameTable<AccountNumber> accounts; ///< Numbers of client accounts.
+	Metrics metrics;                   ///< Figures.
+	EventRing ring;                    ///< Steps of the last calls.
+	Dispatcher dispatcher;             ///< Decisions.
+	PlatformClient platform;           ///< Platform.
+	ClaimStore claims;                 ///< Claims of calls that must not be repeated.
+	TargetWatch watch;                 ///< Load reports.
+	ConfigurationKeeper configuration; ///< Configuration.
+
+private:
+	void Handle(const std::shared_ptr<HttpExchange> &exchange);
+	void HandleProbe(const std::shared_ptr<HttpExchange> &exchange);
+	void HandleCompletion(const std::shared_ptr<HttpExchange> &exchange);
+	void HandleService(const std::shared_ptr<HttpExchange> &exchange);
+	void HandleOperator(const std::shared_ptr<HttpExchange> &exchange);
+	void HandleApply(const std::shared_ptr<HttpExchange> &exchange);
+	void Reject(const std::shared_ptr<HttpExchange> &exchange, int status, const std::string &reason, const std::string &message);
+	const std::pair<const std::string, Versioned<AccountRecord>> *Authenticate(const std::shared_ptr<HttpExchange> &exchange);
+	bool FillSpec(const std::shared_ptr<HttpExchange> &exchange, const std::string &account, const AccountRecord &record, CallSpec *spec);
+	void ChooseHalls(const std::string &account, const std::string &model, uint64_t random, CallSpec *spec);
+	void Begin(const std::shared_ptr<Call> &call, const std::shared_ptr<HttpExchange> &exchange, const std::string &account);
+	Duration WaitLimit(ServiceClass service_class) const;
+	std::string RenderMetrics();
+
+	void OnConfigurationChanged(const std::vector<std::string> &entries);
+	void OnPeerMessage(const PeerMessage &message, const PeerLinks::Reply &reply);
+	void OnHeartbeat(const HeartbeatMessage &message, const PeerLinks::Reply &reply, TimePoint now);
+	void OnReport(TargetNumber target, const LoadReport &report);
+	void RefreshLeaving(TargetNumber target);
+	void NoteLeaving(const LeavingTarget &leaving, const char *source);
+	void Heartbeat(TimePoint now);
+	void HeartbeatSoon(TimePoint now);
+	void PollList();
+	void RunDrainPolicy();
+	void OnTick();
+	void OnSecond(TimePoint now);
+	void FinishStopping(TimePoint now);
+
+	uv_loop_s *loop;                                                       ///< Loop.
+	HttpServer server;                                                     ///< Callers and operators.
+	PolicyEngine policy;                                                   ///< Operators' program.
+	std::string policy_program;                                            ///< Program loaded.
+	Membership membership;                                                 ///< Other instances, and targets that leave.
+	PeerLinks peers;                                                       ///< Links to other instances.
+	OrderKeeper orders;                                                    ///< Orders to engines.
+	pcg64 random;                                                          ///< Randomness of names and choices.
+	std::unordered_map<CallId, std::shared_ptr<Call>, StrongIdHash> calls; ///< Calls not yet answered.
+	std::deque<Decisions> to_carry;                                        ///< Decisions not yet carried out.
+	bool carrying = false;                                                 ///< Decisions are being carried out.
+	uint64_t next_call = 1;                                                ///< Number of the next call.
+	std::map<uint64_t, TimePoint> heartbeat_times;                         ///< When the last heartbeats were sent, by counter.
+	std::map<std::string, uint64_t> heard;                                 ///< Last counter heard directly from each peer.
+	std::set<std::string> listed_leaving;                                  ///< Targets that the platform's list shows as leaving.
+	TimePoint next_heartbeat, next_poll, next_list, next_second, next_call_tick, next_fetch; ///< When each is due.
+	bool fresh = false;    ///< Configuration was fresh at the last look, for the log.
+	bool stopping = false; ///< Stop() was called.
+	TimePoint stop_begun;  ///< When.
+	bool listening = true; ///< New connections are taken.
+	size_t cut_calls = 0;  ///< Calls cut by the end.
+	struct Timer;
+	std::unique_ptr<Timer> timer; ///< The tick.
+};
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/instance/order_keeper.cpp
@@ -0,0 +1,106 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file order_keeper.cpp Fenced orders to the engines of the own hall. */
+
+#include "instance/order_keeper.h"
+#include "metrics/log.h"
+#include <nlohmann/json.hpp>
+
+namespace cottonspool {
+
+using Json = nlohmann::json;
+
+/** Read the lease's row. */
+static LeaseRow ParseLeaseRow(const PlatformRow &row)
+{
+	LeaseRow lease;
+	lease.version = row.version;
+	Json object = Json::parse(row.value, nullptr, false);
+	if (!object.is_object()) return lease;
+	if (object.contains("holder") && object["holder"].is_string()) lease.holder = object["holder"].get<std::string>();
+	if (object.contains("epoch") && object["epoch"].is_number_unsigned()) lease.epoch = object["epoch"].get<uint64_t>();
+	if (object.contains("nonce") && object["nonce"].is_number_unsigned()) lease.nonce = object["nonce"].get<uint64_t>();
+	return lease;
+}
+
+void OrderKeeper::WriteLease(uint64_t nonce)
+{
+	LeaseRow proposal = this->lease.Proposal(nonce);
+	std::string text = Json{{"holder", proposal.holder}, {"epoch", proposal.epoch}, {"nonce", proposal.nonce}}.dump();
+	TimePoint sent_at = MonotonicNow();
+	auto done = [this, proposal, sent_at](const WriteOutcome &outcome) {
+		this->busy = false;
+		this->lease.OnWritten(proposal, outcome.result, outcome.version, sent_at, MonotonicNow());
+	};
+	this->busy = true;
+	if (proposal.version.empty()) return this->platform.InsertRow(this->RowKey(), text, done);
+	this->platform.ReplaceRow(this->RowKey(), text, proposal.version, done);
+}
+
+void OrderKeeper::AdvanceLease(uint64_t nonce, TimePoint now)
+{
+	if (this->busy) return;
+	LeaseStep step = this->lease.Next(now);
+	if (step == LeaseStep::Write) return this->WriteLease(nonce);
+	if (step != LeaseStep::Read) return;
+	this->busy = true;
+	this->platform.ReadRow(this->RowKey(), [this](Result<PlatformRow> row) {
+		this->busy = false;
+		if (row) this->lease.OnRead(ParseLeaseRow(row.value()), MonotonicNow());
+	});
+}
+
+void OrderKeeper::OrderIfDue(const std::string &name, const TargetRecord &record, TimePoint now)
+{
+	const ReportedState *reported = this->watch.Reported(name);
+	if (reported == nullptr || reported->incarnation.empty()) return;
+	std::set<std::string> wanted(record.serves.begin(), record.serves.end());
+	bool as_wanted = reported->models == wanted && (record.role.empty() || record.role == reported->role);
+	if (as_wanted || this->under_way >= MAX_ORDERS) return;
+	auto last = this->ordered_at.find(name);
+	if (last != this->ordered_at.end() && now - last->second < ORDER_LIMIT) return;
+	// A target that does not check fences is left alone until the last order of the holder before must have arrived.
+	if (!record.checks_fences && now - this->lease.Since() < ORDER_LIMIT) return;
+	Json order{{"epoch", this->lease.Epoch()}, {"models", wanted}};
+	if (!record.role.empty()) order["role"] = record.role;
+	HttpCall call;
+	call.method = "POST";
+	call.url = "http://" + record.address + "/orders";
+	call.headers = {{"content-type", "application/json"}};
+	call.body = order.dump();
+	call.total_limit = ORDER_LIMIT;
+	call.connect_limit = ORDER_LIMIT / 4;
+	call.single_send = true;
+	call.on_end = [this, name](const HttpEnd &end) {
+		this->under_way--;
+		if (end.status != 409) return;
+		this->counters.refused++;
+		Log(LogLevel::Warning, "order-refused", {{"target", name}, {"why", "old fence"}});
+	};
+	if (!this->lease.Held(MonotonicNow())) {
+		this->counters.withheld++;
+		return;
+	}
+	this->ordered_at[name] = now;
+	this->under_way++;
+	this->counters.sent++;
+	Log(LogLevel::Info, "order-sent", {{"target", name}, {"epoch", std::to_string(this->lease.Epoch())}});
+	this->client.Start(std::move(call));
+}
+
+void OrderKeeper::OnTick(const ConfigurationState &configuration, uint64_t nonce, TimePoint now)
+{
+	this->AdvanceLease(nonce, now);
+	bool held = this->lease.Held(now);
+	if (held != this->was_held)
+		Log(LogLevel::Info, held ? "lease-won" : "lease-lost", {{"hall", this->hall}, {"epoch", std::to_string(this->lease.Epoch())}});
+	this->was_held = held;
+	if (!held) return;
+	for (const auto &[name, versioned] : configuration.Targets()) {
+		const TargetRecord &record = versioned.record;
+		bool ours = record.kind == TargetKind::Engine && record.hall == this->hall && record.reports && record.wish == TargetWish::Live;
+		if (ours) this->OrderIfDue(name, record, now);
+	}
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/instance/service_call.cpp
@@ -0,0 +1,123 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file service_call.cpp One call of a plain service for one caller. */
+
+#include "instance/service_call.h"
+#include "instance/instance.h"
+#include <algorithm>
+#include <array>
+#include <strings.h>
+
+namespace cottonspool {
+
+/** Fields that concern one connection only, or that this instance sets itself. */
+static constexpr std::array<const char *, 12> NOT_PASSED_ON{
+        "connection",     "keep-alive", "proxy-authorization", "proxy-authenticate", "te", "trailer", "transfer-encoding", "upgrade",
+        "content-length", "host",       "authorization",       "cottonspool-ran"};
+
+/** @return \a headers without those of one connection. */
+static HttpHeaders PassedOn(const HttpHeaders &headers)
+{
+	HttpHeaders passed;
+	for (const HttpHeader &header : headers) {
+		bool skip = std::any_of(NOT_PASSED_ON.begin(), NOT_PASSED_ON.end(),
+		                        [&](const char *name) { return strcasecmp(name, header.name.c_str()) == 0; });
+		if (!skip) passed.push_back(header);
+	}
+	return passed;
+}
+
+ServiceCall::ServiceCall(Instance &instance, std::shared_ptr<HttpExchange> exchange, CallSpec spec, std::string request_name,
+                         std::string account_name, std::string path)
+    : Call(instance, std::move(exchange), std::move(spec), std::move(request_name), std::move(account_name)), path(std::move(path))
+{
+}
+
+void ServiceCall::OnSend(const SendAction &action)
+{
+	const TargetRecord *record = this->instance.watch.Record(action.target);
+	if (record == nullptr) return this->EndSend(SendEnd::NotRun);
+	this->target_name = this->instance.dispatcher.Targets().Get(action.target).name;
+	this->sent = true;
+	this->sent_at = MonotonicNow();
+	this->answer_body.clear();
+	this->too_large = false;
+	this->Note("sent to " + this->target_name);
+	HttpCall call;
+	call.method = this->exchange->request.method;
+	call.url = "http://" + record->address + this->path;
+	call.headers = PassedOn(this->exchange->request.headers);
+	std::erase_if(call.headers, [](const HttpHeader &header) { return strcasecmp(header.name.c_str(), "cottonspool-request") == 0; });
+	call.headers.push_back({"Cottonspool-Request", this->request_name});
+	call.body = this->exchange->request.body;
+	call.connect_limit = this->instance.settings.call.connect;
+	call.total_limit = this->instance.settings.call.service;
+	call.single_send = !this->spec.repeatable;
+	std::weak_ptr<Call> weak = this->weak_from_this();
+	auto self = [weak] { return std::static_pointer_cast<ServiceCall>(weak.lock()); };
+	auto limit = static_cast<size_t>(this->instance.settings.call.max_service_answer_bytes);
+	call.on_head = [self](int, const HttpHeaders &headers) {
+		if (auto call_self = self()) call_self->answer_headers = headers;
+	};
+	call.on_data = [self, limit](std::string_view data) {
+		auto call_self = self();
+		if (!call_self) return;
+		call_self->too_large |= call_self->answer_body.size() + data.size() > limit;
+		if (!call_self->too_large) call_self->answer_body.append(data);
+	};
+	call.on_end = [self](const HttpEnd &end) {
+		if (auto call_self = self()) call_self->OnEnd(end);
+	};
+	this->link = this->instance.client.Start(std::move(call));
+}
+
+void ServiceCall::OnEnd(const HttpEnd &end)
+{
+	this->link = 0;
+	if (this->over) return;
+	auto keep = this->shared_from_this();
+	if (end.kind == HttpEndKind::NotSent) {
+		this->Note("not sent: " + end.message);
+		return this->EndSend(SendEnd::NotRun);
+	}
+	if (end.kind != HttpEndKind::Answered || this->too_large) return this->AnswerInDoubt(end);
+	bool not_run = FindHeader(this->answer_headers, "Cottonspool-Ran") == "no";
+	if (not_run) {
+		this->Note("refused by " + this->target_name);
+		return this->EndSend(SendEnd::NotRun);
+	}
+	// A service that answers 5xx may have done a part: only its own word says that it has not.
+	RanState ran = end.status >= 500 ? RanState::Unknown : RanState::Yes;
+	this->Note("answered " + std::to_string(end.status));
+	double seconds = Seconds(MonotonicNow() - this->spec.arrived);
+	this->instance.metrics.Observe(Measure::ServiceSeconds, this->account_name, this->spec.service_class, seconds);
+	HttpHeaders headers = PassedOn(this->answer_headers);
+	headers.push_back({"Cottonspool-Ran", RanStateName(ran)});
+	headers.push_back({"Cottonspool-Request", this->request_name});
+	std::string type(FindHeader(this->answer_headers, "content-type"));
+	this->exchange->Respond(end.status, headers, this->answer_body);
+	this->EndSend(SendEnd::Complete);
+	this->Conclude(ran, end.status, type, this->answer_body);
+}
+
+void ServiceCall::AnswerInDoubt(const HttpEnd &end)
+{
+	this->MarkDoubtful();
+	this->Note("in doubt: " + end.message);
+	if (this->spec.repeatable && !this->too_large) return this->EndSend(SendEnd::Lost);
+	bool timed_out = end.kind == HttpEndKind::TimedOut;
+	CallFailure failure{timed_out ? 504 : 502, timed_out ? "service-timeout" : "service-answer-lost",
+	                    this->target_name + ": " + end.message + "; it may have run", RanState::Unknown, std::nullopt};
+	this->EndSend(SendEnd::LostAfterUse);
+	this->Fail(failure);
+}
+
+void ServiceCall::OnCallerGone()
+{
+	if (!this->sent) return;
+	if (this->link != 0) this->instance.client.Cancel(this->link);
+	this->link = 0;
+	this->EndSend(SendEnd::CallerGone);
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/operator/operator.cpp
@@ -0,0 +1,319 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file operator.cpp The operators' verbs of the command line. */
+
+#include "configuration/record_type.h"
+#include "operator/operator_func.h"
+#include "policy/policy_engine.h"
+#include <curl/curl.h>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <set>
+#include <sstream>
+#include <thread>
+
+namespace cottonspool {
+
+using Json = nlohmann::json;
+
+static constexpr long CALL_LIMIT_MS = 30000;                       ///< Longest time of one call.
+static constexpr int APPLY_TRIES = 5;                              ///< Most sends of one change; its id makes repeats harmless.
+static constexpr auto POLL_PAUSE = std::chrono::milliseconds(200); ///< Pause between looks while waiting.
+
+/** Answer of an instance; status 0 when there was none. */
+struct Answer {
+	long status = 0;   ///< HTTP status.
+	std::string body;  ///< Body.
+	std::string error; ///< What was wrong, when there was no answer.
+};
+
+static size_t AppendBody(char *data, size_t size, size_t count, void *user)
+{
+	static_cast<std::string *>(user)->append(data, size * count);
+	return size * count;
+}
+
+/** Ask one instance. */
+static Answer Ask(const OperatorOptions &options, const std::string &server, const std::string &path, const std::string *body)
+{
+	Answer answer;
+	CURL *easy = curl_easy_init();
+	curl_slist *headers = curl_slist_append(nullptr, ("Authorization: Bearer " + options.key).c_str());
+	curl_easy_setopt(easy, CURLOPT_URL, (server + path).c_str());
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, CALL_LIMIT_MS);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, AppendBody);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, &answer.body);
+	if (body != nullptr) curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body->c_str());
+	CURLcode code = curl_easy_perform(easy);
+	if (code == CURLE_OK) curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &answer.status);
+	if (code != CURLE_OK) answer.error = server + ": " + curl_easy_strerror(code);
+	curl_slist_free_all(headers);
+	curl_easy_cleanup(easy);
+	return answer;
+}
+
+/** Ask the first instance that answers. */
+static Answer AskAny(const OperatorOptions &options, const std::string &path)
+{
+	Answer answer;
+	answer.error = "no --server given";
+	for (const std::string &server : options.servers) {
+		answer = Ask(options, server, path, nullptr);
+		if (answer.status != 0) return answer;
+	}
+	return answer;
+}
+
+/** Print an error in one line. @return The exit code. */
+static int Complain(const std::string &what, int code = EXIT_FAILED)
+{
+	std::cerr << "cottonspool: " << what << std::endl;
+	return code;
+}
+
+/** @return What an answer says went wrong. */
+static std::string Wrong(const Answer &answer)
+{
+	if (answer.status == 0) return answer.error;
+	Json body = Json::parse(answer.body, nullptr, false);
+	if (!body.is_object() || !body.contains("error")) return "status " + std::to_string(answer.status);
+	const Json &error = body["error"];
+	return error.is_string() ? error.get<std::string>() : error.value("message", "status " + std::to_string(answer.status));
+}
+
+/** Read a change from \a file, filling in an id. */
+static Result<Change> ReadChangeFile(const std::string &file)
+{
+	std::ifstream in(file);
+	if (!in) return Error{Step::Operator, file, "cannot be read"};
+	std::stringstream text;
+	text << in.rdbuf();
+	BOOST_OUTCOME_TRY(change, ParseChangeFile(text.str(), file));
+	if (!change.id.empty()) return change;
+	std::random_device device;
+	std::ostringstream id;
+	id << std::hex << device() << device() << device();
+	change.id = id.str();
+	return change;
+}
+
+/** Run the policy in \a record on sample input and print what it would decide. */
+static Result<void> TryPolicy(const RecordChange &record)
+{
+	PolicyEngine engine({});
+	BOOST_OUTCOME_TRYV(engine.Load(ParsePolicy(record.name, record.content).value().program));
+	BOOST_OUTCOME_TRY(lines, engine.Try());
+	std::cout << "policy " << record.name << " would decide:\n";
+	for (const std::string &line : lines) std::cout << "  " << line << "\n";
+	return outcome::success();
+}
+
+/** Check the schema of every record, and try the policies. */
+static Result<void> CheckRecords(const Change &change)
+{
+	for (const RecordChange &record : change.records) {
+		if (record.removed) continue;
+		BOOST_OUTCOME_TRYV(CheckRecordSchema(record));
+		if (record.kind != RecordKind::Policy) continue;
+		BOOST_OUTCOME_TRYV(TryPolicy(record));
+	}
+	return outcome::success();
+}
+
+int RunCheck(const std::string &file)
+{
+	Result<Change> change = ReadChangeFile(file);
+	if (!change) return Complain(FormatError(change.error()));
+	Result<void> checked = CheckRecords(change.value());
+	if (!checked) return Complain(FormatError(checked.error()));
+	std::cout << file << ": " << change.value().records.size() << " records, as far as can be told without the instances all right"
+	          << std::endl;
+	return EXIT_OK;
+}
+
+/** @return The names of the instances that \a options name, or that these see, where \a sequence is not in force yet. */
+static std::set<std::string> Behind(const OperatorOptions &options, uint64_t sequence)
+{
+	std::set<std::string> behind;
+	for (const std::string &server : options.servers) {
+		Json status = Json::parse(Ask(options, server, "/operator/status", nullptr).body, nullptr, false);
+		if (!status.is_object()) {
+			behind.insert(server);
+			continue;
+		}
+		if (status["sequence"].get<uint64_t>() < sequence) behind.insert(status["instance"].get<std::string>());
+		for (const Json &member : status["members"]) {
+			if (member["sequence"].get<uint64_t>() < sequence) behind.insert(member["name"].get<std::string>());
+		}
+	}
+	return behind;
+}
+
+/** Wait until \a sequence is in force at every instance. @return Whether it came to that. */
+static bool WaitInForce(const OperatorOptions &options, uint64_t sequence)
+{
+	auto end = std::chrono::steady_clock::now() + options.wait;
+	std::set<std::string> behind = Behind(options, sequence);
+	while (!behind.empty() && std::chrono::steady_clock::now() < end) {
+		std::this_thread::sleep_for(POLL_PAUSE);
+		behind = Behind(options, sequence);
+	}
+	if (behind.empty()) return true;
+	std::string names;
+	for (const std::string &name : behind) names += " " + name;
+	Complain("sequence " + std::to_string(sequence) + " is accepted but not yet seen in force at:" + names);
+	return false;
+}
+
+/** Send \a change until there is a clear answer. */
+static int SendChange(const OperatorOptions &options, Change change)
+{
+	if (change.base == 0) {
+		Answer status = AskAny(options, "/operator/status");
+		if (status.status != 200) return Complain(Wrong(status));
+		change.base = Json::parse(status.body, nullptr, false).value("sequence", 0ULL);
+	}
+	std::string body = FormatChange(change);
+	bool doubtful = false;
+	std::string last = "no --server given";
+	for (int i = 0; i < APPLY_TRIES && !options.servers.empty(); i++) {
+		Answer answer = Ask(options, options.servers[static_cast<size_t>(i) % options.servers.size()], "/operator/apply", &body);
+		Json said = Json::parse(answer.body, nullptr, false);
+		if (answer.status == 200) {
+			uint64_t sequence = said.value("sequence", 0ULL);
+			std::cout << "accepted as sequence " << sequence << (said.value("repeated", false) ? " (before)" : "") << ", change "
+			          << change.id << std::endl;
+			if (options.wait > Duration{0} && !WaitInForce(options, sequence)) return EXIT_FAILED;
+			return EXIT_OK;
+		}
+		if (answer.status == 409) {
+			const Json &other = said["conflict"];
+			return Complain("conflict: sequence " + std::to_string(other.value("sequence", 0ULL)) + ", change " +
+			                        other.value("change", "") + " by " + other.value("author", "") +
+			                        " touched the same records after your base " + std::to_string(change.base),
+			                EXIT_CONFLICT);
+		}
+		if (answer.status >= 400 && answer.status < 500) return Complain(Wrong(answer));
+		doubtful = doubtful || answer.status != 503;
+		last = Wrong(answer);
+		std::this_thread::sleep_for(POLL_PAUSE);
+	}
+	if (!doubtful) return Complain("not accepted: " + last);
+	return Complain("it is not known whether the change was accepted; repeat with id = \"" + change.id + "\": " + last, EXIT_UNKNOWN);
+}
+
+int RunApply(const OperatorOptions &options, const std::string &file)
+{
+	Result<Change> change = ReadChangeFile(file);
+	if (!change) return Complain(FormatError(change.error()));
+	return SendChange(options, change.value());
+}
+
+int RunShow(const OperatorOptions &options, const std::string &kind, const std::string &name)
+{
+	Answer answer = AskAny(options, "/operator/show?kind=" + kind + "&name=" + name);
+	if (answer.status != 200) return Complain(Wrong(answer));
+	std::cout << Json::parse(answer.body, nullptr, false).dump(2) << std::endl;
+	return EXIT_OK;
+}
+
+/** Print one instance's state as a table. */
+static void PrintStatus(const Json &status, uint64_t head)
+{
+	uint64_t sequence = status.value("sequence", 0ULL);
+	std::cout << std::left << std::setw(16) << status.value("instance", "") << std::setw(12) << status.value("hall", "") << "sequence "
+	          << sequence << (sequence < head ? " (behind)" : "") << (status.value("fresh", false) ? "" : " (not confirmed)")
+	          << (status.value("stopping", false) ? " (stopping)" : "") << ", calls " << status.value("calls", 0) << ", queued "
+	          << status.value("queued", 0) << ", links " << status.value("links", 0)
+	          << (status["lease"].value("held", false) ? ", holds the lease" : "") << "\n";
+	for (const Json &target : status["targets"]) {
+		std::cout << "    " << std::setw(14) << target.value("name", "") << std::setw(12) << target.value("hall", "") << "in flight "
+		          << std::setw(6) << target.value("in_flight", 0) << "pressure " << std::fixed << std::setprecision(2)
+		          << target.value("pressure", 0.0) << (target.value("ready", false) ? "" : " not ready")
+		          << (target.value("leaving", false) ? " leaving" : "") << (target.value("ejected", false) ? " ejected" : "")
+		          << (target.value("slow", false) ? " slow" : "") << "\n";
+	}
+}
+
+int RunStatus(const OperatorOptions &options)
+{
+	Json all = Json::array();
+	int code = options.servers.empty() ? EXIT_USAGE : EXIT_OK;
+	uint64_t head = 0;
+	for (const std::string &server : options.servers) {
+		Answer answer = Ask(options, server, "/operator/status", nullptr);
+		if (answer.status != 200) {
+			code = Complain(server + ": " + Wrong(answer));
+			continue;
+		}
+		all.push_back(Json::parse(answer.body, nullptr, false));
+		head = std::max<uint64_t>(head, all.back().value("sequence", 0ULL));
+	}
+	if (options.json) std::cout << all.dump(2) << std::endl;
+	for (const Json &status : all) {
+		if (!options.json) PrintStatus(status, head);
+	}
+	return code;
+}
+
+/** @return Calls in flight at \a target over all instances asked, or -1 when one does not answer. */
+static int64_t InFlightAt(const OperatorOptions &options, const std::string &target)
+{
+	int64_t in_flight = 0;
+	for (const std::string &server : options.servers) {
+		Json status = Json::parse(Ask(options, server, "/operator/status", nullptr).body, nullptr, false);
+		if (!status.is_object()) return -1;
+		for (const Json &item : status["targets"]) {
+			if (item.value("name", "") == target) in_flight += item.value("in_flight", 0);
+		}
+	}
+	return in_flight;
+}
+
+int RunDrain(const OperatorOptions &options, const std::string &target, const std::string &author, bool back)
+{
+	Answer shown = AskAny(options, "/operator/show?kind=target&name=" + target);
+	Json records = Json::parse(shown.body, nullptr, false);
+	if (shown.status != 200) return Complain(Wrong(shown));
+	if (!records.is_object() || !records.contains(target)) return Complain("there is no target " + target);
+	Json content = records[target]["content"];
+	content["wish"] = back ? "live" : "leaving";
+	Change change;
+	std::random_device device;
+	change.id = "drain-" + target + "-" + std::to_string(device());
+	change.author = author;
+	change.note = back ? "taken back" : "drained";
+	change.base = records[target].value("changed", 0ULL);
+	change.records.push_back({RecordKind::Target, target, false, content.dump()});
+	int code = SendChange(options, change);
+	if (code != EXIT_OK || back || options.wait == Duration{0}) return code;
+	auto end = std::chrono::steady_clock::now() + options.wait;
+	int64_t in_flight = InFlightAt(options, target);
+	while (in_flight != 0 && std::chrono::steady_clock::now() < end) {
+		std::this_thread::sleep_for(POLL_PAUSE);
+		in_flight = InFlightAt(options, target);
+	}
+	if (in_flight != 0) return Complain(target + " still has calls in flight: " + std::to_string(in_flight));
+	std::cout << target << " is empty" << std::endl;
+	return EXIT_OK;
+}
+
+int RunExplain(const OperatorOptions &options, const std::string &request)
+{
+	for (const std::string &server : options.servers) {
+		Answer answer = Ask(options, server, "/operator/explain?request=" + request, nullptr);
+		if (answer.status != 200) continue;
+		for (const Json &line : Json::parse(answer.body, nullptr, false)) {
+			std::cout << std::right << std::setw(8) << line.value("ms", 0) << " ms  " << line.value("text", "") << "\n";
+		}
+		return EXIT_OK;
+	}
+	return Complain("no instance asked remembers " + request);
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/peer/peer_message.cpp
@@ -0,0 +1,102 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file peer_message.cpp Messages between instances in CBOR: arrays whose first item tells the kind. */
+
+#include "peer/peer_message.h"
+#include <nlohmann/json.hpp>
+
+namespace cottonspool {
+
+using Json = nlohmann::json;
+
+static constexpr int HEARTBEAT = 1;
+static constexpr int ENTRIES = 2;
+static constexpr int FETCH = 3;
+static constexpr int SNAPSHOT = 4;
+
+/** @return \a member as an array. */
+static Json WriteMember(const MemberInfo &member)
+{
+	return Json::array({member.name, member.hall, member.address, member.incarnation, member.counter, member.sequence, member.stopping});
+}
+
+/** @return The member in \a item; throws what the library throws when it is none. */
+static MemberInfo ReadMember(const Json &item)
+{
+	MemberInfo member;
+	member.name = item.at(0).get<std::string>();
+	member.hall = item.at(1).get<std::string>();
+	member.address = item.at(2).get<std::string>();
+	member.incarnation = item.at(3).get<uint64_t>();
+	member.counter = item.at(4).get<uint64_t>();
+	member.sequence = item.at(5).get<uint64_t>();
+	member.stopping = item.at(6).get<bool>();
+	return member;
+}
+
+/** @return \a message as an array. */
+static Json Write(const HeartbeatMessage &message)
+{
+	Json members = Json::array();
+	Json leaving = Json::array();
+	for (const MemberInfo &member : message.members) members.push_back(WriteMember(member));
+	for (const LeavingTarget &target : message.leaving) leaving.push_back(Json::array({target.target, target.incarnation}));
+	Json echoes = Json::array();
+	for (const auto &[name, counter] : message.echoes) echoes.push_back(Json::array({name, counter}));
+	return Json::array({HEARTBEAT, members, leaving, message.confirmed_age.count(), echoes});
+}
+
+static Json Write(const EntriesMessage &message)
+{
+	return Json::array({ENTRIES, message.entries});
+}
+
+static Json Write(const FetchMessage &message)
+{
+	return Json::array({FETCH, message.after});
+}
+
+static Json Write(const SnapshotMessage &message)
+{
+	return Json::array({SNAPSHOT, message.snapshot});
+}
+
+std::string EncodePeerMessage(const PeerMessage &message)
+{
+	std::vector<uint8_t> bytes = Json::to_cbor(std::visit([](const auto &kind) { return Write(kind); }, message));
+	return std::string(bytes.begin(), bytes.end());
+}
+
+/** @return The message in \a array; throws what the library throws when it is none. */
+static PeerMessage Read(const Json &array)
+{
+	switch (array.at(0).get<int>()) {
+	case HEARTBEAT: {
+		HeartbeatMessage message;
+		for (const Json &item : array.at(1)) message.members.push_back(ReadMember(item));
+		for (const Json &item : array.at(2)) message.leaving.push_back({item.at(0).get<std::string>(), item.at(1).get<std::string>()});
+		message.confirmed_age = Duration(array.at(3).get<int64_t>());
+		for (const Json &item : array.at(4)) message.echoes.emplace_back(item.at(0).get<std::string>(), item.at(1).get<uint64_t>());
+		return message;
+	}
+	case ENTRIES:
+		return EntriesMessage{array.at(1).get<std::vector<std::string>>()};
+	case FETCH:
+		return FetchMessage{array.at(1).get<uint64_t>()};
+	case SNAPSHOT:
+		return SnapshotMessage{array.at(1).get<std::string>()};
+	default:
+		throw std::out_of_range("unknown kind");
+	}
+}
+
+Result<PeerMessage> DecodePeerMessage(const std::string &bytes)
+{
+	try {
+		return Read(Json::from_cbor(bytes));
+	} catch (const std::exception &error) {
+		return Error{Step::Peer, "message", error.what()};
+	}
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/peer/peer_message.h
@@ -0,0 +1,44 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file peer_message.h Messages between instances, and their CBOR form. */
+
+#pragma once
+
+#include "core/error_type.h"
+#include "decision/membership.h"
+#include <variant>
+
+namespace cottonspool {
+
+/** Regular news of an instance. */
+struct HeartbeatMessage {
+	std::vector<MemberInfo> members;                      ///< The sender first, then some others it knows.
+	std::vector<LeavingTarget> leaving;                   ///< Targets it knows to leave.
+	Duration confirmed_age{0};                            ///< Age of its last confirmation that its configuration is the newest.
+	std::vector<std::pair<std::string, uint64_t>> echoes; ///< Peers heard directly, each with the last counter heard of it.
+};
+
+/** Accepted entries, in order. */
+struct EntriesMessage {
+	std::vector<std::string> entries; ///< Entries in JSON, as in the table.
+};
+
+/** Asks for what comes after a sequence. */
+struct FetchMessage {
+	uint64_t after = 0; ///< Last sequence that the asker has.
+};
+
+/** The whole configuration. */
+struct SnapshotMessage {
+	std::string snapshot; ///< As written by ConfigurationState::Snapshot().
+};
+
+using PeerMessage = std::variant<HeartbeatMessage, EntriesMessage, FetchMessage, SnapshotMessage>;
+
+/** @return \a message in CBOR. */
+std::string EncodePeerMessage(const PeerMessage &message);
+
+/** Read a message; anything that is not one is an error, never a crash. */
+Result<PeerMessage> DecodePeerMessage(const std::string &bytes);
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/peer/websocket_session.cpp
@@ -0,0 +1,176 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file websocket_session.cpp One websocket to another instance, by websocketpp's iostream transport fed from libuv. */
+
+#include "peer/websocket_session.h"
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <uv.h>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/core.hpp>
+#include <websocketpp/config/core_client.hpp>
+#include <websocketpp/server.hpp>
+
+namespace cottonspool {
+
+static constexpr size_t MAX_MESSAGE_BYTES = 64U << 20;     ///< Largest message taken.
+static constexpr unsigned UNACKNOWLEDGED_LIMIT_MS = 10000; ///< Time without acknowledgement after which a link is given up.
+static constexpr size_t MAX_UNSENT_BYTES = 96U << 20;      ///< Unsent bytes from which messages are dropped.
+
+using ServerEndpoint = websocketpp::server<websocketpp::config::core>;
+using ClientEndpoint = websocketpp::client<websocketpp::config::core_client>;
+
+/** A session over one of websocketpp's endpoints. */
+template <typename Endpoint> class UvSession : public WebsocketSession, public std::enable_shared_from_this<UvSession<Endpoint>> {
+public:
+	using Connection = typename Endpoint::connection_ptr;
+
+	explicit UvSession(Callbacks callbacks) : callbacks(std::move(callbacks))
+	{
+		this->endpoint.clear_access_channels(websocketpp::log::alevel::all);
+		this->endpoint.clear_error_channels(websocketpp::log::elevel::all);
+		this->endpoint.set_max_message_size(MAX_MESSAGE_BYTES);
+		this->endpoint.set_write_handler(
+		        [this](websocketpp::connection_hdl, const char *data, size_t size) { return this->WriteOut(data, size); });
+		this->endpoint.set_open_handler([this](websocketpp::connection_hdl) {
+			this->open = true;
+			if (this->callbacks.on_open) this->callbacks.on_open();
+		});
+		this->endpoint.set_message_handler([this](websocketpp::connection_hdl, typename Endpoint::message_ptr message) {
+			if (this->callbacks.on_message) this->callbacks.on_message(message->get_payload());
+		});
+		this->endpoint.set_close_handler([this](websocketpp::connection_hdl) { this->ended = true; });
+		this->endpoint.set_fail_handler([this](websocketpp::connection_hdl) { this->ended = true; });
+	}
+
+	/** Begin to use \a connection over the socket. */
+	void Begin(Connection new_connection)
+	{
+		this->connection = new_connection;
+		uv_tcp_nodelay(this->Socket(), 1);
+		uv_os_fd_t descriptor = -1;
+		unsigned limit = UNACKNOWLEDGED_LIMIT_MS;
+		if (uv_fileno(reinterpret_cast<uv_handle_t *>(this->Socket()), &descriptor) == 0) {
+			setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
+		}
+		uv_read_start(
+		        reinterpret_cast<uv_stream_t *>(this->Socket()),
+		        [](uv_handle_t *, size_t, uv_buf_t *buffer) { *buffer = uv_buf_init(static_cast<char *>(malloc(65536)), 65536); },
+		        [](uv_stream_t *stream, ssize_t got, const uv_buf_t *buffer) {
+			        auto self = static_cast<UvSession *>(stream->data)->shared_from_this();
+			        if (got > 0) self->connection->read_all(buffer->base, static_cast<size_t>(got));
+			        free(buffer->base);
+			        if (got < 0 || self->ended) self->End();
+		        });
+	}
+
+	bool Send(const std::string &payload) override
+	{
+		if (!this->open || this->closing || this->unsent > MAX_UNSENT_BYTES) return false;
+		return !this->connection->send(payload, websocketpp::frame::opcode::binary);
+	}
+
+	void Close() override
+	{
+		this->callbacks = {};
+		this->End();
+	}
+
+	/** @return The socket. */
+	uv_tcp_t *Socket() { return &this->socket; }
+
+	/** Keep this session alive until its socket is closed. */
+	void Keep() { this->self = this->shared_from_this(); }
+
+	/** The connection is over. */
+	void End()
+	{
+		if (this->closing) return;
+		this->closing = true;
+		if (this->connection) this->connection->eof();
+		std::function<void()> on_close = std::move(this->callbacks.on_close);
+		this->callbacks = {};
+		uv_close(reinterpret_cast<uv_handle_t *>(&this->socket), [](uv_handle_t *handle) {
+			auto *session = static_cast<UvSession *>(handle->data);
+			std::shared_ptr<UvSession> last = std::move(session->self);
+		});
+		if (on_close) on_close();
+	}
+
+	Endpoint endpoint; ///< websocketpp's endpoint, with one connection.
+
+private:
+	websocketpp::lib::error_code WriteOut(const char *data, size_t size)
+	{
+		if (this->closing) return websocketpp::lib::error_code();
+		struct Write {
+			uv_write_t request;              ///< libuv's request.
+			std::string data;                ///< What is written.
+			std::shared_ptr<UvSession> from; ///< Session.
+		};
+		auto *write = new Write{{}, std::string(data, size), this->shared_from_this()};
+		write->request.data = write;
+		this->unsent += size;
+		uv_buf_t buffer = uv_buf_init(&write->data[0], static_cast<unsigned>(size));
+		uv_write(&write->request, reinterpret_cast<uv_stream_t *>(&this->socket), &buffer, 1, [](uv_write_t *request, int) {
+			auto *done = static_cast<Write *>(request->data);
+			done->from->unsent -= done->data.size();
+			delete done;
+		});
+		return websocketpp::lib::error_code();
+	}
+
+	Callbacks callbacks;             ///< Functions that get what happens.
+	uv_tcp_t socket{};               ///< Socket.
+	Connection connection;           ///< websocketpp's connection.
+	std::shared_ptr<UvSession> self; ///< Keeps the session alive while its socket is open.
+	size_t unsent = 0;               ///< Bytes not yet written.
+	bool open = false;               ///< The handshake is over.
+	bool ended = false;              ///< websocketpp has ended it.
+	bool closing = false;            ///< The socket is being closed.
+};
+
+std::shared_ptr<WebsocketSession> WebsocketSession::Dial(uv_loop_s *loop, const std::string &ip, uint16_t port, Callbacks callbacks)
+{
+	auto session = std::make_shared<UvSession<ClientEndpoint>>(std::move(callbacks));
+	session->Keep();
+	uv_tcp_init(loop, session->Socket());
+	session->Socket()->data = session.get();
+	websocketpp::lib::error_code error;
+	auto connection = session->endpoint.get_connection("ws://" + ip + ":" + std::to_string(port) + "/peer", error);
+	sockaddr_in address{};
+	if (error || uv_ip4_addr(ip.c_str(), port, &address) != 0) return nullptr;
+	struct Connect {
+		uv_connect_t request;                               ///< libuv's request.
+		std::shared_ptr<UvSession<ClientEndpoint>> session; ///< Session.
+		ClientEndpoint::connection_ptr connection;          ///< websocketpp's connection.
+	};
+	auto *connect = new Connect{{}, session, connection};
+	connect->request.data = connect;
+	uv_tcp_connect(&connect->request, session->Socket(), reinterpret_cast<sockaddr *>(&address), [](uv_connect_t *request, int status) {
+		std::unique_ptr<Connect> done(static_cast<Connect *>(request->data));
+		if (status != 0) return done->session->End();
+		done->session->Begin(done->connection);
+		done->session->endpoint.connect(done->connection);
+	});
+	return session;
+}
+
+std::shared_ptr<WebsocketSession> WebsocketSession::Accept(uv_stream_s *listener, Callbacks callbacks)
+{
+	auto session = std::make_shared<UvSession<ServerEndpoint>>(std::move(callbacks));
+	session->Keep();
+	uv_tcp_init(listener->loop, session->Socket());
+	session->Socket()->data = session.get();
+	if (uv_accept(listener, reinterpret_cast<uv_stream_t *>(session->Socket())) != 0) {
+		session->End();
+		return nullptr;
+	}
+	auto connection = session->endpoint.get_connection();
+	session->Begin(connection);
+	connection->start();
+	return session;
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/settings/settings.cpp
@@ -0,0 +1,141 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file settings.cpp Reading settings from TOML, by toml++. */
+
+#include "settings/settings_type.h"
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+#include <toml++/toml.h>
+
+namespace cottonspool {
+
+/** @return A settings error at \a node. */
+static Error SettingError(const std::string &file, const toml::node &node, const std::string &key, const std::string &what)
+{
+	return Error{Step::Settings, file + ":" + std::to_string(node.source().begin.line), key + ": " + what};
+}
+
+/** Store a number after checking its range. */
+template <typename Number>
+static Result<void> StoreNumber(const SettingField &field, const toml::node &node, const std::string &file, double value, Number *to)
+{
+	if (value < field.least || value > field.most) {
+		std::ostringstream allowed;
+		allowed << "must be from " << field.least << " to " << field.most;
+		return SettingError(file, node, field.key, allowed.str());
+	}
+	*to = static_cast<Number>(value);
+	return outcome::success();
+}
+
+/** Store a text after checking it against the choices. */
+static Result<void> StoreText(const SettingField &field, const toml::node &node, const std::string &file, std::string *to)
+{
+	if (!node.is_string()) return SettingError(file, node, field.key, "must be a text in quotes");
+	std::string value = node.as_string()->get();
+	if (!field.choices.empty() && std::find(field.choices.begin(), field.choices.end(), value) == field.choices.end()) {
+		std::string allowed;
+		for (const std::string &choice : field.choices) allowed += (allowed.empty() ? "" : ", ") + choice;
+		return SettingError(file, node, field.key, "must be one of " + allowed);
+	}
+	*to = value;
+	return outcome::success();
+}
+
+/** Store an array of texts. */
+static Result<void> StoreTexts(const SettingField &field, const toml::node &node, const std::string &file, std::vector<std::string> *to)
+{
+	if (!node.is_array()) return SettingError(file, node, field.key, "must be an array of texts");
+	for (const toml::node &item : *node.as_array()) {
+		if (!item.is_string()) return SettingError(file, item, field.key, "must be an array of texts");
+		to->push_back(item.as_string()->get());
+	}
+	return outcome::success();
+}
+
+/** Store \a node where \a field says. */
+static Result<void> StoreValue(const SettingField &field, const toml::node &node, const std::string &file)
+{
+	if (auto text = std::get_if<std::string *>(&field.pointer)) return StoreText(field, node, file, *text);
+	if (auto texts = std::get_if<std::vector<std::string> *>(&field.pointer)) return StoreTexts(field, node, file, *texts);
+	if (auto flag = std::get_if<bool *>(&field.pointer)) {
+		if (!node.is_boolean()) return SettingError(file, node, field.key, "must be true or false");
+		**flag = node.as_boolean()->get();
+		return outcome::success();
+	}
+	if (auto real = std::get_if<double *>(&field.pointer)) {
+		if (!node.is_number()) return SettingError(file, node, field.key, "must be a number");
+		return StoreNumber(field, node, file, *node.value<double>(), *real);
+	}
+	if (!node.is_integer()) return SettingError(file, node, field.key, "must be a whole number");
+	auto number = static_cast<double>(node.as_integer()->get());
+	if (auto whole = std::get_if<int64_t *>(&field.pointer)) return StoreNumber(field, node, file, number, *whole);
+	if (auto size = std::get_if<size_t *>(&field.pointer)) return StoreNumber(field, node, file, number, *size);
+	int64_t milliseconds = 0;
+	BOOST_OUTCOME_TRYV(StoreNumber(field, node, file, number, &milliseconds));
+	**std::get_if<Duration *>(&field.pointer) = std::chrono::milliseconds(milliseconds);
+	return outcome::success();
+}
+
+/** Check that every key of \a document is described. */
+static Result<void> RejectUnknown(const toml::table &document, const std::vector<SettingField> &fields, const std::string &file)
+{
+	for (const auto &[table_name, table] : document) {
+		if (!table.is_table()) return SettingError(file, table, std::string(table_name.str()), "must be a table; see docs/SETTINGS.md");
+		for (const auto &[name, node] : *table.as_table()) {
+			std::string key = std::string(table_name.str()) + "." + std::string(name.str());
+			bool known = std::any_of(fields.begin(), fields.end(), [&](const SettingField &field) { return field.key == key; });
+			if (!known) return SettingError(file, node, key, "no such setting; see docs/SETTINGS.md");
+		}
+	}
+	return outcome::success();
+}
+
+/** Checks that span several settings. */
+static Result<void> CheckTogether(const Settings &settings, const std::string &file)
+{
+	if (settings.member_timeout < 2 * settings.heartbeat) {
+		return Error{Step::Settings, file, "peers.member_timeout_ms: must be at least twice peers.heartbeat_ms"};
+	}
+	if (settings.dispatch.targets.growth_min > settings.dispatch.targets.growth_max) {
+		return Error{Step::Settings, file, "dispatch.growth_min: must not be above dispatch.growth_max"};
+	}
+	if (!settings.platform_url.starts_with("http://")) return Error{Step::Settings, file, "platform.url: must begin with http://"};
+	if (settings.operator_key_sha256.size() != 64) {
+		return Error{Step::Settings, file, "operator.key_sha256: must be 64 hexadecimal digits"};
+	}
+	return outcome::success();
+}
+
+Result<Settings> ParseSettings(std::string_view text, const std::string &file)
+{
+	Settings settings;
+	std::vector<SettingField> fields = DescribeSettings(settings);
+	toml::table document;
+	try {
+		document = toml::parse(text, file);
+	} catch (const toml::parse_error &error) {
+		return Error{Step::Settings, file + ":" + std::to_string(error.source().begin.line), std::string(error.description())};
+	}
+	BOOST_OUTCOME_TRYV(RejectUnknown(document, fields, file));
+	for (const SettingField &field : fields) {
+		toml::node_view<toml::node> found = document.at_path(field.key);
+		if (!found && field.required) return Error{Step::Settings, file, field.key + ": is required: " + field.doc};
+		if (!found) continue;
+		BOOST_OUTCOME_TRYV(StoreValue(field, *found.node(), file));
+	}
+	BOOST_OUTCOME_TRYV(CheckTogether(settings, file));
+	return settings;
+}
+
+Result<Settings> LoadSettings(const std::string &path)
+{
+	std::ifstream in(path);
+	if (!in) return Error{Step::Settings, path, "cannot be read"};
+	std::stringstream text;
+	text << in.rdbuf();
+	return ParseSettings(text.str(), path);
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/tests/runner/http.cpp
@@ -0,0 +1,182 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file http.cpp HTTP calls of a scenario, one thread each. */
+
+#include "runner_func.h"
+#include <chrono>
+#include <curl/curl.h>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <vector>
+
+namespace cottonspool {
+
+/** One call and its answer. */
+struct ScenarioCall {
+	std::string method, url, body;                   ///< Request.
+	std::vector<std::string> headers;                ///< Request headers.
+	long limit_ms = 30000;                           ///< Longest time.
+	size_t abort_after = SIZE_MAX;                   ///< Bytes of the answer after which the caller goes away.
+	long slow_ms = 0;                                ///< Pause after each part of the answer.
+	long status = 0;                                 ///< Answer's status; 0 when there was none.
+	std::string answer, head, error;                 ///< Answer.
+	double seconds = 0;                              ///< Time taken.
+	double first_seconds = 0;                        ///< Time to the first byte.
+	double longest_gap = 0;                          ///< Longest time between two parts of the answer.
+	std::chrono::steady_clock::time_point last_part; ///< When the last part came.
+	std::thread thread;                              ///< Thread that makes it.
+};
+
+static std::map<lua_Integer, std::unique_ptr<ScenarioCall>> calls;
+static lua_Integer next_call = 1;
+
+static size_t OnBody(char *data, size_t size, size_t count, void *user)
+{
+	auto *call = static_cast<ScenarioCall *>(user);
+	auto now = std::chrono::steady_clock::now();
+	if (!call->answer.empty())
+		call->longest_gap = std::max(call->longest_gap, std::chrono::duration<double>(now - call->last_part).count());
+	call->last_part = now;
+	call->answer.append(data, size * count);
+	if (call->slow_ms > 0) std::this_thread::sleep_for(std::chrono::milliseconds(call->slow_ms));
+	return call->answer.size() >= call->abort_after ? 0 : size * count;
+}
+
+static size_t OnHead(char *data, size_t size, size_t count, void *user)
+{
+	static_cast<ScenarioCall *>(user)->head.append(data, size * count);
+	return size * count;
+}
+
+static void Perform(ScenarioCall *call)
+{
+	CURL *easy = curl_easy_init();
+	curl_slist *headers = curl_slist_append(nullptr, "Expect:");
+	for (const std::string &header : call->headers) headers = curl_slist_append(headers, header.c_str());
+	curl_easy_setopt(easy, CURLOPT_URL, call->url.c_str());
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call->method.c_str());
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, call->limit_ms);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHead);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
+	if (call->method != "GET") curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call->body.c_str());
+	CURLcode code = curl_easy_perform(easy);
+	if (code != CURLE_OK) call->error = curl_easy_strerror(code);
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &call->status);
+	curl_easy_getinfo(easy, CURLINFO_TOTAL_TIME, &call->seconds);
+	curl_easy_getinfo(easy, CURLINFO_STARTTRANSFER_TIME, &call->first_seconds);
+	curl_slist_free_all(headers);
+	curl_easy_cleanup(easy);
+}
+
+/** Read the field \a key of the table on top into a text. */
+static std::string TextField(lua_State *lua, const char *key, const char *otherwise)
+{
+	lua_getfield(lua, 1, key);
+	std::string text = lua_isnil(lua, -1) ? otherwise : lua_tostring(lua, -1);
+	lua_pop(lua, 1);
+	return text;
+}
+
+static long NumberField(lua_State *lua, const char *key, long otherwise)
+{
+	lua_getfield(lua, 1, key);
+	long number = lua_isnil(lua, -1) ? otherwise : static_cast<long>(lua_tonumber(lua, -1));
+	lua_pop(lua, 1);
+	return number;
+}
+
+/** http_start{method=, url=, headers={"a: b"}, body=, limit_ms=, abort_after=, slow_ms=}: begins a call; returns its number. */
+static int HttpStart(lua_State *lua)
+{
+	auto call = std::make_unique<ScenarioCall>();
+	call->url = TextField(lua, "url", "");
+	call->body = TextField(lua, "body", "");
+	call->method = TextField(lua, "method", call->body.empty() ? "GET" : "POST");
+	call->limit_ms = NumberField(lua, "limit_ms", 30000);
+	call->slow_ms = NumberField(lua, "slow_ms", 0);
+	long abort_after = NumberField(lua, "abort_after", 0);
+	if (abort_after > 0) call->abort_after = static_cast<size_t>(abort_after);
+	lua_getfield(lua, 1, "headers");
+	for (lua_Integer i = 1; lua_istable(lua, -1) && lua_geti(lua, -1, i) == LUA_TSTRING; i++) {
+		call->headers.emplace_back(lua_tostring(lua, -1));
+		lua_pop(lua, 1);
+	}
+	ScenarioCall *raw = call.get();
+	call->thread = std::thread([raw] { Perform(raw); });
+	lua_pushinteger(lua, next_call);
+	calls[next_call++] = std::move(call);
+	return 1;
+}
+
+/** http_wait(number): {status=, body=, head=, error=, seconds=, first=, gap=} */
+static int HttpWait(lua_State *lua)
+{
+	auto found = calls.find(luaL_checkinteger(lua, 1));
+	if (found == calls.end()) return luaL_error(lua, "no such call");
+	std::unique_ptr<ScenarioCall> call = std::move(found->second);
+	calls.erase(found);
+	call->thread.join();
+	lua_newtable(lua);
+	lua_pushinteger(lua, call->status);
+	lua_setfield(lua, -2, "status");
+	for (auto [key, text] : {std::pair("body", &call->answer), std::pair("head", &call->head), std::pair("error", &call->error)}) {
+		lua_pushlstring(lua, text->data(), text->size());
+		lua_setfield(lua, -2, key);
+	}
+	for (auto [key, number] :
+	     {std::pair("seconds", call->seconds), std::pair("first", call->first_seconds), std::pair("gap", call->longest_gap)}) {
+		lua_pushnumber(lua, number);
+		lua_setfield(lua, -2, key);
+	}
+	return 1;
+}
+
+static void PushJson(lua_State *lua, const nlohmann::json &value)
+{
+	if (value.is_object()) {
+		lua_newtable(lua);
+		for (const auto &[key, item] : value.items()) {
+			PushJson(lua, item);
+			lua_setfield(lua, -2, key.c_str());
+		}
+	} else if (value.is_array()) {
+		lua_newtable(lua);
+		for (size_t i = 0; i < value.size(); i++) {
+			PushJson(lua, value[i]);
+			lua_seti(lua, -2, static_cast<lua_Integer>(i + 1));
+		}
+	} else if (value.is_string()) {
+		lua_pushstring(lua, value.get<std::string>().c_str());
+	} else if (value.is_number_integer()) {
+		lua_pushinteger(lua, value.get<lua_Integer>());
+	} else if (value.is_number()) {
+		lua_pushnumber(lua, value.get<double>());
+	} else if (value.is_boolean()) {
+		lua_pushboolean(lua, value.get<bool>());
+	} else {
+		lua_pushnil(lua);
+	}
+}
+
+/** json(text): the value, or nil. */
+static int ParseJson(lua_State *lua)
+{
+	PushJson(lua, nlohmann::json::parse(luaL_checkstring(lua, 1), nullptr, false));
+	return 1;
+}
+
+void RegisterHttp(lua_State *lua)
+{
+	lua_register(lua, "http_start", HttpStart);
+	lua_register(lua, "http_wait", HttpWait);
+	lua_register(lua, "json", ParseJson);
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/tests/scenarios/lib.lua
@@ -0,0 +1,194 @@
+-- What scenarios share: starting the system, asking it, checking answers.
+local lib = { ports = {}, peers = {}, names = {}, settings = {} }
+
+function lib.http(call) return http_wait(http_start(call)) end
+
+function lib.until_true(limit_ms, what, test)
+	local stop = now_ms() + limit_ms
+	while true do
+		local value = test()
+		if value then return value end
+		if now_ms() > stop then error("not within " .. limit_ms .. " ms: " .. what, 2) end
+		sleep_ms(20)
+	end
+end
+
+function lib.check(condition, message)
+	if not condition then error(message, 2) end
+end
+
+-- Starts a stand-in and returns its address.
+function lib.standin(name, verb, flags)
+	local words = { BIN .. "/cottonspool-standin", verb }
+	for key, value in pairs(flags or {}) do words[#words + 1] = "--" .. key .. "=" .. tostring(value) end
+	spawn(name, words)
+	local port = lib.until_true(10000, name .. " starts", function() return output(name):match("listening port=(%d+)") end)
+	lib.ports[name] = "127.0.0.1:" .. port
+	return lib.ports[name]
+end
+
+-- Starts a link to an address; returns its address. lib.link(name, mode) sets it.
+function lib.relay(name, to)
+	local probe = lib.free_port()
+	lib.standin(name, "relay", { to = to, link_port = probe })
+	return "127.0.0.1:" .. probe
+end
+
+function lib.link(name, mode) lib.control(name, '{"mode":"' .. mode .. '"}') end
+
+-- A port that nobody uses now: the service stand-in takes it and is ended at once.
+function lib.free_port()
+	lib.probes = (lib.probes or 0) + 1
+	local name = "probe" .. lib.probes
+	spawn(name, { BIN .. "/cottonspool-standin", "service" })
+	local port = lib.until_true(10000, "probe starts", function() return output(name):match("listening port=(%d+)") end)
+	signal(name, "KILL")
+	wait_exit(name, 5000)
+	return port
+end
+
+function lib.control(name, body) return lib.http{ url = "http://" .. lib.ports[name] .. "/control", body = body } end
+
+function lib.record(name) return json(lib.http{ url = "http://" .. lib.ports[name] .. "/record" }.body) end
+
+-- Starts an entry instance and returns its HTTP address. Options: hall, platform, extra (TOML), peer_through (address told to none).
+function lib.instance(name, options)
+	options = options or {}
+	local seeds = {}
+	for _, other in ipairs(options.seeds or lib.names) do
+		if lib.peers[other] then seeds[#seeds + 1] = '"' .. lib.peers[other] .. '"' end
+	end
+	local text = string.format([[
+[instance]
+name = "%s"
+hall = "%s"
+http_port = 0
+peer_port = 0
+[peers]
+seeds = [%s]
+heartbeat_ms = 200
+member_timeout_ms = 1500
+[platform]
+url = "http://%s"
+call_ms = 700
+head_poll_ms = 700
+list_poll_ms = 300
+[operator]
+key_sha256 = "%s"
+]], name, options.hall or "hall-a", table.concat(seeds, ","), options.platform or lib.ports.platform, sha256("ops"))
+	local extra = { targets = { "report_poll_ms = 100" }, stop = { "notice_ms = 200" }, calls = {}, orders = { "lease_ms = 1500" } }
+	for section, lines in pairs(options.extra or {}) do
+		extra[section] = extra[section] or {}
+		for _, line in ipairs(lines) do table.insert(extra[section], 1, line) end
+	end
+	for section, lines in pairs(extra) do
+		local seen = {}
+		text = text .. "[" .. section .. "]\n"
+		for _, line in ipairs(lines) do
+			local key = line:match("^(%S+)")
+			if not seen[key] then text = text .. line .. "\n" end
+			seen[key] = true
+		end
+	end
+	spawn(name, { BIN .. "/cottonspool", "serve", "--settings", write_file(name .. ".toml", text) })
+	lib.until_true(10000, name .. " starts", function()
+		local http, peer = output(name):match("event=started.- http=([%d.:]+) peers=([%d.:]+)")
+		lib.ports[name], lib.peers[name] = http, peer
+		return peer
+	end)
+	local known = false
+	for _, other in ipairs(lib.names) do known = known or other == name end
+	if not known then lib.names[#lib.names + 1] = name end
+	return lib.ports[name]
+end
+
+function lib.servers(names)
+	local servers = {}
+	for _, name in ipairs(names or lib.names) do servers[#servers + 1] = "http://" .. lib.ports[name] end
+	return table.concat(servers, ",")
+end
+
+-- Runs an operators' verb; returns exit code and output.
+function lib.operator(words, names)
+	lib.runs = (lib.runs or 0) + 1
+	local name = "operator" .. lib.runs
+	local all = { BIN .. "/cottonspool", "--key", "ops", "--server", lib.servers(names) }
+	for _, word in ipairs(words) do all[#all + 1] = word end
+	spawn(name, all)
+	return wait_exit(name, 60000), output(name)
+end
+
+-- Has a change accepted, waits until it is in force, and fails otherwise.
+function lib.apply(text, names)
+	lib.changes = (lib.changes or 0) + 1
+	local file = write_file("change" .. lib.changes .. ".toml", 'author = "scenario"\n' .. text)
+	local code, out = lib.operator({ "apply", file, "--wait_s", "15" }, names)
+	lib.check(code == 0, "apply failed: " .. out)
+	return tonumber(out:match("sequence (%d+)"))
+end
+
+function lib.account(name, class)
+	return string.format('[account.%s]\nkey_sha256 = "%s"\nclass = "%s"\n', name, sha256(name .. "-key"), class or "interactive")
+end
+
+function lib.target(name, address, hall, serves, more)
+	return string.format('[target.%s]\naddress = "%s"\nhall = "%s"\nserves = ["%s"]\n%s\n', name, address, hall, serves, more or "")
+end
+
+function lib.status(name)
+	return json(lib.http{ url = "http://" .. lib.ports[name] .. "/operator/status", headers = { "Authorization: Bearer ops" } }.body)
+end
+
+-- Waits until an instance sees so many targets ready.
+function lib.ready(name, count)
+	lib.until_true(10000, name .. " sees " .. count .. " targets ready", function()
+		local ready = 0
+		for _, target in ipairs(lib.status(name).targets) do ready = ready + (target.ready and 1 or 0) end
+		return ready >= count
+	end)
+end
+
+-- Begins a completion; options: account, tokens, stream, class, prompt, headers and those of http_start.
+function lib.complete(name, options)
+	local headers = { "Authorization: Bearer " .. (options.account or "kiosk") .. "-key" }
+	if options.class then headers[#headers + 1] = "Cottonspool-Class: " .. options.class end
+	for _, header in ipairs(options.headers or {}) do headers[#headers + 1] = header end
+	local prompt = (options.prompt or "please write") .. " tokens=" .. (options.tokens or 20)
+	local body = string.format('{"model":"%s","prompt":"%s","stream":%s}', options.model or "small", prompt, tostring(options.stream ~= false))
+	return http_start{ url = "http://" .. lib.ports[name] .. "/v1/completions", headers = headers, body = body,
+		limit_ms = options.limit_ms or 60000, abort_after = options.abort_after, slow_ms = options.slow_ms }
+end
+
+-- Begins a service call that may not be repeated.
+function lib.pay(name, key, body, options)
+	options = options or {}
+	local headers = { "Authorization: Bearer kiosk-key", "Cottonspool-Repeatable: no" }
+	if key then headers[#headers + 1] = "Idempotency-Key: " .. key end
+	return http_start{ url = "http://" .. lib.ports[name] .. "/services/pay" .. (options.path or "/issue"), headers = headers, body = body,
+		limit_ms = options.limit_ms or 30000 }
+end
+
+function lib.ran(answer) return answer.head:lower():match("cottonspool%-ran: (%a+)") or answer.body:match('"ran":"(%a+)"') end
+
+-- Checks that a streamed body holds tokens 1..n of one generation, in order and once; returns n and whether it is complete.
+function lib.stream(body)
+	local count, generation = 0, nil
+	for id, data in body:gmatch("id: (%d+)\ndata: ([^\n]*)\n") do
+		local chunk = json(data)
+		count = count + 1
+		lib.check(tonumber(id) == count, "token " .. id .. " where " .. count .. " was due")
+		generation = generation or chunk.id
+		lib.check(chunk.id == generation, "token of another generation")
+		lib.check(chunk.choices[1].text == generation:sub(1, 24) .. "." .. count .. " ", "token " .. count .. " has another's text")
+	end
+	return count, body:find("data: %[DONE%]") ~= nil, body:match("event: error\ndata: ([^\n]*)\n")
+end
+
+-- Counts runs per idempotency key in a service's record.
+function lib.runs_by_key(record)
+	local runs = {}
+	for _, run in ipairs(record.runs) do runs[run.key] = (runs[run.key] or 0) + 1 end
+	return runs
+end
+
+return lib
--- /dev/null
+++ b/tests/standins/service.cpp
@@ -0,0 +1,85 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file service.cpp Plain service stand-in: records what it ran, can be late and can cut its answers short. */
+
+#include "standin_func.h"
+#include <gflags/gflags.h>
+#include <unistd.h>
+
+DEFINE_uint64(slots, 32, "calls run at once, as reported");
+
+namespace cottonspool {
+
+/** A plain service with a record of its runs. */
+class ServiceStandin {
+public:
+	explicit ServiceStandin(uv_loop_t *loop) : loop(loop) {}
+
+	/** Answer one request. */
+	void Handle(const std::shared_ptr<HttpExchange> &exchange)
+	{
+		if (exchange->request.path == "/record")
+			return Answer(exchange, 200, {{"runs", this->runs}, {"leaving_since", this->leaving_since}});
+		if (exchange->request.path == "/load") return Answer(exchange, 200, this->MakeReport());
+		if (exchange->request.path == "/control") return this->Control(exchange);
+		this->Run(exchange);
+	}
+
+private:
+	Json MakeReport()
+	{
+		return {{"sequence", ++this->sequence},
+		        {"incarnation", std::to_string(getpid())},
+		        {"capacity_tokens", FLAGS_slots},
+		        {"used_tokens", this->running},
+		        {"running", this->running},
+		        {"leaving", this->leaving},
+		        {"age_ms", 0}};
+	}
+
+	void Control(const std::shared_ptr<HttpExchange> &exchange)
+	{
+		Json control = Body(*exchange);
+		this->leaving = control.value("leaving", this->leaving);
+		this->delay_ms = control.value("delay_ms", this->delay_ms);
+		if (this->leaving && this->leaving_since == 0) this->leaving_since = NowMs();
+		Answer(exchange, 200, {{"ok", true}});
+	}
+
+	void Run(const std::shared_ptr<HttpExchange> &exchange)
+	{
+		const HttpRequest &request = exchange->request;
+		std::string name(FindHeader(request.headers, "Cottonspool-Request"));
+		std::string key(FindHeader(request.headers, "Idempotency-Key"));
+		this->runs.push_back({{"request", name}, {"key", key}, {"path", request.path}, {"at", NowMs()}});
+		this->running++;
+		std::string delay = QueryValue(request.query, "delay_ms");
+		uint64_t wait = this->delay_ms + (delay.empty() ? 1 : strtoull(delay.c_str(), nullptr, 10));
+		bool truncate = !QueryValue(request.query, "truncate").empty();
+		Json body{{"path", request.path}, {"echo", request.body}, {"key", key}, {"run", this->runs.size()}};
+		After(this->loop, wait, [this, exchange, body, truncate] {
+			this->running--;
+			if (!truncate) return Answer(exchange, 200, body);
+			std::string text = body.dump();
+			exchange->Start(200, {{"x-standin", "truncated"}});
+			exchange->Write(text.substr(0, text.size() / 2));
+			After(this->loop, 50, [exchange] { exchange->Abort(); });
+		});
+	}
+
+	uv_loop_t *loop;           ///< Loop.
+	Json runs = Json::array(); ///< What was run.
+	uint64_t sequence = 0;     ///< Reports made.
+	uint64_t running = 0;      ///< Calls running.
+	uint64_t delay_ms = 0;     ///< Added to each run.
+	bool leaving = false;      ///< Notice given.
+	int64_t leaving_since = 0; ///< When notice was given.
+};
+
+int RunService(uv_loop_t *loop)
+{
+	ServiceStandin service(loop);
+	return Serve(loop, [&](const std::shared_ptr<HttpExchange> &exchange) { service.Handle(exchange); });
+}
+
+} // namespace cottonspool
