--- a/src/decision/length_estimate.cpp
+++ b/src/decision/length_estimate.cpp
@@ -19,6 +19,12 @@
 	return std::min<size_t>(31, static_cast<size_t>(position));
 }
 
+/** @return The least length of \a bucket, in tokens. */
+static double BucketLower(size_t bucket)
+{
+	return std::exp2(static_cast<double>(bucket) / 2.0);
+}
+
 /** @return The middle length of \a bucket, in tokens. */
 static double BucketMiddle(size_t bucket)
 {
@@ -40,13 +46,15 @@
 
 double LengthHistogram::Residual(uint32_t generated) const
 {
-	double weight = 0;
-	double sum = 0;
-	for (size_t bucket = BucketOf(std::max<uint32_t>(generated, 1)); bucket < BUCKETS; bucket++) {
-		double left = BucketMiddle(bucket) - generated;
-		if (left <= 0 || this->weights[bucket] <= 0) continue;
+	size_t first = BucketOf(std::max<uint32_t>(generated, 1));
+	// Of the bucket that the output is in now, only the part above its present length is still possible.
+	double upper = BucketLower(first + 1);
+	double part = std::clamp((upper - generated) / (upper - BucketLower(first)), 0.0, 1.0);
+	double weight = this->weights[first] * part;
+	double sum = weight * (generated == 0 ? BucketMiddle(first) : (upper - generated) / 2);
+	for (size_t bucket = first + 1; bucket < BUCKETS; bucket++) {
 		weight += this->weights[bucket];
-		sum += this->weights[bucket] * left;
+		sum += this->weights[bucket] * (BucketMiddle(bucket) - generated);
 	}
 	return weight < 1e-3 ? -1.0 : sum / weight;
 }
--- a/src/instance/claim_store.h
+++ b/src/instance/claim_store.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "decision/claim.h"
-#include "platform/platform_client.h"
+#include "platform/platform_base.h"
 #include <deque>
 
 namespace cottonspool {
@@ -16,7 +16,7 @@
 	/** Gets the end of a claim: Proceed, Replay, Busy, Mismatch or Refuse, with the row. */
 	using ClaimDone = std::function<void(ClaimStep, const ClaimRow &)>;
 
-	explicit ClaimStore(PlatformClient &platform) : platform(platform) {}
+	explicit ClaimStore(Platform &platform) : platform(platform) {}
 
 	/** Claim \a key with \a nonce for the request with \a request_hash. */
 	void Make(const std::string &key, const std::string &nonce, uint64_t request_hash, ClaimDone done);
@@ -47,7 +47,7 @@
 	static constexpr size_t MAX_UNSETTLED = 8192; ///< Claims remembered for settling; the oldest is dropped beyond.
 	static constexpr int MAX_TRIES = 600;         ///< Most tries to settle one claim.
 
-	PlatformClient &platform;         ///< Table.
+	Platform &platform;               ///< Table.
 	std::deque<Settlement> unsettled; ///< To be tried again.
 	size_t settling = 0;              ///< Being tried.
 };
--- a/src/instance/configuration_keeper.cpp
+++ b/src/instance/configuration_keeper.cpp
@@ -54,7 +54,7 @@
 			                        if (this->ApplyText(row.value, &this->counters.from_table)) applied.push_back(row.value);
 		                        }
 		                        if (!applied.empty()) this->Announce(std::move(applied));
-		                        if (rows.value().size() >= SCAN_PAGE) return this->PollThen(done);
+		                        if (rows.value().size() >= Platform::SCAN_PAGE) return this->PollThen(done);
 		                        this->OnConfirmed(asked);
 		                        done(true);
 	                        });
--- a/src/instance/configuration_keeper.h
+++ b/src/instance/configuration_keeper.h
@@ -6,7 +6,7 @@
 
 #include "configuration/configuration_state.h"
 #include "peer/peer_message.h"
-#include "platform/platform_client.h"
+#include "platform/platform_base.h"
 #include <deque>
 
 namespace cottonspool {
@@ -47,7 +47,7 @@
 	using Changed = std::function<void(const std::vector<std::string> &new_entries)>;
 	using ApplyDone = std::function<void(const ApplyResult &)>;
 
-	ConfigurationKeeper(PlatformClient &platform, int64_t snapshot_every, PolicyCheck check_policy, Changed changed)
+	ConfigurationKeeper(Platform &platform, int64_t snapshot_every, PolicyCheck check_policy, Changed changed)
 	    : platform(platform), snapshot_every(snapshot_every), check_policy(std::move(check_policy)), changed(std::move(changed))
 	{
 	}
@@ -103,9 +103,8 @@
 
 	static constexpr size_t MAX_RECENT = 512; ///< Entries remembered for peers.
 	static constexpr int MAX_TRIES = 8;       ///< Rounds of one acceptance.
-	static constexpr size_t SCAN_PAGE = 500;  ///< Rows of a full page of a scan.
 
-	PlatformClient &platform;                            ///< Table and objects.
+	Platform &platform;                                  ///< Table and objects.
 	int64_t snapshot_every;                              ///< Entries between snapshots.
 	PolicyCheck check_policy;                            ///< Checks policies.
 	Changed changed;                                     ///< Told of every movement.
--- a/src/instance/instance.h
+++ b/src/instance/instance.h
@@ -12,6 +12,7 @@
 #include "instance/target_watch.h"
 #include "metrics/metrics.h"
 #include "peer/peer_links.h"
+#include "platform/platform_client.h"
 #include "policy/policy_engine.h"
 #include "settings/settings_type.h"
 #include <pcg_random.hpp>
--- a/src/instance/order_keeper.h
+++ b/src/instance/order_keeper.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "instance/target_watch.h"
-#include "platform/platform_client.h"
+#include "platform/platform_base.h"
 
 namespace cottonspool {
 
@@ -19,8 +19,7 @@
 /** Holds or seeks the lease, and orders each engine into the state that the configuration wants. */
 class OrderKeeper {
 public:
-	OrderKeeper(HttpClient &client, PlatformClient &platform, TargetWatch &watch, std::string hall, const std::string &holder,
-	            Duration length)
+	OrderKeeper(HttpClient &client, Platform &platform, TargetWatch &watch, std::string hall, const std::string &holder, Duration length)
 	    : client(client), platform(platform), watch(watch), hall(std::move(hall)), lease(holder, length), length(length)
 	{
 	}
@@ -47,7 +46,7 @@
 	static constexpr size_t MAX_ORDERS = 4;                          ///< Most orders under way: each may load weights.
 
 	HttpClient &client;                          ///< HTTP.
-	PlatformClient &platform;                    ///< Table.
+	Platform &platform;                          ///< Table.
 	TargetWatch &watch;                          ///< Reported states.
 	std::string hall;                            ///< Own hall.
 	Lease lease;                                 ///< Lease.
--- /dev/null
+++ b/src/tests/configuration_test.cpp
@@ -0,0 +1,195 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file configuration_test.cpp An accepted configuration is in force everywhere, in one order, and never reverts. */
+
+#include "configuration/configuration_state.h"
+#include "fake_platform.h"
+#include "instance/configuration_keeper.h"
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace cottonspool;
+
+/** A change that sets one share record. */
+static Change MakeChange(const std::string &id, const std::string &share, int weight, uint64_t base)
+{
+	Change change;
+	change.id = id;
+	change.author = "author-" + id;
+	change.base = base;
+	change.records.push_back({RecordKind::Share, share, false, "{\"hall\":" + std::to_string(weight) + "}"});
+	return change;
+}
+
+TEST_CASE("Configuration - any order and repetition of entries and snapshots only moves forward, to the one state of each sequence")
+{
+	bool good = rc::check("forward", [](uint32_t seed) {
+		pcg32 random(seed);
+		std::vector<Entry> entries;
+		std::vector<std::string> states{ConfigurationState().Snapshot()};
+		ConfigurationState writer;
+		for (uint64_t i = 1; i <= 12; i++) {
+			Change change = MakeChange("c" + std::to_string(i), "s" + std::to_string(random() % 3), static_cast<int>(i), i);
+			change.records[0].removed = random() % 4 == 0;
+			entries.push_back({i, change});
+			RC_ASSERT(writer.Apply(entries.back()));
+			states.push_back(writer.Snapshot());
+		}
+		ConfigurationState reader;
+		uint64_t before = 0;
+		for (int i = 0; i < 200; i++) {
+			uint64_t chosen = random() % 12;
+			if (random() % 8 == 0) {
+				RC_ASSERT(reader.Load(states[chosen]).has_value() || chosen == 0);
+			} else {
+				reader.Apply(entries[chosen]);
+			}
+			RC_ASSERT(reader.Sequence() >= before);
+			before = reader.Sequence();
+			RC_ASSERT(reader.Snapshot() == states[reader.Sequence()]);
+		}
+	});
+	CHECK(good);
+}
+
+namespace {
+
+/** Instances that keep their configuration through one fake platform, with operators racing at all of them. */
+struct KeeperWorld {
+	explicit KeeperWorld(uint32_t seed) : platform(seed), random(seed)
+	{
+		for (size_t i = 0; i < 3; i++) {
+			auto changed = [this, i](const std::vector<std::string> &) {
+				uint64_t sequence = this->keepers[i]->State().Sequence();
+				if (sequence < this->seen[i]) this->reverted = true;
+				this->seen[i] = sequence;
+			};
+			this->keepers.push_back(std::make_unique<ConfigurationKeeper>(this->platform, 4, PolicyCheck{}, changed));
+		}
+	}
+
+	FakePlatform platform;                                     ///< Platform.
+	pcg32 random;                                              ///< Chance.
+	std::vector<std::unique_ptr<ConfigurationKeeper>> keepers; ///< Instances.
+	std::array<uint64_t, 3> seen{};                            ///< Last sequence of each.
+	bool reverted = false;                                     ///< Some instance went back.
+	std::map<std::string, uint64_t> accepted;                  ///< Changes said to be accepted.
+	std::set<std::string> refused;                             ///< Changes said not to be written.
+};
+
+} // namespace
+
+TEST_CASE("Configuration - racing operators, lost and late answers: what was said accepted is there once, what was refused is not")
+{
+	bool good = rc::check("races", [](uint32_t seed) {
+		KeeperWorld world(seed);
+		world.platform.lost_answers = 0.2;
+		world.platform.not_sent = 0.1;
+		world.platform.late_effects = 0.15;
+		for (int i = 0; i < 14; i++) {
+			ConfigurationKeeper &keeper = *world.keepers[world.random() % 3];
+			std::string id = "change" + std::to_string(i / 2); // Every change is asked for twice, maybe at two instances.
+			Change change = MakeChange(id, "s" + std::to_string(i % 3), i / 2, 1000);
+			keeper.Accept(change, [&world, id](const ApplyResult &result) {
+				if (result.end == ApplyEnd::Accepted) {
+					auto [found, added] = world.accepted.emplace(id, result.sequence);
+					RC_ASSERT(added || found->second == result.sequence);
+				}
+				if (result.end == ApplyEnd::Failed) world.refused.insert(id);
+			});
+			world.platform.Run(world.random() % 12);
+			if (world.random() % 3 == 0) world.keepers[world.random() % 3]->Poll();
+		}
+		world.platform.RunAll();
+		world.platform.lost_answers = world.platform.not_sent = world.platform.late_effects = 0;
+		std::map<std::string, int> written;
+		for (const auto &keeper : world.keepers) {
+			keeper->Poll();
+			world.platform.RunAll();
+		}
+		for (const auto &[key, row] : world.platform.rows) {
+			if (key.starts_with("config/entry/")) written[ParseEntry(row.value).value().change.id]++;
+		}
+		RC_ASSERT(!world.reverted);
+		for (const auto &[id, count] : written) RC_ASSERT(count == 1);
+		for (const auto &[id, sequence] : world.accepted) RC_ASSERT(written.contains(id));
+		for (const auto &keeper : world.keepers) {
+			RC_ASSERT(keeper->State().Sequence() == written.size());
+			RC_ASSERT(keeper->State().Snapshot() == world.keepers[0]->State().Snapshot());
+		}
+	});
+	CHECK(good);
+}
+
+TEST_CASE("Configuration - of two operators with one base, the second is told whose change came first")
+{
+	KeeperWorld world(7);
+	world.keepers[0]->Accept(MakeChange("first", "s", 1, 0), [](const ApplyResult &) {});
+	world.platform.RunAll();
+	ApplyResult second;
+	world.keepers[1]->Accept(MakeChange("second", "s", 2, 0), [&](const ApplyResult &result) { second = result; });
+	world.platform.RunAll();
+	CHECK(second.end == ApplyEnd::Conflict);
+	CHECK(second.other.id == "first");
+	CHECK(second.other.author == "author-first");
+}
+
+TEST_CASE("Configuration - an instance boots from snapshot and tail, and a peer serves what the table cannot")
+{
+	KeeperWorld world(9);
+	for (uint64_t i = 0; i < 10; i++) {
+		world.keepers[0]->Accept(MakeChange("c" + std::to_string(i), "s", static_cast<int>(i), i), [](const ApplyResult &) {});
+		world.platform.RunAll();
+	}
+	CHECK(world.platform.rows.contains("object/config/snapshot"));
+	world.keepers[1]->Boot();
+	world.platform.RunAll();
+	CHECK(world.keepers[1]->State().Sequence() == 10);
+	world.platform.down = true;
+	world.keepers[2]->Boot();
+	world.platform.RunAll();
+	CHECK(world.keepers[2]->State().Sequence() == 0);
+	CHECK(world.keepers[2]->ConfirmedAt() == TimePoint{});
+	PeerMessage answer = world.keepers[1]->AnswerFetch(0);
+	REQUIRE(std::holds_alternative<SnapshotMessage>(answer));
+	world.keepers[2]->OnSnapshot(std::get<SnapshotMessage>(answer).snapshot);
+	CHECK(world.keepers[2]->State().Sequence() == 10);
+	PeerMessage tail = world.keepers[0]->AnswerFetch(7);
+	REQUIRE(std::holds_alternative<EntriesMessage>(tail));
+	CHECK(std::get<EntriesMessage>(tail).entries.size() == 3);
+}
+
+TEST_CASE("Configuration - validation names what is wrong")
+{
+	ConfigurationState state;
+	auto wrong = [&](const char *json) {
+		auto change = ParseChange(json);
+		if (!change) return change.error().peer + " " + change.error().message;
+		auto valid = state.Validate(change.value(), {});
+		return valid ? std::string() : valid.error().peer + " " + valid.error().message;
+	};
+	CHECK(wrong("[]").find("object") != std::string::npos);
+	CHECK(wrong(R"({"id":"a","author":"b","records":[]})").find("empty") != std::string::npos);
+	CHECK(wrong(R"({"id":"a","author":"b","records":[{"kind":"modell","name":"x","content":{}}]})").find("no such kind") !=
+	      std::string::npos);
+	CHECK(wrong(R"({"id":"a","author":"b","records":[{"kind":"model","name":"x","content":{"contxt":1}}]})").find("no such field") !=
+	      std::string::npos);
+	CHECK(wrong(R"({"id":"a","author":"b","records":[{"kind":"target","name":"t","content":{"address":"1:2","hall":"h","serves":["m"]}}]})")
+	              .find("unknown model m") != std::string::npos);
+	CHECK(wrong(R"({"id":"a","author":"b","records":[{"kind":"account","name":"x","content":{"key_sha256":"zz"}}]})").find("hexadecimal") !=
+	      std::string::npos);
+	CHECK(wrong(R"({"id":"a","author":"b","records":[{"kind":"model","name":"m","content":{}}]})").empty());
+}
+
+TEST_CASE("Configuration - any bytes are taken without harm")
+{
+	bool good = rc::check("bytes", [](const std::string &bytes) {
+		(void)ParseChange(bytes);
+		(void)ParseEntry(bytes);
+		(void)ParseChangeFile(bytes, "file");
+		(void)ConfigurationState().Load(bytes);
+		(void)ParseTarget("name", bytes);
+		(void)ParseAccount("name", bytes);
+	});
+	CHECK(good);
+}
--- /dev/null
+++ b/src/tests/dispatcher_test.cpp
@@ -0,0 +1,356 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file dispatcher_test.cpp What the decisions about calls always keep, under any order of events. */
+
+#include "decision/dispatcher.h"
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <pcg_random.hpp>
+#include <rapidcheck.h>
+
+using namespace cottonspool;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** What the shell knows of one call. */
+struct TrackedCall {
+	CallSpec spec;                      ///< The call.
+	std::optional<TargetNumber> holder; ///< Target that has it.
+	bool over = false;                  ///< Ended, given up or withdrawn.
+	bool in_doubt = false;              ///< A send ended in doubt.
+	int sends = 0;                      ///< Sends.
+};
+
+/** A dispatcher under random events, with a shell that checks every decision. */
+class DispatcherWorld {
+public:
+	explicit DispatcherWorld(uint32_t seed, const char *router = "headroom") : random(seed), dispatcher(Limits(), MakeRouter(router, seed))
+	{
+		this->dispatcher.Targets().SetInstances(0, 2);
+		for (int i = 0; i < 3; i++) {
+			std::vector<ModelNumber> models{ModelNumber{0}};
+			this->targets.push_back(this->dispatcher.Targets().Configure("target" + std::to_string(i), "hall", models));
+			this->Report(i);
+		}
+	}
+
+	static DispatchLimits Limits()
+	{
+		DispatchLimits limits;
+		limits.queue.max_calls_per_account = 20;
+		return limits;
+	}
+
+	/** One random event. */
+	void Step()
+	{
+		this->now += milliseconds(this->random() % 40);
+		switch (this->random() % 8) {
+		case 0:
+		case 1:
+			return this->Submit();
+		case 2:
+			return this->Report(static_cast<int>(this->random() % 3));
+		case 3:
+		case 4:
+			return this->Token();
+		case 5:
+			return this->End();
+		case 6:
+			return this->Leave();
+		default:
+			return this->Take(this->dispatcher.OnTick(this->now));
+		}
+	}
+
+	/** Let all that is in flight end well, and time pass beyond every deadline. */
+	void Finish()
+	{
+		for (int i = 0; i < 200; i++) {
+			this->now += milliseconds(200);
+			this->End(SendEnd::Complete);
+			this->Take(this->dispatcher.OnTick(this->now));
+		}
+		for (const TrackedCall &call : this->calls) RC_ASSERT(call.over);
+		RC_ASSERT(this->dispatcher.Queue().Size() == 0U);
+		RC_ASSERT(this->dispatcher.InFlight() == 0U);
+	}
+
+	std::string trace; ///< Every decision, to compare runs.
+
+private:
+	void Submit()
+	{
+		TrackedCall call;
+		call.spec.id = CallId{this->calls.size()};
+		call.spec.account = AccountNumber{this->random() % 4};
+		call.spec.service_class = static_cast<ServiceClass>(this->random() % 3);
+		call.spec.prompt_tokens = 1 + this->random() % 400;
+		call.spec.repeatable = this->random() % 2 == 0;
+		call.spec.arrived = this->now;
+		call.spec.deadline = this->now + milliseconds(this->random() % 3000);
+		this->calls.push_back(call);
+		this->Take(this->dispatcher.Submit(call.spec, this->now));
+	}
+
+	void Report(int target)
+	{
+		LoadReport report;
+		report.sequence = ++this->reports;
+		report.incarnation = "a";
+		report.capacity_tokens = 4000;
+		report.used_tokens = this->random() % 4000;
+		report.running = this->random() % 10;
+		report.preemptions = this->reports / 7;
+		report.age = milliseconds(this->random() % 500);
+		this->Take(this->dispatcher.OnReport(this->targets[static_cast<size_t>(target)], report, this->now));
+	}
+
+	TrackedCall *InFlight()
+	{
+		std::vector<TrackedCall *> sent;
+		for (TrackedCall &call : this->calls) {
+			if (call.holder) sent.push_back(&call);
+		}
+		return sent.empty() ? nullptr : sent[this->random() % sent.size()];
+	}
+
+	void Token()
+	{
+		if (TrackedCall *call = this->InFlight()) this->dispatcher.OnToken(call->spec.id, this->now);
+	}
+
+	void End(std::optional<SendEnd> wanted = std::nullopt)
+	{
+		TrackedCall *call = this->InFlight();
+		if (call == nullptr) return;
+		SendEnd end = wanted.value_or(static_cast<SendEnd>(this->random() % 5));
+		call->holder.reset();
+		call->in_doubt = call->in_doubt || end == SendEnd::Lost;
+		bool again = end == SendEnd::NotRun || (end == SendEnd::Lost && call->spec.repeatable);
+		call->over = !again;
+		this->Take(this->dispatcher.OnSendEnded(call->spec.id, end, this->now));
+	}
+
+	void Leave()
+	{
+		if (this->random() % 4 != 0) return;
+		TargetNumber target = this->targets[this->random() % 2];
+		bool leaves = this->random() % 2 == 0;
+		if (leaves) this->dispatcher.Targets().MarkLeaving(target);
+		if (!leaves) this->dispatcher.Targets().ClearLeaving(target);
+	}
+
+	void Take(const Decisions &decisions)
+	{
+		for (const SendAction &send : decisions.sends) {
+			TrackedCall &call = this->calls[send.call.value];
+			this->trace += "s" + std::to_string(send.call.value) + ">" + std::to_string(send.target.value) + " ";
+			RC_ASSERT(!call.over);
+			RC_ASSERT(!call.holder.has_value());
+			RC_ASSERT(call.spec.repeatable || !call.in_doubt);
+			RC_ASSERT(!this->dispatcher.Targets().Get(send.target).leaving);
+			RC_ASSERT(++call.sends <= 3);
+			call.holder = send.target;
+		}
+		for (const GiveUpAction &give_up : decisions.give_ups) {
+			TrackedCall &call = this->calls[give_up.call.value];
+			this->trace += "g" + std::to_string(give_up.call.value) + " ";
+			RC_ASSERT(!call.over);
+			RC_ASSERT(!call.holder.has_value());
+			RC_ASSERT(give_up.retry_after > Duration{0});
+			call.over = true;
+		}
+	}
+
+	pcg32 random;                              ///< Chance.
+	Dispatcher dispatcher;                     ///< Under test.
+	std::vector<TargetNumber> targets;         ///< Targets.
+	std::vector<TrackedCall> calls;            ///< Calls.
+	TimePoint now{std::chrono::seconds(1000)}; ///< Clock.
+	uint64_t reports = 0;                      ///< Reports made.
+};
+
+CallSpec MakeCall(uint64_t id, uint32_t account, TimePoint now)
+{
+	CallSpec call;
+	call.id = CallId{id};
+	call.account = AccountNumber{account};
+	call.prompt_tokens = 100;
+	call.arrived = now;
+	call.deadline = now + std::chrono::seconds(10);
+	return call;
+}
+
+} // namespace
+
+TEST_CASE("Dispatcher - one target at a time, nothing after the end, no doubtful repeat, nothing to who leaves, nothing forgotten")
+{
+	bool good = rc::check("events", [](uint32_t seed) {
+		DispatcherWorld world(seed);
+		for (int i = 0; i < 400; i++) world.Step();
+		world.Finish();
+	});
+	CHECK(good);
+}
+
+TEST_CASE("Dispatcher - the same events give the same decisions")
+{
+	bool good = rc::check("replay", [](uint32_t seed) {
+		DispatcherWorld first(seed), second(seed);
+		for (int i = 0; i < 200; i++) {
+			first.Step();
+			second.Step();
+		}
+		RC_ASSERT(first.trace == second.trace);
+	});
+	CHECK(good);
+}
+
+TEST_CASE("Dispatcher - retries stay within a tenth of the first sends and the saved burst when every send fails")
+{
+	DispatchLimits limits;
+	limits.targets.eject_failures = 1000000;
+	Dispatcher dispatcher(limits, MakeRouter("round-robin", 1));
+	TargetNumber target = dispatcher.Targets().Configure("target", "hall", {ModelNumber{0}});
+	LoadReport report;
+	report.sequence = 1;
+	report.capacity_tokens = 1000000;
+	TimePoint now(std::chrono::seconds(10));
+	dispatcher.OnReport(target, report, now);
+	uint64_t sends = 0;
+	for (uint64_t i = 0; i < 2000; i++) {
+		now += milliseconds(10);
+		std::vector<Decisions> todo{dispatcher.Submit(MakeCall(i, 0, now), now), dispatcher.OnTick(now)};
+		while (!todo.empty()) {
+			Decisions next = std::move(todo.back());
+			todo.pop_back();
+			for (const SendAction &send : next.sends) {
+				sends++;
+				todo.push_back(dispatcher.OnSendEnded(send.call, SendEnd::Lost, now));
+			}
+		}
+	}
+	CHECK(dispatcher.Counters().retries <= 2000 * 0.11 + 20);
+	CHECK(sends <= 2000 + dispatcher.Counters().retries);
+}
+
+TEST_CASE("Queue - a flood of one account does not keep another's call waiting behind it")
+{
+	CallQueue queue({});
+	TimePoint now(std::chrono::seconds(10));
+	for (uint64_t i = 0; i < 500; i++) REQUIRE(queue.Push(MakeCall(i, 1, now), 100));
+	REQUIRE(queue.Push(MakeCall(900, 2, now), 100));
+	int before = 0;
+	bool seen = false;
+	while (!seen) {
+		queue.ForEachHead(1, [&](const CallSpec &call) {
+			seen = call.id == CallId{900};
+			before += seen ? 0 : 1;
+			return true;
+		});
+	}
+	CHECK(before <= 1);
+}
+
+TEST_CASE("Queue - order, sizes and deadlines agree after any pushes, takes and removals")
+{
+	bool good = rc::check("sizes", [](uint32_t seed) {
+		pcg32 random(seed);
+		QueueLimits limits;
+		limits.max_calls = 40;
+		CallQueue queue(limits);
+		std::set<uint64_t> waiting;
+		TimePoint now(std::chrono::seconds(10));
+		for (uint64_t i = 0; i < 300; i++) {
+			CallSpec call = MakeCall(i, random() % 5, now);
+			call.service_class = static_cast<ServiceClass>(random() % 3);
+			call.deadline = now + milliseconds(random() % 200);
+			if (random() % 2 == 0 && queue.Push(call, 1 + random() % 50)) waiting.insert(i);
+			if (random() % 4 == 0) RC_ASSERT(queue.Remove(CallId{i / 2}) == (waiting.erase(i / 2) > 0));
+			if (random() % 4 == 0) {
+				queue.ForEachHead(2, [&](const CallSpec &head) {
+					bool take = random() % 2 == 0;
+					if (take) RC_ASSERT(waiting.erase(head.id.value) == 1U);
+					return take;
+				});
+			}
+			now += milliseconds(random() % 10);
+			for (const CallSpec &expired : queue.TakeExpired(now)) {
+				RC_ASSERT(expired.deadline <= now);
+				RC_ASSERT(waiting.erase(expired.id.value) == 1U);
+			}
+			RC_ASSERT(queue.Size() == waiting.size());
+			RC_ASSERT(queue.Size() <= 40U);
+		}
+	});
+	CHECK(good);
+}
+
+TEST_CASE("Targets - instances with one stale report together plan to fill no more than is free")
+{
+	bool good = rc::check("shares", [] {
+		auto instances = *rc::gen::inRange<uint32_t>(2, 42);
+		auto used = *rc::gen::inRange<uint64_t>(0, 10000);
+		double planned = 0;
+		double free = 0;
+		for (uint32_t rank = 0; rank < instances; rank++) {
+			LengthEstimate lengths({});
+			TargetTable targets({}, lengths);
+			targets.SetInstances(rank, instances);
+			TargetNumber number = targets.Configure("target", "hall", {ModelNumber{0}});
+			LoadReport report;
+			report.sequence = 5;
+			report.capacity_tokens = 10000;
+			report.used_tokens = used;
+			TimePoint now(std::chrono::seconds(10));
+			targets.OnReport(number, report, now);
+			CallSpec call = MakeCall(1, 0, now);
+			free = std::max(0.0, 10000 * 0.97 - static_cast<double>(used));
+			planned += std::max(0.0, targets.Allowance(targets.Get(number), call, now));
+		}
+		RC_ASSERT(planned <= free + 1);
+	});
+	CHECK(good);
+}
+
+TEST_CASE("Targets - a failing target is ejected, probed by one call, and taken back")
+{
+	LengthEstimate lengths({});
+	TargetTable targets({}, lengths);
+	TargetNumber number = targets.Configure("target", "hall", {ModelNumber{0}});
+	TimePoint now(std::chrono::seconds(10));
+	LoadReport report;
+	report.sequence = 1;
+	report.capacity_tokens = 10000;
+	targets.OnReport(number, report, now);
+	for (uint64_t i = 0; i < 3; i++) {
+		targets.OnSent(number, MakeCall(i, 0, now), now);
+		targets.OnEnded(number, CallId{i}, false, now);
+	}
+	CHECK_FALSE(targets.IsUsable(targets.Get(number), ModelNumber{0}, now));
+	now += std::chrono::milliseconds(1100);
+	CHECK(targets.IsUsable(targets.Get(number), ModelNumber{0}, now));
+	targets.OnSent(number, MakeCall(10, 0, now), now);
+	CHECK_FALSE(targets.IsUsable(targets.Get(number), ModelNumber{0}, now));
+	targets.OnEnded(number, CallId{10}, true, now);
+	CHECK(targets.IsUsable(targets.Get(number), ModelNumber{0}, now));
+}
+
+TEST_CASE("Lengths - what is learned of an account and of all accounts sets the expected rest")
+{
+	LengthEstimate lengths({});
+	CallSpec call = MakeCall(1, 1, TimePoint{});
+	CHECK(lengths.Residual(call, 0) == doctest::Approx(256));
+	for (int i = 0; i < 200; i++) lengths.Learn(call, 1000);
+	CHECK(lengths.Residual(call, 0) == doctest::Approx(1000).epsilon(0.25));
+	CHECK(lengths.Residual(call, 900) < 300);
+	CallSpec other = MakeCall(2, 2, TimePoint{});
+	CHECK(lengths.Residual(other, 0) == doctest::Approx(1000).epsilon(0.25));
+	for (int i = 0; i < 400; i++) lengths.Learn(other, 10);
+	CHECK(lengths.Residual(other, 0) < 60);
+	CHECK(lengths.Residual(call, 0) > 500);
+	call.max_tokens = 50;
+	CHECK(lengths.Residual(call, 20) <= 30);
+}
--- /dev/null
+++ b/src/tests/fake_platform.h
@@ -0,0 +1,120 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file fake_platform.h The platform in memory, with answers that are late, lost or never sent, driven by a seed. */
+
+#pragma once
+
+#include "platform/platform_base.h"
+#include <deque>
+#include <map>
+#include <pcg_random.hpp>
+
+namespace cottonspool {
+
+/** A platform whose calls wait until the test lets them go on. */
+class FakePlatform : public Platform {
+public:
+	explicit FakePlatform(uint64_t seed) : random(seed) {}
+
+	void ReadRow(const std::string &key, ReadDone done) override { this->Read(key, std::move(done)); }
+	void ReadObject(const std::string &key, ReadDone done) override { this->Read("object/" + key, std::move(done)); }
+
+	void InsertRow(const std::string &key, const std::string &value, WriteDone done) override
+	{
+		this->Write(key, value, "", std::move(done));
+	}
+
+	void ReplaceRow(const std::string &key, const std::string &value, const std::string &version, WriteDone done) override
+	{
+		this->Write(key, value, version, std::move(done));
+	}
+
+	void WriteObject(const std::string &key, const std::string &value, const std::string &version, WriteDone done) override
+	{
+		this->Write("object/" + key, value, version, std::move(done));
+	}
+
+	void ScanRows(const std::string &prefix, const std::string &after, ScanDone done) override
+	{
+		this->Later([this, prefix, after, done = std::move(done)] {
+			if (this->Draw(this->not_sent) || this->down) return done(Error{Step::Table, "fake", "not sent"});
+			std::vector<PlatformRow> found;
+			for (auto it = this->rows.upper_bound(std::max(prefix, after)); it != this->rows.end() && found.size() < SCAN_PAGE; ++it) {
+				if (it->first.starts_with(prefix)) found.push_back(it->second);
+			}
+			this->Later([done, found] { done(found); });
+		});
+	}
+
+	void ListInstances(ListDone done) override
+	{
+		this->Later([done = std::move(done)] { done(std::vector<ListedInstance>{}); });
+	}
+
+	/** Let up to \a count waiting steps happen, in a random order. */
+	void Run(size_t count)
+	{
+		for (size_t i = 0; i < count && !this->waiting.empty(); i++) {
+			size_t chosen = this->random() % std::min<size_t>(this->waiting.size(), 4);
+			auto step = std::move(this->waiting[chosen]);
+			this->waiting.erase(this->waiting.begin() + static_cast<long>(chosen));
+			step();
+		}
+	}
+
+	/** Let everything happen. */
+	void RunAll()
+	{
+		while (!this->waiting.empty()) this->Run(1);
+	}
+
+	double lost_answers = 0;                 ///< Part of the writes whose answers are lost.
+	double not_sent = 0;                     ///< Part of the calls that are not sent.
+	double late_effects = 0;                 ///< Part of the writes that take effect after their answer was given up.
+	bool down = false;                       ///< Nothing can be reached.
+	std::map<std::string, PlatformRow> rows; ///< Table and objects.
+
+private:
+	bool Draw(double part) { return static_cast<double>(this->random() % 10000) < part * 10000; }
+	void Later(std::function<void()> step) { this->waiting.push_back(std::move(step)); }
+
+	void Read(const std::string &key, ReadDone done)
+	{
+		this->Later([this, key, done = std::move(done)] {
+			if (this->Draw(this->not_sent) || this->down) return done(Error{Step::Table, "fake", "not sent"});
+			auto found = this->rows.find(key);
+			PlatformRow row = found == this->rows.end() ? PlatformRow{key, "", ""} : found->second;
+			this->Later([done, row] { done(row); });
+		});
+	}
+
+	WriteOutcome Effect(const std::string &key, const std::string &value, const std::string &version)
+	{
+		auto found = this->rows.find(key);
+		std::string present = found == this->rows.end() ? "" : found->second.version;
+		if (present != version) return {WriteResult::Conflict, ""};
+		std::string next = "v" + std::to_string(++this->versions);
+		this->rows[key] = PlatformRow{key, value, next};
+		return {WriteResult::Done, next};
+	}
+
+	void Write(const std::string &key, const std::string &value, const std::string &version, WriteDone done)
+	{
+		this->Later([=, this, done = std::move(done)] {
+			if (this->Draw(this->not_sent) || this->down) return done({WriteResult::NotDone, ""});
+			if (this->Draw(this->late_effects)) {
+				this->Later([=, this] { this->Effect(key, value, version); });
+				return done({WriteResult::Unknown, ""});
+			}
+			WriteOutcome outcome = this->Effect(key, value, version);
+			if (this->Draw(this->lost_answers)) outcome = {WriteResult::Unknown, ""};
+			this->Later([done, outcome] { done(outcome); });
+		});
+	}
+
+	pcg64 random;                              ///< Chance.
+	std::deque<std::function<void()>> waiting; ///< Steps not yet happened.
+	uint64_t versions = 0;                     ///< Versions given out.
+};
+
+} // namespace cottonspool
