Test: [Scenarios] Failure scenarios on real processes for each promise

Cause: the promises were shown on the core only. Found and mended: - With one target, three truncated answers ejected it and callers waited out their deadline although nothing was wrong with waiting less; now never more than half of a model's targets are ejected. - An instance told the balancer that it was ready before it had heard of any target, so the first calls after a restart were refused; readiness now waits until every target was asked once. - The scenario runner ended with an abort when a check failed while calls were under way.

--- a/src/decision/target_table.cpp
+++ b/src/decision/target_table.cpp
@@ -110,7 +110,7 @@
 	target.own_tokens += call.prompt_tokens;
 	target.own_residual += flight.residual;
 	target.spent_since_report += call.prompt_tokens + target.growth * flight.residual;
-	if (now < target.ejected_until || target.failures >= this->limits.eject_failures) target.probing = true;
+	if (target.ejections > 0) target.probing = true;
 	target.in_flight.emplace(call.id, std::move(flight));
 }
 
@@ -156,8 +156,22 @@
 	return generated;
 }
 
+bool TargetTable::MayEject(const TargetState &target, TimePoint now) const
+{
+	for (ModelNumber model : target.models) {
+		const std::vector<TargetNumber> &alike = this->ForModel(model);
+		auto out = std::count_if(alike.begin(), alike.end(), [&](TargetNumber other) {
+			const TargetState &state = this->Get(other);
+			return &state == &target || now < state.ejected_until || state.leaving;
+		});
+		if (static_cast<size_t>(out) * 2 > alike.size()) return false;
+	}
+	return true;
+}
+
 void TargetTable::Eject(TargetState &target, TimePoint now)
 {
+	if (!this->MayEject(target, now)) return;
 	auto length = this->limits.eject_base * (1U << std::min<uint32_t>(target.ejections, 10));
 	target.ejected_until = now + std::min<Duration>(length, this->limits.eject_max);
 	target.ejections++;
--- a/src/decision/target_table.h
+++ b/src/decision/target_table.h
@@ -127,6 +127,8 @@
 private:
 	void RebuildIndex();
 	void UpdateGrowth(TargetState &target, const LoadReport &report);
+	/** @return Whether \a target may be ejected: never more than half of the targets of a model are. */
+	bool MayEject(const TargetState &target, TimePoint now) const;
 	void Eject(TargetState &target, TimePoint now);
 	double OthersCommitted(const TargetState &target) const;
 
--- a/src/instance/instance.h
+++ b/src/instance/instance.h
@@ -110,11 +110,12 @@
 	std::map<std::string, uint64_t> heard;                                 ///< Last counter heard directly from each peer.
 	std::set<std::string> listed_leaving;                                  ///< Targets that the platform's list shows as leaving.
 	TimePoint next_heartbeat, next_poll, next_list, next_second, next_call_tick, next_fetch; ///< When each is due.
-	bool fresh = false;    ///< Configuration was fresh at the last look, for the log.
-	bool stopping = false; ///< Stop() was called.
-	TimePoint stop_begun;  ///< When.
-	bool listening = true; ///< New connections are taken.
-	size_t cut_calls = 0;  ///< Calls cut by the end.
+	bool fresh = false;     ///< Configuration was fresh at the last look, for the log.
+	bool stopping = false;  ///< Stop() was called.
+	TimePoint stop_begun;   ///< When.
+	bool was_ready = false; ///< Configuration and targets were known once.
+	bool listening = true;  ///< New connections are taken.
+	size_t cut_calls = 0;   ///< Calls cut by the end.
 	struct Timer;
 	std::unique_ptr<Timer> timer; ///< The tick.
 };
--- a/src/instance/instance_http.cpp
+++ b/src/instance/instance_http.cpp
@@ -39,9 +39,12 @@
 
 void Instance::HandleProbe(const std::shared_ptr<HttpExchange> &exchange)
 {
-	bool ready = !this->stopping && this->configuration.State().Sequence() > 0;
+	bool settled = this->configuration.State().Sequence() > 0 && this->watch.IsSettled();
+	bool ready = !this->stopping && (settled || this->was_ready);
+	this->was_ready = this->was_ready || settled;
 	if (exchange->request.path == "/livez" || ready) return exchange->Respond(200, {{"content-type", "text/plain"}}, "ok\n");
-	exchange->Respond(503, {{"content-type", "text/plain"}}, this->stopping ? "stopping\n" : "no configuration yet\n");
+	exchange->Respond(503, {{"content-type", "text/plain"}},
+	                  this->stopping ? "stopping\n" : "no configuration or no word of the targets yet\n");
 }
 
 const std::pair<const std::string, Versioned<AccountRecord>> *Instance::Authenticate(const std::shared_ptr<HttpExchange> &exchange)
--- a/src/instance/target_watch.cpp
+++ b/src/instance/target_watch.cpp
@@ -118,6 +118,7 @@
 		auto found = this->watches.find(name);
 		if (found == this->watches.end()) return;
 		found->second.asking = false;
+		found->second.asked = true;
 		if (end.kind == HttpEndKind::Answered && end.status == 200) this->OnAnswer(name, *body);
 	};
 	this->client.Start(std::move(call));
@@ -146,6 +147,12 @@
 	}
 }
 
+bool TargetWatch::IsSettled() const
+{
+	return std::all_of(this->watches.begin(), this->watches.end(),
+	                   [](const auto &entry) { return entry.second.asked || !entry.second.record.reports; });
+}
+
 const TargetRecord *TargetWatch::Record(TargetNumber target) const
 {
 	auto found = this->watches.find(this->targets.Get(target).name);
--- a/src/instance/target_watch.h
+++ b/src/instance/target_watch.h
@@ -41,6 +41,9 @@
 	/** @return The last reported state of engine \a name, or null. */
 	const ReportedState *Reported(const std::string &name) const;
 
+	/** @return Whether every target was asked for its load at least once. */
+	bool IsSettled() const;
+
 	/** @return Reports taken in. */
 	uint64_t Reports() const { return this->reports; }
 
@@ -54,6 +57,7 @@
 		TargetRecord record;    ///< What the configuration says.
 		TimePoint due;          ///< When the next report is to be asked for.
 		bool asking = false;    ///< A call is under way.
+		bool asked = false;     ///< It was asked at least once, and answered or not.
 		ReportedState reported; ///< Last report.
 	};
 
--- a/src/tests/dispatcher_test.cpp
+++ b/src/tests/dispatcher_test.cpp
@@ -320,16 +320,23 @@
 	LengthEstimate lengths({});
 	TargetTable targets({}, lengths);
 	TargetNumber number = targets.Configure("target", "hall", {ModelNumber{0}});
+	TargetNumber other = targets.Configure("other", "hall", {ModelNumber{0}});
 	TimePoint now(std::chrono::seconds(10));
 	LoadReport report;
 	report.sequence = 1;
 	report.capacity_tokens = 10000;
 	targets.OnReport(number, report, now);
+	targets.OnReport(other, report, now);
 	for (uint64_t i = 0; i < 3; i++) {
 		targets.OnSent(number, MakeCall(i, 0, now), now);
 		targets.OnEnded(number, CallId{i}, false, now);
 	}
 	CHECK_FALSE(targets.IsUsable(targets.Get(number), ModelNumber{0}, now));
+	for (uint64_t i = 3; i < 9; i++) {
+		targets.OnSent(other, MakeCall(i, 0, now), now);
+		targets.OnEnded(other, CallId{i}, false, now);
+	}
+	CHECK(targets.IsUsable(targets.Get(other), ModelNumber{0}, now)); // Never more than half are ejected.
 	now += std::chrono::milliseconds(1100);
 	CHECK(targets.IsUsable(targets.Get(number), ModelNumber{0}, now));
 	targets.OnSent(number, MakeCall(10, 0, now), now);
--- a/tests/runner/http.cpp
+++ b/tests/runner/http.cpp
@@ -172,6 +172,12 @@
 	return 1;
 }
 
+void EndCalls()
+{
+	for (auto &[number, call] : calls) call->thread.join();
+	calls.clear();
+}
+
 void RegisterHttp(lua_State *lua)
 {
 	lua_register(lua, "http_start", HttpStart);
--- a/tests/runner/main.cpp
+++ b/tests/runner/main.cpp
@@ -43,6 +43,7 @@
 	bool good = luaL_dostring(lua, path.c_str()) == LUA_OK && luaL_dofile(lua, argv[1]) == LUA_OK;
 	if (!good) std::cerr << "FAILED: " << lua_tostring(lua, -1) << std::endl;
 	cottonspool::EndProcesses();
+	cottonspool::EndCalls();
 	lua_close(lua);
 	if (!good) cottonspool::PrintLogs(dir);
 	if (FLAGS_keep) std::cout << "logs: " << dir << std::endl;
--- a/tests/runner/runner_func.h
+++ b/tests/runner/runner_func.h
@@ -18,6 +18,9 @@
 /** Kill every process that was spawned and is still there. */
 void EndProcesses();
 
+/** Wait for the calls that nobody has waited for; every process must have ended before. */
+void EndCalls();
+
 /** Print the last lines of every log in \a dir. */
 void PrintLogs(const std::string &dir);
 
--- /dev/null
+++ b/tests/scenarios/leaving.lua
@@ -0,0 +1,75 @@
+-- A leaving target gets nothing new after a few seconds, whoever says that it leaves, also where peers are cut off.
+local lib = require("lib")
+local GRACE_MS = 3000
+lib.standin("platform", "platform")
+local engines = {}
+local change = "[model.small]\n" .. lib.account("kiosk")
+for i = 1, 5 do
+	local name = "engine" .. i
+	engines[i] = lib.standin(name, "engine", { name = name, step_ms = 3 })
+	change = change .. lib.target(name, engines[i], "hall-a", "small")
+end
+change = change .. lib.target("pay1", lib.standin("pay1", "service"), "hall-a", "pay", 'kind = "service"')
+	.. lib.target("pay2", lib.standin("pay2", "service"), "hall-a", "pay", 'kind = "service"')
+for i = 1, 3 do lib.instance("i" .. i, { hall = "hall-" .. i }) end
+lib.apply(change)
+for i = 1, 3 do lib.ready("i" .. i, 7) end
+
+-- Keeps calls coming at all instances while and after \a leave runs; checks the target's record against the notice.
+local function leave(target, what, act)
+	local calls = {}
+	local function press(count)
+		for i = 1, count do
+			calls[#calls + 1] = lib.complete("i" .. (i % 3 + 1), { tokens = 30, class = "stream" })
+			calls[#calls + 1] = http_start{ url = "http://" .. lib.ports["i" .. (i % 3 + 1)] .. "/services/pay/x",
+				headers = { "Authorization: Bearer kiosk-key" } }
+			sleep_ms(12)
+		end
+	end
+	press(20)
+	local noticed = now_ms()
+	act()
+	while now_ms() < noticed + GRACE_MS do press(8) end
+	local allowed = now_ms()
+	press(60)
+	for _, call in ipairs(calls) do
+		local answer = http_wait(call)
+		lib.check(answer.status == 200, what .. ": a call failed: " .. answer.status .. " " .. answer.body)
+		if answer.body:find("^id: ") then
+			local count, complete = lib.stream(answer.body)
+			lib.check(complete and count == 30, what .. ": a stream was cut after " .. count)
+		end
+	end
+	local last = 0
+	for _, run in ipairs(lib.record(target).runs) do last = math.max(last, run.at) end
+	lib.check(last < allowed, what .. ": " .. target .. " got new work " .. (last - noticed) .. " ms after the notice")
+	print(string.format("%s: last new work %d ms after the notice", what, last - noticed))
+end
+
+leave("engine1", "own notice", function() lib.control("engine1", '{"leaving":true}') end)
+leave("engine2", "operator", function()
+	local code, out = lib.operator({ "drain", "engine2", "--author", "night-shift", "--wait_s", "20" })
+	lib.check(code == 0 and out:find("engine2 is empty"), "drain: " .. out)
+end)
+leave("pay1", "instance list", function()
+	sleep_ms(800) -- The list lags.
+	lib.control("platform", '{"instances":[{"name":"engine4","leaving":false},{"name":"pay1","leaving":true}]}')
+end)
+leave("engine3", "policy", function()
+	lib.apply("[policy.default]\nprogram = \"function drain(target) return target.name == 'engine3' end\"\n")
+end)
+lib.apply("[policy.default]\nremoved = true\n")
+-- A notice is sticky: it holds although the policy is gone, the platform is down and the list says nothing.
+lib.control("platform", '{"down":true}')
+leave("engine3", "sticky with the platform down", function() end)
+leave("engine4", "own notice with the platform down", function() lib.control("engine4", '{"leaving":true}') end)
+lib.control("platform", '{"down":false}')
+-- A target that starts anew may be used again, once nobody says that it leaves.
+signal("engine1", "KILL")
+wait_exit("engine1", 5000)
+local port = engines[1]:match(":(%d+)")
+lib.standin("engine1", "engine", { name = "engine1", port = port, step_ms = 3 })
+lib.until_true(15000, "the new start of engine1 is used", function()
+	http_wait(lib.complete("i1", { tokens = 3 }))
+	return #lib.record("engine1").runs > 0
+end)
--- a/tests/scenarios/lib.lua
+++ b/tests/scenarios/lib.lua
@@ -139,8 +139,9 @@
 	return json(lib.http{ url = "http://" .. lib.ports[name] .. "/operator/status", headers = { "Authorization: Bearer ops" } }.body)
 end
 
--- Waits until an instance sees so many targets ready.
+-- Waits until an instance is ready for callers and sees so many targets ready.
 function lib.ready(name, count)
+	lib.until_true(10000, name .. " is ready", function() return lib.http{ url = "http://" .. lib.ports[name] .. "/readyz" }.status == 200 end)
 	lib.until_true(10000, name .. " sees " .. count .. " targets ready", function()
 		local ready = 0
 		for _, target in ipairs(lib.status(name).targets) do ready = ready + (target.ready and 1 or 0) end
--- /dev/null
+++ b/tests/scenarios/not_repeatable.lua
@@ -0,0 +1,113 @@
+-- Not repeatable runs at most once: one key through many instances, kills, lost answers, outages, late services.
+local lib = require("lib")
+lib.standin("platform", "platform")
+local service = lib.standin("pay1", "service")
+local through = lib.relay("link1", service)
+local direct2 = lib.standin("pay2", "service")
+for i = 1, 4 do lib.instance("i" .. i, { extra = { calls = { "service_ms = 1500" } } }) end
+lib.apply(lib.account("kiosk") .. lib.target("pay1", through, "hall-a", "pay", 'kind = "service"')
+	.. lib.target("pay2", direct2, "hall-a", "pay", 'kind = "service"'))
+for i = 1, 4 do lib.ready("i" .. i, 2) end
+
+local function runs()
+	local all = lib.runs_by_key(lib.record("pay1"))
+	for key, count in pairs(lib.runs_by_key(lib.record("pay2"))) do all[key] = (all[key] or 0) + count end
+	return all
+end
+
+-- Healthy: the same key through all instances at once runs exactly once, and everyone may learn its answer.
+for round = 1, 10 do
+	local calls = {}
+	for i = 1, 4 do calls[i] = lib.pay("i" .. i, "healthy" .. round, "pay " .. round) end
+	local told = 0
+	for i = 1, 4 do
+		local answer = http_wait(calls[i])
+		if answer.status == 200 then told = told + 1 end
+		lib.check(answer.status == 200 or lib.ran(answer) == "unknown", "healthy: " .. answer.status .. " " .. answer.body)
+	end
+	lib.check(told >= 1, "healthy: nobody was told the answer")
+	local again = http_wait(lib.pay("i" .. (round % 4 + 1), "healthy" .. round, "pay " .. round))
+	lib.check(again.status == 200 and lib.ran(again) == "yes", "healthy: repeat got " .. again.status .. " " .. again.body)
+	lib.check(runs()["healthy" .. round] == 1, "healthy: not exactly one run")
+end
+local other = http_wait(lib.pay("i1", "healthy1", "another payment"))
+lib.check(other.status == 422 and lib.ran(other) == "no", "a key used for another request: " .. other.status)
+
+-- Asks for a key at every instance in turn until somebody knows; returns the answers.
+local function insist(key, tries)
+	local answers = {}
+	for i = 1, tries do
+		answers[i] = http_wait(lib.pay("i" .. (i % 4 + 1), key, "pay", { limit_ms = 8000 }))
+	end
+	return answers
+end
+
+-- Answers of the table are lost after the write.
+for round = 1, 3 do
+	lib.control("platform", '{"lose_answers":2}')
+	insist("lost" .. round, 3)
+	lib.control("platform", '{"lose_answers":0}')
+	local answers = insist("lost" .. round, 4)
+	lib.check((runs()["lost" .. round] or 0) <= 1, "lost answers: ran more than once")
+	lib.check(lib.ran(answers[4]) ~= "no", "lost answers: still refused: " .. answers[4].body)
+end
+
+-- The table is down: refused, not run; afterwards it runs once.
+lib.control("platform", '{"down":true}')
+local refused = http_wait(lib.pay("i1", "down", "pay"))
+lib.check(refused.status == 503 and lib.ran(refused) == "no", "table down: " .. refused.status .. " " .. refused.body)
+lib.check(refused.head:lower():find("retry%-after: %d"), "table down: not told when to come back")
+lib.check(runs()["down"] == nil, "table down: it ran")
+lib.control("platform", '{"down":false}')
+lib.until_true(15000, "the key can be used after the outage", function()
+	local answer = http_wait(lib.pay("i2", "down", "pay"))
+	return answer.status == 200
+end)
+lib.check(runs()["down"] == 1, "after the outage: not exactly one run")
+
+-- The service answers after the limit: unknown, and never a second run.
+local late = http_wait(lib.pay("i1", "late", "pay", { path = "/issue?delay_ms=2500" }))
+lib.check(late.status == 504 and lib.ran(late) == "unknown", "late service: " .. late.status .. " " .. late.body)
+for i = 1, 4 do
+	local answer = http_wait(lib.pay("i" .. i, "late", "pay", { path = "/issue?delay_ms=2500" }))
+	lib.check(lib.ran(answer) == "unknown", "late service, repeat: " .. answer.body)
+end
+lib.check(runs()["late"] == 1, "late service: not exactly one run")
+
+-- The answer is lost on the way back, with and without a key.
+lib.apply('[target.pay2]\nremoved = true\n')
+lib.link("link1", "drop-answers")
+local dropped = http_wait(lib.pay("i3", "dropped", "pay"))
+lib.check(lib.ran(dropped) == "unknown", "dropped answer: " .. dropped.status .. " " .. dropped.body)
+local before = #lib.record("pay1").runs
+local keyless = http_wait(lib.pay("i3", nil, "pay"))
+lib.check(lib.ran(keyless) == "unknown", "dropped answer without a key: " .. keyless.body)
+lib.check(#lib.record("pay1").runs == before + 1, "without a key: not sent exactly once")
+lib.link("link1", "pass")
+lib.check(lib.ran(http_wait(lib.pay("i1", "dropped", "pay"))) == "unknown", "dropped answer, repeat")
+lib.check(runs()["dropped"] == 1, "dropped answer: not exactly one run")
+
+-- Instances are killed and frozen between claim, send and record.
+lib.control("pay1", '{"delay_ms":250}')
+for round = 1, 6 do
+	local victim = "i" .. (round % 3 + 2)
+	local key = "killed" .. round
+	local call = lib.pay(victim, key, "pay", { limit_ms = 6000 })
+	sleep_ms(round * 45)
+	signal(victim, round % 2 == 0 and "STOP" or "KILL")
+	insist(key, 1)
+	local again = http_wait(lib.pay("i1", key, "pay", { limit_ms = 6000 }))
+	if round % 2 == 0 then
+		sleep_ms(1800)
+		signal(victim, "CONT")
+	end
+	http_wait(call)
+	if round % 2 == 1 then
+		wait_exit(victim, 2000)
+		lib.instance(victim, { extra = { calls = { "service_ms = 1500" } } })
+		lib.ready(victim, 1)
+	end
+	lib.check((runs()[key] or 0) <= 1, key .. " ran more than once")
+	if lib.ran(again) == "yes" then lib.check(runs()[key] == 1, key .. " said to have run") end
+end
+for key, count in pairs(runs()) do lib.check(count <= 1 or key == "", "key " .. key .. " ran " .. count .. " times") end
--- /dev/null
+++ b/tests/scenarios/planned_stop.lua
@@ -0,0 +1,66 @@
+-- A planned stop cuts nothing: every instance is restarted in turn under load.
+local lib = require("lib")
+lib.standin("platform", "platform")
+local change = "[model.small]\n" .. lib.account("kiosk")
+for i = 1, 4 do
+	local name = "engine" .. i
+	change = change .. lib.target(name, lib.standin(name, "engine", { name = name, step_ms = 4 }), "hall-" .. (i % 2 + 1), "small")
+end
+for i = 1, 2 do
+	change = change .. lib.target("pay" .. i, lib.standin("pay" .. i, "service"), "hall-" .. i, "pay", 'kind = "service"')
+end
+local names = {}
+for i = 1, 8 do
+	names[i] = "i" .. i
+	lib.instance(names[i], { hall = "hall-" .. (i % 2 + 1), extra = { stop = { "notice_ms = 600" } } })
+end
+lib.apply(change)
+for _, name in ipairs(names) do lib.ready(name, 6) end
+
+-- What the balancer does: instances that are ready, looked at again every now and then.
+local ready, looked = {}, 0
+local function balance()
+	if now_ms() - looked > 200 then
+		ready, looked = {}, now_ms()
+		for _, name in ipairs(names) do
+			if lib.http{ url = "http://" .. lib.ports[name] .. "/readyz", limit_ms = 300 }.status == 200 then ready[#ready + 1] = name end
+		end
+	end
+	return ready[math.random(#ready)]
+end
+
+local calls = {}
+local function press(count)
+	for i = 1, count do
+		calls[#calls + 1] = lib.complete(balance(), { tokens = i % 10 == 0 and 400 or 40, class = "stream" })
+		calls[#calls + 1] = lib.complete(balance(), { tokens = 30, stream = false })
+		calls[#calls + 1] = lib.pay(balance(), "k" .. #calls, "pay")
+		sleep_ms(25)
+	end
+end
+press(20)
+for _, name in ipairs(names) do
+	signal(name, "TERM")
+	while not wait_exit(name, 1) do press(2) end
+	lib.check(wait_exit(name, 1) == 0, name .. " did not stop in good order: " .. tostring(wait_exit(name, 1)))
+	lib.check(output(name):find("event=stopped instance=" .. name .. " cut=0"), name .. " cut calls")
+	lib.instance(name, { hall = "hall-1", extra = { stop = { "notice_ms = 600" } } })
+	press(4)
+end
+for i, call in ipairs(calls) do
+	local answer = http_wait(call)
+	lib.check(answer.status == 200, "call " .. i .. ": " .. answer.status .. " " .. answer.error .. " " .. answer.body)
+	if answer.body:find("^id: ") then
+		local _, complete, failure = lib.stream(answer.body)
+		lib.check(complete, "call " .. i .. ": stream cut: " .. tostring(failure))
+	end
+end
+print("calls during the rolling restart: " .. #calls)
+-- Nothing in flight is lost when an instance with a long stream stops.
+local long = lib.complete("i1", { tokens = 900, class = "stream" })
+sleep_ms(300)
+signal("i1", "TERM")
+lib.until_true(5000, "readiness fails first", function() return lib.http{ url = "http://" .. lib.ports.i1 .. "/readyz" }.status == 503 end)
+local count, complete = lib.stream(http_wait(long).body)
+lib.check(complete and count == 900, "long stream over a stop: " .. count)
+lib.check(wait_exit("i1", 10000) == 0, "i1 did not stop")
--- /dev/null
+++ b/tests/scenarios/stream_faults.lua
@@ -0,0 +1,96 @@
+-- Tokens exactly once, in order, from one generation: links cut and stalled, engines frozen and killed, callers gone.
+local lib = require("lib")
+lib.standin("platform", "platform")
+local direct = lib.standin("engine1", "engine", { name = "engine1", step_ms = 8, orphan_ms = 3000 })
+local through = lib.relay("link1", direct)
+lib.standin("engine2", "engine", { name = "engine2", step_ms = 8 })
+lib.instance("one", { extra = { calls = { "stall_ms = 400", "resume_ms = 4000", "first_byte_ms = 4000" } } })
+lib.apply("[model.small]\n[model.spare]\n" .. lib.account("kiosk") .. lib.target("engine1", through, "hall-a", "small"))
+lib.ready("one", 1)
+
+local function all_complete(calls, tokens, what)
+	for _, call in ipairs(calls) do
+		local answer = http_wait(call)
+		local count, complete = lib.stream(answer.body)
+		lib.check(complete and count == tokens, what .. ": " .. count .. " of " .. tokens .. ", " .. answer.body:sub(-300))
+	end
+end
+
+local function start(count, tokens)
+	local calls = {}
+	for i = 1, count do calls[i] = lib.complete("one", { tokens = tokens, class = "stream" }) end
+	return calls
+end
+
+-- The link is cut at many places; with eight streams at different offsets every cut hits another token.
+local calls = {}
+for i = 1, 8 do
+	calls[i] = lib.complete("one", { tokens = 120, class = "stream" })
+	sleep_ms(7)
+end
+for _ = 1, 8 do
+	sleep_ms(90)
+	lib.link("link1", "cut")
+	sleep_ms(20)
+	lib.link("link1", "pass")
+end
+all_complete(calls, 120, "cut")
+
+-- The link is stalled, then answers come late, then the engine drops its streams.
+calls = start(6, 150)
+sleep_ms(200)
+lib.link("link1", "stall")
+sleep_ms(700)
+lib.link("link1", "pass")
+sleep_ms(100)
+lib.control("engine1", '{"drop_streams":true}')
+all_complete(calls, 150, "stall")
+
+-- The engine is frozen and thawed.
+calls = start(4, 120)
+sleep_ms(200)
+signal("engine1", "STOP")
+sleep_ms(1000)
+signal("engine1", "CONT")
+all_complete(calls, 120, "frozen")
+
+-- Memory fills in mid-decode: preempted generations go on where they were.
+lib.standin("tight", "engine", { name = "tight", step_ms = 2, memory_tokens = 220, models = "tight" })
+lib.apply("[model.tight]\n" .. lib.target("tight", lib.ports.tight, "hall-a", "tight"))
+lib.ready("one", 2)
+calls = {}
+for i = 1, 6 do calls[i] = lib.complete("one", { tokens = 100, class = "stream", model = "tight", prompt = "p" .. i }) end
+all_complete(calls, 100, "preempted")
+
+-- Callers that go away are forgotten at the engine; the others go on.
+local gone = lib.complete("one", { tokens = 5000, class = "stream", abort_after = 2000 })
+calls = start(2, 100)
+http_wait(gone)
+all_complete(calls, 100, "beside a caller that went away")
+lib.until_true(5000, "the engine is rid of the call", function()
+	for _, target in ipairs(lib.status("one").targets) do
+		if target.name == "engine1" then return target.in_flight == 0 end
+	end
+end)
+
+-- The engine is killed: a stream that has begun ends with its last event, never silently and never spliced.
+calls = start(3, 400)
+local whole = lib.complete("one", { tokens = 150, stream = false })
+sleep_ms(400)
+lib.apply(lib.target("engine2", lib.ports.engine2, "hall-a", "small"))
+lib.ready("one", 3)
+signal("engine1", "KILL")
+for _, call in ipairs(calls) do
+	local answer = http_wait(call)
+	local count, complete, failure = lib.stream(answer.body)
+	lib.check(count > 0 and not complete and failure, "killed: no last event after " .. count)
+	local said = json(failure).cottonspool
+	lib.check(said.ran == "yes" and said.complete == false, "killed: last event says " .. failure)
+end
+-- A whole answer showed nothing yet, so it runs again elsewhere, from one generation.
+local answer = http_wait(whole)
+lib.check(answer.status == 200, "whole after kill: " .. answer.status .. " " .. answer.body)
+local expected, seen = {}, json(answer.body)
+for i = 1, 150 do expected[i] = seen.id:sub(1, 24) .. "." .. i .. " " end
+lib.check(seen.choices[1].text == table.concat(expected), "whole after kill: not one generation's text")
+lib.check(seen.id:match("%.(%d+)$") ~= "1", "whole after kill: not run again")
--- a/tests/standins/engine.cpp
+++ b/tests/standins/engine.cpp
@@ -62,6 +62,7 @@
 	            {"waiting_tokens", waiting_tokens},
 	            {"preemptions", this->preemptions},
 	            {"leaving", this->leaving},
+	            {"role", this->role},
 	            {"models", this->models},
 	            {"prefixes", this->prefixes}};
 }
