Change: [Router] Prefix first, then pressure, calls and token interval; shares and reserved growth follow preemptions

Found: the tail between tokens is made by prompts taken in beside a running batch, so cached prefixes count most; equal shares let only the instance whose turn it is send to a crowded engine.

--- a/src/decision/router.cpp
+++ b/src/decision/router.cpp
@@ -9,9 +9,10 @@
 
 namespace cottonspool {
 
-static constexpr double PREFIX_BONUS = 0.15;          ///< Pressure that a cached prefix outweighs.
-static constexpr double PREFIX_PRESSURE_LIMIT = 0.70; ///< Pressure above which a cached prefix no longer counts.
-static constexpr double OTHER_HALL_PENALTY = 0.30;    ///< Pressure that the next preferred hall has to be better by.
+static constexpr double PREFIX_BONUS = 0.40;       ///< Pressure that a cached prefix outweighs, among targets that have room.
+static constexpr double INTERVAL_WEIGHT = 0.4;     ///< Weight of the time between tokens against its median.
+static constexpr double CALLS_WEIGHT = 0.02;       ///< Weight of one call at the target: more calls make each step longer.
+static constexpr double OTHER_HALL_PENALTY = 0.10; ///< Pressure that the next preferred hall has to be better by.
 
 /** @return Penalty of the hall of \a target for \a call, or nothing when the hall gets no new work. */
 static std::optional<double> HallPenalty(const CallSpec &call, const TargetState &target)
@@ -58,7 +59,7 @@
 			const TargetState &target = targets.Get(number);
 			if (!targets.IsUsable(target, call.model, now)) continue;
 			std::optional<double> penalty = HallPenalty(call, target);
-			if (!penalty || (this->rules.use_headroom && !HasRoom(call, target, targets, now))) continue;
+			if (!penalty || (this->rules.use_headroom && !this->HasRoom(call, target, targets, now))) continue;
 			double score = this->Score(call, target, targets) + *penalty;
 			if (score >= best_score) continue;
 			best = number;
@@ -68,7 +69,7 @@
 	}
 
 private:
-	static bool HasRoom(const CallSpec &call, const TargetState &target, const TargetTable &targets, TimePoint now)
+	bool HasRoom(const CallSpec &call, const TargetState &target, const TargetTable &targets, TimePoint now) const
 	{
 		double need = targets.Need(target, call);
 		if (targets.Allowance(target, call, now) >= need) return true;
@@ -78,10 +79,11 @@
 
 	double Score(const CallSpec &call, const TargetState &target, const TargetTable &targets) const
 	{
-		double pressure = targets.Pressure(target);
-		bool cached = call.prefix != 0 && target.prefixes.contains(call.prefix);
-		if (this->rules.use_prefix && cached && pressure < PREFIX_PRESSURE_LIMIT) pressure -= PREFIX_BONUS;
-		return pressure;
+		double score = targets.Pressure(target) + CALLS_WEIGHT * ReportedLoad(target);
+		if (this->rules.use_interval && target.median_interval > 0)
+			score += INTERVAL_WEIGHT * (target.interval / target.median_interval - 1);
+		bool cached = this->rules.use_prefix && TargetTable::HasPrefix(target, call.prefix);
+		return cached ? score - PREFIX_BONUS : score;
 	}
 
 	HeadroomRules rules; ///< Switches.
--- a/src/decision/target_table.cpp
+++ b/src/decision/target_table.cpp
@@ -11,11 +11,16 @@
 
 static constexpr uint32_t RESIDUAL_REFRESH_TOKENS = 16; ///< Tokens after which the expected rest of a call is computed anew.
 static constexpr double GROWTH_ON_PREEMPTION = 1.25;    ///< Factor on the reserved growth after a report with preemptions.
-static constexpr double GROWTH_ON_QUIET = 0.995;        ///< Factor on the reserved growth after a report without.
+static constexpr double GROWTH_ON_QUIET = 0.98;         ///< Factor on the reserved growth after a report without.
+static constexpr double SHARE_ON_PREEMPTION = 0.5;      ///< Factor on the share factor after a report with preemptions.
+static constexpr double SHARE_ON_QUIET = 1.03;          ///< Factor on the share factor after a report without.
 static constexpr double INTERVAL_SMOOTHING = 0.05;      ///< Weight of the newest time between tokens.
+static constexpr double INTERVAL_AGING = 0.1;           ///< Part of the way to the median that an idle target's figure goes in a second.
 static constexpr double RESIDUAL_SMOOTHING = 0.02;      ///< Weight of the newest residual.
 static constexpr size_t SLOW_MIN_TARGETS = 3;           ///< Fewest measured targets from which a median says something.
-static constexpr double TURN_PART = 0.5;                ///< Part of the headroom that goes to one instance in turn.
+static constexpr Duration SENT_PREFIX_LIFE = std::chrono::seconds(10); ///< Time for which a prefix sent is believed to be cached.
+static constexpr size_t MAX_SENT_PREFIXES = 64;                        ///< Most of them remembered.
+static constexpr double TURN_PART = 0.5;                               ///< Part of the headroom that goes to one instance in turn.
 
 TargetNumber TargetTable::Configure(std::string_view name, std::string_view hall, const std::vector<ModelNumber> &models, bool engine)
 {
@@ -65,6 +70,8 @@
 	bool preempted = report.preemptions > target.report.preemptions;
 	target.growth *= preempted ? GROWTH_ON_PREEMPTION : GROWTH_ON_QUIET;
 	target.growth = std::clamp(target.growth, this->limits.growth_min, this->limits.growth_max);
+	target.share_factor *= preempted ? SHARE_ON_PREEMPTION : SHARE_ON_QUIET;
+	target.share_factor = std::clamp(target.share_factor, 1.0, this->limits.share_max);
 }
 
 void TargetTable::OnReport(TargetNumber number, const LoadReport &report, TimePoint now)
@@ -73,7 +80,7 @@
 	bool restarted = target.report.incarnation != report.incarnation;
 	if (!restarted && target.ready && report.sequence <= target.report.sequence) return;
 	if (restarted) {
-		target.prefixes.clear();
+		target.sent_prefixes.clear();
 	} else {
 		this->UpdateGrowth(target, report);
 	}
@@ -93,7 +100,9 @@
 			target.spent_since_report += this->Need(target, flight.call);
 		}
 	}
-	target.prefixes.insert(report.prefixes.begin(), report.prefixes.end());
+	target.reported_prefixes = std::set<uint64_t>(report.prefixes.begin(), report.prefixes.end());
+	target.report.prefixes.clear();
+	while (!target.sent_prefixes.empty() && target.sent_prefixes.front().second + SENT_PREFIX_LIFE < now) target.sent_prefixes.pop_front();
 }
 
 void TargetTable::SetUnreported(TargetNumber number, uint64_t slots)
@@ -109,6 +118,8 @@
 	InFlightCall flight{call, 0, call.generated ? this->lengths.Residual(call, 0) : 0, now, now};
 	target.own_tokens += call.prompt_tokens;
 	target.own_residual += flight.residual;
+	if (call.prefix != 0) target.sent_prefixes.emplace_back(call.prefix, now);
+	if (target.sent_prefixes.size() > MAX_SENT_PREFIXES) target.sent_prefixes.pop_front();
 	target.spent_since_report += call.prompt_tokens + target.growth * flight.residual;
 	if (target.ejections > 0) target.probing = true;
 	target.in_flight.emplace(call.id, std::move(flight));
@@ -199,18 +210,28 @@
 	return used + static_cast<double>(target.report.waiting_tokens) + target.growth * calls * this->mean_residual;
 }
 
+bool TargetTable::HasPrefix(const TargetState &target, uint64_t prefix)
+{
+	if (prefix == 0) return false;
+	if (target.reported_prefixes.contains(prefix)) return true;
+	return std::any_of(target.sent_prefixes.begin(), target.sent_prefixes.end(), [&](const auto &sent) { return sent.first == prefix; });
+}
+
 double TargetTable::Pressure(const TargetState &target) const
 {
 	double capacity = std::max<double>(1, static_cast<double>(target.report.capacity_tokens));
 	double own = target.own_tokens + target.growth * target.own_residual;
-	double pressure = (own + this->OthersCommitted(target)) / capacity;
-	return target.slow ? pressure * this->limits.slow_factor + 0.25 : pressure;
+	return (own + this->OthersCommitted(target)) / capacity;
+}
+
+bool TargetTable::HasTurn(const TargetState &target) const
+{
+	return HashText(target.name, target.report.sequence) % this->instances == this->rank;
 }
 
 double TargetTable::Allowance(const TargetState &target, const CallSpec &call, TimePoint now) const
 {
 	double capacity = static_cast<double>(target.report.capacity_tokens) * this->limits.fill[static_cast<size_t>(call.service_class)];
-	if (target.slow) capacity /= this->limits.slow_factor;
 	double own = target.own_tokens + target.growth * target.own_residual;
 	bool has_report = target.report.sequence != 0;
 	if (!has_report || now - target.report_at > this->limits.report_stale) {
@@ -220,9 +241,8 @@
 	double free = capacity - own - this->OthersCommitted(target);
 	if (!this->limits.use_shares || this->instances <= 1) return free;
 	double at_report = std::max(0.0, free + target.spent_since_report);
-	uint32_t turn = HashText(target.name, target.report.sequence) % this->instances;
-	double share = (1 - TURN_PART) / this->instances + (turn == this->rank ? TURN_PART : 0);
-	return std::min(free, at_report * share - target.spent_since_report);
+	double share = target.share_factor * ((1 - TURN_PART) / this->instances + (this->HasTurn(target) ? TURN_PART : 0));
+	return std::min(free, at_report * std::min(share, 1.0) - target.spent_since_report);
 }
 
 void TargetTable::RefreshSlow()
@@ -237,6 +257,9 @@
 		std::nth_element(intervals.begin(), middle, intervals.end());
 		for (TargetNumber number : numbers) {
 			TargetState &target = this->targets[number.value];
+			target.median_interval = *middle;
+			// Without own calls there the figure ages towards the median, so that a target that was slow is tried again.
+			if (target.in_flight.empty() && target.interval > 0) target.interval += INTERVAL_AGING * (*middle - target.interval);
 			target.slow = target.interval > this->limits.slow_factor * *middle;
 		}
 	}
--- a/src/decision/target_table.h
+++ b/src/decision/target_table.h
@@ -6,6 +6,7 @@
 
 #include "core/name_table.h"
 #include "decision/length_estimate.h"
+#include <deque>
 #include <set>
 #include <unordered_map>
 
@@ -13,17 +14,18 @@
 
 /** Limits of admission and of the judgement of targets. */
 struct TargetLimits {
-	std::array<double, SERVICE_CLASS_COUNT> fill{0.97, 0.90, 0.75}; ///< Part of a target's memory each class may plan to fill.
+	std::array<double, SERVICE_CLASS_COUNT> fill{0.97, 0.93, 0.75}; ///< Part of a target's memory each class may plan to fill.
 	Duration report_stale = std::chrono::seconds(6);                ///< Age at which a report says nothing any more.
 	double growth_start = 0.7;                                      ///< Part of the expected growth that is reserved, at first.
-	double growth_min = 0.3;                                        ///< Least part reserved.
+	double share_max = 6;                                           ///< Most times its equal share that an instance may take of headroom.
+	double growth_min = 0.1;                                        ///< Least part reserved.
 	double growth_max = 2.0;                                        ///< Largest part reserved.
 	uint32_t eject_failures = 3;                                    ///< Failures in a row after which a target is ejected.
 	Duration eject_base = std::chrono::seconds(1);                  ///< First ejection; doubles up to eject_max.
 	Duration eject_max = std::chrono::seconds(30);                  ///< Longest ejection.
-	double slow_factor = 3.0;                                       ///< Token interval against the median that makes a target slow.
-	bool use_shares = true;                                         ///< Keep to a share of reported headroom.
-	bool use_growth_feedback = true;                                ///< Adapt the reserved growth to preemptions.
+	double slow_factor = 3.0;        ///< Token interval against the median from which a target is shown as slow.
+	bool use_shares = true;          ///< Keep to a share of reported headroom.
+	bool use_growth_feedback = true; ///< Adapt the reserved growth to preemptions.
 };
 
 /** One call that this instance has in flight at a target. */
@@ -37,28 +39,31 @@
 
 /** One target as seen by this instance. */
 struct TargetState {
-	std::string name;                 ///< Name in the configuration.
-	std::string hall;                 ///< Data hall it stands in.
-	bool engine = true;               ///< Generates tokens; false for a plain service, whose capacity is counted in calls.
-	std::set<ModelNumber> models;     ///< Models (or the service) it answers for.
-	bool known = false;               ///< The configuration in force names it.
-	bool ready = false;               ///< It has reported at least once, or is a service without reports.
-	bool leaving = false;             ///< Gets nothing new; see TargetTable::MarkLeaving().
-	LoadReport report;                ///< Last report.
-	TimePoint report_at;              ///< When the last report came.
-	double own_at_report = 0;         ///< Own tokens that the last report already counts.
-	uint32_t own_calls_at_report = 0; ///< Own calls that the last report already counts.
-	double spent_since_report = 0;    ///< Own need sent since the last report was made.
-	double growth = 0.7;              ///< Part of the expected growth that is reserved.
-	double own_tokens = 0;            ///< Tokens held by own calls.
-	double own_residual = 0;          ///< Expected further tokens of own calls.
-	bool slow = false;                ///< Much slower than the median of its like; see RefreshSlow().
-	double interval = 0;              ///< Smoothed time between tokens, in seconds; 0 while unknown.
-	uint32_t failures = 0;            ///< Failures in a row.
-	uint32_t ejections = 0;           ///< Ejections in a row.
-	TimePoint ejected_until;          ///< Gets nothing new before this.
-	bool probing = false;             ///< One call is on its way to find out whether it is well again.
-	std::set<uint64_t> prefixes;      ///< Prefixes believed to be cached.
+	std::string name;                     ///< Name in the configuration.
+	std::string hall;                     ///< Data hall it stands in.
+	bool engine = true;                   ///< Generates tokens; false for a plain service, whose capacity is counted in calls.
+	std::set<ModelNumber> models;         ///< Models (or the service) it answers for.
+	bool known = false;                   ///< The configuration in force names it.
+	bool ready = false;                   ///< It has reported at least once, or is a service without reports.
+	bool leaving = false;                 ///< Gets nothing new; see TargetTable::MarkLeaving().
+	LoadReport report;                    ///< Last report.
+	TimePoint report_at;                  ///< When the last report came.
+	double own_at_report = 0;             ///< Own tokens that the last report already counts.
+	uint32_t own_calls_at_report = 0;     ///< Own calls that the last report already counts.
+	double spent_since_report = 0;        ///< Own need sent since the last report was made.
+	double growth = 0.7;                  ///< Part of the expected growth that is reserved.
+	double share_factor = 2;              ///< Times its equal share that this instance may take of reported headroom.
+	double own_tokens = 0;                ///< Tokens held by own calls.
+	double own_residual = 0;              ///< Expected further tokens of own calls.
+	bool slow = false;                    ///< Much slower than the median of its like; see RefreshSlow().
+	double median_interval = 0;           ///< Median time between tokens of its like, in seconds; 0 while unknown.
+	double interval = 0;                  ///< Smoothed time between tokens, in seconds; 0 while unknown.
+	uint32_t failures = 0;                ///< Failures in a row.
+	uint32_t ejections = 0;               ///< Ejections in a row.
+	TimePoint ejected_until;              ///< Gets nothing new before this.
+	bool probing = false;                 ///< One call is on its way to find out whether it is well again.
+	std::set<uint64_t> reported_prefixes; ///< Prefixes that the last report said to be cached.
+	std::deque<std::pair<uint64_t, TimePoint>> sent_prefixes; ///< Prefixes of own calls sent lately: soon cached, though not yet reported.
 	std::unordered_map<CallId, InFlightCall, StrongIdHash> in_flight; ///< Own calls.
 };
 
@@ -103,6 +108,9 @@
 	/** @return Memory, in tokens, that \a call is planned to need at \a target. */
 	double Need(const TargetState &target, const CallSpec &call) const;
 
+	/** @return Whether \a prefix is believed to be cached at \a target. */
+	static bool HasPrefix(const TargetState &target, uint64_t prefix);
+
 	/** @return The part of the target's memory that is planned to be filled, 0 to above 1. */
 	double Pressure(const TargetState &target) const;
 
@@ -125,6 +133,8 @@
 	const std::vector<TargetNumber> &ForModel(ModelNumber model) const;
 
 private:
+	/** @return Whether it is this instance's turn at \a target; turns go round with its reports. */
+	bool HasTurn(const TargetState &target) const;
 	void RebuildIndex();
 	void UpdateGrowth(TargetState &target, const LoadReport &report);
 	/** @return Whether \a target may be ejected: never more than half of the targets of a model are. */
--- a/src/settings/describe_settings.cpp
+++ b/src/settings/describe_settings.cpp
@@ -77,10 +77,12 @@
 	fields.push_back({"dispatch.growth_start", &d.targets.growth_start, "Part of the expected growth that is reserved, at first.", 0, 4});
 	fields.push_back({"dispatch.growth_min", &d.targets.growth_min, "Least part reserved.", 0, 4});
 	fields.push_back({"dispatch.growth_max", &d.targets.growth_max, "Largest part reserved.", 0, 8});
+	fields.push_back({"dispatch.share_max", &d.targets.share_max,
+	                  "Most times its equal share that an instance may take of reported headroom.", 1, 100});
 	fields.push_back({"dispatch.eject_base_ms", &d.targets.eject_base, "First ejection of a failing target; doubles.", 10, MAX_MS});
 	fields.push_back({"dispatch.eject_max_ms", &d.targets.eject_max, "Longest ejection.", 10, MAX_MS});
-	fields.push_back(
-	        {"dispatch.slow_factor", &d.targets.slow_factor, "Time between tokens against the median that makes a target slow.", 1.1, 100});
+	fields.push_back({"dispatch.slow_factor", &d.targets.slow_factor,
+	                  "Time between tokens against the median from which a target is shown as slow.", 1.1, 100});
 	fields.push_back({"dispatch.max_queue", &d.queue.max_calls, "Most calls waiting.", 1, 1e7});
 	fields.push_back(
 	        {"dispatch.max_queue_per_account", &d.queue.max_calls_per_account, "Most calls of one client account waiting.", 1, 1e7});
--- a/tests/standins/engine.cpp
+++ b/tests/standins/engine.cpp
@@ -207,6 +207,7 @@
 		this->waiting.pop_front();
 		next->began = true;
 		this->running.push_back(next);
+		std::erase(this->prefixes, next->prefix);
 		this->prefixes.push_back(next->prefix);
 		if (this->prefixes.size() > MAX_PREFIXES) this->prefixes.pop_front();
 	}
