Fix: [Router] Interactive calls go without room, up to a bound

Ruled out: refusals (none), slow targets (none). Change: when no target has room, an interactive call goes to the best one below a pressure of 1.5.

--- a/src/decision/router.cpp
+++ b/src/decision/router.cpp
@@ -12,6 +12,7 @@
 static constexpr double PREFIX_BONUS = 0.40;       ///< Pressure that a cached prefix outweighs, among targets that have room.
 static constexpr double INTERVAL_WEIGHT = 0.4;     ///< Weight of the time between tokens against its median.
 static constexpr double CALLS_WEIGHT = 0.02;       ///< Weight of one call at the target: more calls make each step longer.
+static constexpr double MOST_PRESSURE = 1.5;        ///< Pressure from which even an interactive call waits.
 static constexpr double OTHER_HALL_PENALTY = 0.10; ///< Pressure that the next preferred hall has to be better by.
 
 /** @return Penalty of the hall of \a target for \a call, or nothing when the hall gets no new work. */
@@ -52,6 +53,15 @@
 	explicit HeadroomRouter(HeadroomRules rules) : rules(rules) {}
 
 	std::optional<TargetNumber> Choose(const CallSpec &call, const TargetTable &targets, TimePoint now) override
+	{
+		std::optional<TargetNumber> best = this->Best(call, targets, now, this->rules.use_headroom);
+		// An interactive call does not wait for room: it goes first at the engine, and what it takes is kept free by the other classes.
+		bool may_press = call.service_class == ServiceClass::Interactive && call.generated && this->rules.use_press;
+		return best || !may_press ? best : this->Best(call, targets, now, false);
+	}
+
+private:
+	std::optional<TargetNumber> Best(const CallSpec &call, const TargetTable &targets, TimePoint now, bool with_room) const
 	{
 		std::optional<TargetNumber> best;
 		double best_score = std::numeric_limits<double>::max();
@@ -59,7 +69,8 @@
 			const TargetState &target = targets.Get(number);
 			if (!targets.IsUsable(target, call.model, now)) continue;
 			std::optional<double> penalty = HallPenalty(call, target);
-			if (!penalty || (this->rules.use_headroom && !this->HasRoom(call, target, targets, now))) continue;
+			if (!penalty || (with_room && !this->HasRoom(call, target, targets, now))) continue;
+			if (!with_room && this->rules.use_headroom && targets.Pressure(target) > MOST_PRESSURE) continue;
 			double score = this->Score(call, target, targets) + *penalty;
 			if (score >= best_score) continue;
 			best = number;
@@ -68,7 +79,6 @@
 		return best;
 	}
 
-private:
 	bool HasRoom(const CallSpec &call, const TargetState &target, const TargetTable &targets, TimePoint now) const
 	{
 		double need = targets.Need(target, call);
--- a/src/tests/claim_test.cpp
+++ b/src/tests/claim_test.cpp
@@ -101,7 +101,7 @@
 {
 	FakePlatform platform(5);
 	int runs = 0;
-	StartAttempt(platform, 1, &runs, true);
+	auto first = StartAttempt(platform, 1, &runs, true);
 	platform.RunAll();
 	ClaimStore store(platform);
 	ClaimStep end = ClaimStep::Read;
--- a/tests/runner/http.cpp
+++ b/tests/runner/http.cpp
@@ -7,8 +7,11 @@
 #include <curl/curl.h>
 #include <map>
 #include <memory>
+#include <netinet/in.h>
 #include <nlohmann/json.hpp>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 namespace cottonspool {
@@ -172,6 +175,38 @@
 	return 1;
 }
 
+/** raw_call(port, bytes, limit_ms): sends bytes to 127.0.0.1; what came back, and whether the other side closed. */
+static int RawCall(lua_State *lua)
+{
+	size_t size = 0;
+	const char *bytes = luaL_checklstring(lua, 2, &size);
+	int connection = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	sockaddr_in address{};
+	address.sin_family = AF_INET;
+	address.sin_port = htons(static_cast<uint16_t>(luaL_checkinteger(lua, 1)));
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (connect(connection, reinterpret_cast<sockaddr *>(&address), sizeof(address)) != 0) return luaL_error(lua, "cannot connect");
+	for (size_t at = 0; at < size;) {
+		ssize_t sent = send(connection, bytes + at, size - at, MSG_NOSIGNAL);
+		if (sent <= 0) break;
+		at += static_cast<size_t>(sent);
+	}
+	std::string answer;
+	bool closed = false;
+	auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(luaL_checkinteger(lua, 3));
+	while (!closed && std::chrono::steady_clock::now() < end) {
+		char part[4096];
+		ssize_t got = recv(connection, part, sizeof(part), MSG_DONTWAIT);
+		if (got > 0) answer.append(part, static_cast<size_t>(got));
+		closed = got == 0 || (got < 0 && errno != EAGAIN);
+		if (got < 0 && !closed) std::this_thread::sleep_for(std::chrono::milliseconds(10));
+	}
+	close(connection);
+	lua_pushlstring(lua, answer.data(), answer.size());
+	lua_pushboolean(lua, closed);
+	return 2;
+}
+
 void EndCalls()
 {
 	for (auto &[number, call] : calls) call->thread.join();
@@ -183,6 +218,7 @@
 	lua_register(lua, "http_start", HttpStart);
 	lua_register(lua, "http_wait", HttpWait);
 	lua_register(lua, "json", ParseJson);
+	lua_register(lua, "raw_call", RawCall);
 }
 
 } // namespace cottonspool
--- a/tests/scenarios/leaving.lua
+++ b/tests/scenarios/leaving.lua
@@ -70,6 +70,8 @@
 local port = engines[1]:match(":(%d+)")
 lib.standin("engine1", "engine", { name = "engine1", port = port, step_ms = 3 })
 lib.until_true(15000, "the new start of engine1 is used", function()
-	http_wait(lib.complete("i1", { tokens = 3 }))
+	local calls = {}
+	for i = 1, 12 do calls[i] = lib.complete("i1", { tokens = 20 }) end
+	for _, call in ipairs(calls) do http_wait(call) end
 	return #lib.record("engine1").runs > 0
 end)
