Change: [Membership] Heartbeats keep to a byte budget, news to the own hall; Fix: [Settings] letters beyond ASCII outside quotes

Cause (heartbeats): at 370 instances 22 links each with a heartbeat every 0.5 s cost 33 KB/s one way, three times the users' limit for all control; and a timeout of 4 s took members for gone whose news was still under way. Ruled out: more news a heartbeat (costs more bytes), the timeout alone (320 s would be needed with news of all halls). Change: one link to each other hall; the time between heartbeats grows so that all links together cost at most peers.bytes_per_second; news is nearly all of the own hall, whose instances share the targets; the timeout follows the pace. Cause (settings): the undefined behaviour sanitizer stopped in toml++ 3.3 on a letter beyond ASCII outside of quotes, where its whitespace table has no case. Such text is now refused with file and line before it gets there.

--- a/bench/slopes_main.cpp
+++ b/bench/slopes_main.cpp
@@ -61,6 +61,19 @@
         ->Iterations(1)
         ->Unit(benchmark::kMillisecond);
 
+/** Booting from a snapshot: the peak of memory while it is read. */
+static void ConfigurationBoot(benchmark::State &bench)
+{
+	std::string snapshot = MakeState(static_cast<uint64_t>(bench.range(0)), 3700).Snapshot();
+	for (auto _ : bench) {
+		size_t before = ResetPeakBytes();
+		ConfigurationState state;
+		benchmark::DoNotOptimize(state.Load(snapshot));
+		bench.counters["peak_bytes"] = static_cast<double>(PeakBytes() - before);
+	}
+}
+BENCHMARK(ConfigurationBoot)->Arg(4700)->Arg(47000)->Iterations(1)->Unit(benchmark::kMillisecond);
+
 /** Taking in one change of one account. */
 static void ConfigurationChange(benchmark::State &bench)
 {
--- a/bench/slopes_memory.cpp
+++ b/bench/slopes_memory.cpp
@@ -3,7 +3,9 @@
 /** @file slopes_memory.cpp Counts the memory that is allocated. */
 
 #include "slopes_func.h"
+#include <fstream>
 #include <malloc.h>
+#include <string>
 
 namespace cottonspool {
 
@@ -13,4 +15,26 @@
 	return info.uordblks + info.hblkhd;
 }
 
+/** @return The bytes in the line \a key of the process's status. */
+static size_t StatusBytes(const std::string &key)
+{
+	std::ifstream status("/proc/self/status");
+	for (std::string line; std::getline(status, line);) {
+		if (line.starts_with(key)) return std::stoul(line.substr(key.size())) * 1024;
+	}
+	return 0;
+}
+
+size_t ResetPeakBytes()
+{
+	malloc_trim(0);
+	std::ofstream("/proc/self/clear_refs") << "5";
+	return StatusBytes("VmRSS:");
+}
+
+size_t PeakBytes()
+{
+	return StatusBytes("VmHWM:");
+}
+
 } // namespace cottonspool
--- a/src/configuration/change_file.cpp
+++ b/src/configuration/change_file.cpp
@@ -3,6 +3,7 @@
 /** @file change_file.cpp Changes as operators write them, in TOML. */
 
 #include "configuration/record_type.h"
+#include "settings/toml_guard.h"
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <toml++/toml.h>
@@ -33,6 +34,7 @@
 
 Result<Change> ParseChangeFile(std::string_view text, const std::string &file)
 {
+	BOOST_OUTCOME_TRYV(CheckPlainToml(text, file));
 	toml::table document;
 	try {
 		document = toml::parse(text, file);
--- a/src/decision/membership.cpp
+++ b/src/decision/membership.cpp
@@ -20,24 +20,37 @@
 	return false;
 }
 
-std::vector<MemberInfo> Membership::NextNews(size_t count)
+void Membership::AddNews(size_t count, bool own_hall, std::string *last, std::vector<MemberInfo> *news) const
 {
-	std::vector<MemberInfo> news{this->self};
-	auto it = this->members.upper_bound(this->last_told);
-	for (size_t i = 0; i < std::min(count, this->members.size()); i++) {
+	auto it = this->members.upper_bound(*last);
+	for (size_t seen = 0; seen < this->members.size() && count > 0; seen++, ++it) {
 		if (it == this->members.end()) it = this->members.begin();
-		news.push_back(it->second.info);
-		this->last_told = it->first;
-		++it;
+		if ((it->second.info.hall == this->self.hall) != own_hall) continue;
+		news->push_back(it->second.info);
+		*last = it->first;
+		count--;
 	}
+}
+
+std::vector<MemberInfo> Membership::NextNews(size_t count)
+{
+	std::vector<MemberInfo> news{this->self};
+	size_t others = this->members.size() <= SMALL_SYSTEM ? count / 2 : 1;
+	this->AddNews(count - others, true, &this->last_told, &news);
+	this->AddNews(count + 1 - news.size(), false, &this->last_told_other, &news);
 	return news;
 }
 
+bool Membership::SharesTargets(const MemberInfo &member) const
+{
+	return this->members.size() <= SMALL_SYSTEM || member.hall == this->self.hall;
+}
+
 std::vector<MemberInfo> Membership::Live(TimePoint now) const
 {
 	std::vector<MemberInfo> live{this->self};
 	for (const auto &[name, member] : this->members) {
-		if (now - member.heard <= this->timeout) live.push_back(member.info);
+		if (now - member.heard <= this->Timeout()) live.push_back(member.info);
 	}
 	std::sort(live.begin(), live.end(), [](const MemberInfo &a, const MemberInfo &b) { return a.name < b.name; });
 	return live;
@@ -48,7 +61,7 @@
 	uint32_t rank = 0;
 	uint32_t count = 0;
 	for (const MemberInfo &member : this->Live(now)) {
-		if (member.stopping && member.name != this->self.name) continue;
+		if ((member.stopping && member.name != this->self.name) || !this->SharesTargets(member)) continue;
 		if (member.name < this->self.name) rank++;
 		count++;
 	}
@@ -71,9 +84,22 @@
 	return live;
 }
 
+size_t Membership::HallSize() const
+{
+	auto shares = [&](const auto &entry) { return this->SharesTargets(entry.second.info); };
+	return static_cast<size_t>(std::count_if(this->members.begin(), this->members.end(), shares));
+}
+
+void Membership::SetPace(Duration period, size_t links, size_t news)
+{
+	double told = static_cast<double>(std::max<size_t>(1, links * news));
+	double rounds = 1 + static_cast<double>(this->HallSize()) / told;
+	this->spread_timeout = FromSeconds(Seconds(period) * ROUNDS_OF_SILENCE * rounds);
+}
+
 void Membership::Expire(TimePoint now)
 {
-	std::erase_if(this->members, [&](const auto &entry) { return now - entry.second.heard > EXPIRE_TIMEOUTS * this->timeout; });
+	std::erase_if(this->members, [&](const auto &entry) { return now - entry.second.heard > EXPIRE_TIMEOUTS * this->Timeout(); });
 }
 
 void Membership::RemoveLeaving(const std::string &target)
--- a/src/decision/membership.h
+++ b/src/decision/membership.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "core/time_type.h"
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -43,18 +44,30 @@
 	/** A member went away in good order, or its process is known to be gone. */
 	void Forget(const std::string &name) { this->members.erase(name); }
 
-	/** @return News to tell next: this instance first, then \a count others in turn. */
+	/**
+	 * @return News to tell next: this instance first, then \a count others in turn; in a large system nearly all of the own
+	 *         hall, whose instances share the targets.
+	 */
 	std::vector<MemberInfo> NextNews(size_t count);
 
 	/** @return All members heard of within the timeout, and this instance, by name. */
 	std::vector<MemberInfo> Live(TimePoint now) const;
 
-	/** @return Rank of this instance among the live ones that take requests, and their number. */
+	/** @return Rank of this instance among the live ones that take requests and share its targets, and their number. */
 	std::pair<uint32_t, uint32_t> Rank(TimePoint now) const;
 
 	/** @return Names of the peers to keep links to: all of a small system, a few of each hall of a large one. */
 	std::vector<MemberInfo> LinkTargets(TimePoint now) const;
 
+	/**
+	 * Set the pace at which news spreads: each of \a links takes \a news members every \a period. In a large system news of
+	 * a member takes several rounds, so the timeout grows with it.
+	 */
+	void SetPace(Duration period, size_t links, size_t news);
+
+	/** @return Silence after which a member counts as gone, at the present pace. */
+	Duration Timeout() const { return std::max(this->timeout, this->spread_timeout); }
+
 	/** Drop members that have been silent for several timeouts. */
 	void Expire(TimePoint now);
 
@@ -70,6 +83,10 @@
 	MemberInfo self; ///< This instance.
 
 private:
+	void AddNews(size_t count, bool own_hall, std::string *last, std::vector<MemberInfo> *news) const;
+	bool SharesTargets(const MemberInfo &member) const;
+	size_t HallSize() const;
+
 	/** A member with the time of its last news. */
 	struct Member {
 		MemberInfo info; ///< Last news.
@@ -78,12 +95,16 @@
 
 	static constexpr size_t SMALL_SYSTEM = 12; ///< Members up to which every instance links to every other.
 	static constexpr size_t LINKS_IN_HALL = 6; ///< Links inside the own hall of a larger system.
-	static constexpr size_t LINKS_TO_HALL = 2; ///< Links to each other hall.
+	static constexpr size_t LINKS_TO_HALL = 1; ///< Links to each other hall.
 	static constexpr int EXPIRE_TIMEOUTS = 10; ///< Timeouts of silence after which a member is dropped.
 
+	static constexpr int ROUNDS_OF_SILENCE = 10; ///< Rounds of news without one of a member after which it counts as gone.
+
+	Duration spread_timeout{0};            ///< Timeout that the pace asks for.
 	Duration timeout;                      ///< Silence after which a member counts as gone.
 	std::map<std::string, Member> members; ///< Other members by name.
-	std::string last_told;                 ///< Member told last.
+	std::string last_told;                 ///< Member of the own hall told last.
+	std::string last_told_other;           ///< Member of another hall told last.
 	std::set<LeavingTarget> leaving;       ///< Targets that leave.
 };
 
--- a/src/decision/router.cpp
+++ b/src/decision/router.cpp
@@ -12,7 +12,7 @@
 static constexpr double PREFIX_BONUS = 0.40;       ///< Pressure that a cached prefix outweighs, among targets that have room.
 static constexpr double INTERVAL_WEIGHT = 0.4;     ///< Weight of the time between tokens against its median.
 static constexpr double CALLS_WEIGHT = 0.02;       ///< Weight of one call at the target: more calls make each step longer.
-static constexpr double MOST_PRESSURE = 1.5;        ///< Pressure from which even an interactive call waits.
+static constexpr double MOST_PRESSURE = 1.5;       ///< Pressure from which even an interactive call waits.
 static constexpr double OTHER_HALL_PENALTY = 0.10; ///< Pressure that the next preferred hall has to be better by.
 
 /** @return Penalty of the hall of \a target for \a call, or nothing when the hall gets no new work. */
--- a/src/instance/instance.cpp
+++ b/src/instance/instance.cpp
@@ -219,6 +219,12 @@
 	this->next_heartbeat = std::min(this->next_heartbeat, now + HEARTBEAT_SOON);
 }
 
+Duration Instance::HeartbeatPeriod() const
+{
+	double bytes = static_cast<double>(this->heartbeat_bytes * this->peers.OpenLinks());
+	return std::max(this->settings.heartbeat, FromSeconds(bytes / static_cast<double>(this->settings.peer_bytes_per_second)));
+}
+
 void Instance::Heartbeat(TimePoint now)
 {
 	MemberInfo &self = this->membership.self;
@@ -233,7 +239,8 @@
 	message.confirmed_age = confirmed == TimePoint{} ? Duration(std::chrono::hours(1)) : now - confirmed;
 	message.echoes.assign(this->heard.begin(), this->heard.end());
 	this->heard.clear();
-	this->peers.Broadcast(message);
+	this->heartbeat_bytes = this->peers.Broadcast(message);
+	this->membership.SetPace(this->HeartbeatPeriod(), this->peers.OpenLinks(), NEWS_PER_HEARTBEAT);
 	std::vector<std::string> wanted;
 	for (const MemberInfo &member : this->membership.LinkTargets(now)) wanted.push_back(member.address);
 	for (const std::string &seed : this->settings.seeds) {
@@ -296,8 +303,8 @@
 	this->watch.OnTick(now, this->settings.report_poll);
 	if (!this->stopping) this->orders.OnTick(this->configuration.State(), this->random(), now);
 	if (now >= this->next_heartbeat) {
-		this->next_heartbeat = now + this->settings.heartbeat;
 		this->Heartbeat(now);
+		this->next_heartbeat = now + this->HeartbeatPeriod();
 	}
 	if (now >= this->next_poll) {
 		this->next_poll = now + this->settings.head_poll / 2 +
--- a/src/instance/instance.h
+++ b/src/instance/instance.h
@@ -88,6 +88,7 @@
 	void NoteLeaving(const LeavingTarget &leaving, const char *source);
 	void Heartbeat(TimePoint now);
 	void HeartbeatSoon(TimePoint now);
+	Duration HeartbeatPeriod() const;
 	void PollList();
 	void RunDrainPolicy();
 	void OnTick();
@@ -107,6 +108,7 @@
 	bool carrying = false;                                                 ///< Decisions are being carried out.
 	uint64_t next_call = 1;                                                ///< Number of the next call.
 	std::map<uint64_t, TimePoint> heartbeat_times;                         ///< When the last heartbeats were sent, by counter.
+	size_t heartbeat_bytes = 0;                                            ///< Size of the last heartbeat.
 	std::map<std::string, uint64_t> heard;                                 ///< Last counter heard directly from each peer.
 	std::set<std::string> listed_leaving;                                  ///< Targets that the platform's list shows as leaving.
 	TimePoint next_heartbeat, next_poll, next_list, next_second, next_call_tick, next_fetch; ///< When each is due.
--- a/src/peer/peer_links.cpp
+++ b/src/peer/peer_links.cpp
@@ -80,19 +80,15 @@
 	return true;
 }
 
-void PeerLinks::Broadcast(const PeerMessage &message)
-{
-	this->SendToSome(message, SIZE_MAX);
-}
-
-void PeerLinks::SendToSome(const PeerMessage &message, size_t count)
+size_t PeerLinks::Broadcast(const PeerMessage &message)
 {
 	std::string bytes = EncodePeerMessage(message);
 	std::vector<std::shared_ptr<WebsocketSession>> sessions;
 	for (const auto &[address, link] : this->links) {
-		if (link.open && sessions.size() < count) sessions.push_back(link.session);
+		if (link.open) sessions.push_back(link.session);
 	}
 	for (const auto &session : sessions) this->SendOn(session, bytes);
+	return bytes.size();
 }
 
 void PeerLinks::OnMessage(const std::string &bytes, const std::weak_ptr<WebsocketSession> &from)
--- a/src/peer/peer_links.h
+++ b/src/peer/peer_links.h
@@ -38,11 +38,8 @@
 	/** Keep links to exactly these addresses (IP:PORT); missing ones are dialled anew. */
 	void SetWanted(const std::vector<std::string> &addresses);
 
-	/** Send \a message on every link that this instance dialled. */
-	void Broadcast(const PeerMessage &message);
-
-	/** Send \a message to the first \a count open links only. */
-	void SendToSome(const PeerMessage &message, size_t count);
+	/** Send \a message on every link that this instance dialled. @return Its size in bytes. */
+	size_t Broadcast(const PeerMessage &message);
 
 	/** Close everything. */
 	void Shutdown();
--- a/src/settings/describe_settings.cpp
+++ b/src/settings/describe_settings.cpp
@@ -19,8 +19,10 @@
 	fields.push_back({"instance.http_port", &s.http_port, "Port for callers and operators; 0 takes a free one.", 0, MAX_PORT});
 	fields.push_back({"instance.peer_port", &s.peer_port, "Port for other instances; 0 takes a free one.", 0, MAX_PORT});
 	fields.push_back({"peers.seeds", &s.seeds, "Peer addresses (IP:PORT) to begin with; further ones are learned."});
-	fields.push_back({"peers.heartbeat_ms", &s.heartbeat, "Time between heartbeats on a link.", 50, 60000});
-	fields.push_back({"peers.member_timeout_ms", &s.member_timeout, "Silence after which an instance counts as gone.", 200, MAX_MS});
+	fields.push_back({"peers.heartbeat_ms", &s.heartbeat, "Least time between heartbeats.", 50, 60000});
+	fields.push_back({"peers.bytes_per_second", &s.peer_bytes_per_second,
+	                  "Most that heartbeats may cost on all links together; their time grows with the system.", 100, 1e9});
+	fields.push_back({"peers.member_timeout_ms", &s.member_timeout, "Least silence after which an instance counts as gone.", 200, MAX_MS});
 	fields.push_back({"platform.url", &s.platform_url, "http://IP:PORT of table, objects and instance list.", 0, 0, {}, true});
 	fields.push_back({"platform.call_ms", &s.platform_call, "Deadline of one platform call.", 50, 60000});
 	fields.push_back({"platform.head_poll_ms", &s.head_poll, "Time between looks for newer configuration.", 100, 60000});
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -3,6 +3,7 @@
 /** @file settings.cpp Reading settings from TOML, by toml++. */
 
 #include "settings/settings_type.h"
+#include "settings/toml_guard.h"
 #include <algorithm>
 #include <fstream>
 #include <sstream>
@@ -112,6 +113,7 @@
 {
 	Settings settings;
 	std::vector<SettingField> fields = DescribeSettings(settings);
+	BOOST_OUTCOME_TRYV(CheckPlainToml(text, file));
 	toml::table document;
 	try {
 		document = toml::parse(text, file);
--- a/src/settings/settings_type.h
+++ b/src/settings/settings_type.h
@@ -30,6 +30,7 @@
 	int64_t peer_port = 8081;                            ///< Port for other instances.
 	std::vector<std::string> seeds;                      ///< Peer addresses to begin with.
 	Duration heartbeat = std::chrono::milliseconds(500); ///< Time between heartbeats.
+	int64_t peer_bytes_per_second = 2500;                ///< Most that heartbeats may cost on all links together.
 	Duration member_timeout = std::chrono::seconds(4);   ///< Silence after which a member counts as gone.
 	std::string platform_url;                            ///< Base of the platform's table, objects and instance list.
 	Duration platform_call = std::chrono::seconds(2);    ///< Deadline of one platform call.
--- a/src/tests/settings_test.cpp
+++ b/src/tests/settings_test.cpp
@@ -42,6 +42,8 @@
 	CHECK(WrongWith("[instance]\nname = \"a\"\n").find("instance.hall: is required") != std::string::npos);
 	CHECK(WrongWith("[instance\n").find("file.toml:1") != std::string::npos);
 	CHECK(WrongWith("x = 1\n").find("must be a table") != std::string::npos);
+	CHECK(WrongWith(GOOD + "[calls]\nst\xc3\xa5ll = 1\n").find("file.toml:9 error=\"letters beyond ASCII") != std::string::npos);
+	CHECK(WrongWith("# H\xc3\xb8rning\n" + GOOD + "[peers]\nseeds = ['\xc3\xa6', \"\\\"\xc3\xb8\"]\n").empty());
 }
 
 TEST_CASE("Settings - any bytes are an error at worst")
--- a/tests/scenarios/lib.lua
+++ b/tests/scenarios/lib.lua
@@ -68,6 +68,7 @@
 seeds = [%s]
 heartbeat_ms = 200
 member_timeout_ms = 1500
+bytes_per_second = 1000000
 [platform]
 url = "http://%s"
 call_ms = 700
