--- a/src/configuration/configuration_state.cpp
+++ b/src/configuration/configuration_state.cpp
@@ -200,9 +200,9 @@
 	return nullptr;
 }
 
-const ShareRecord *ConfigurationState::FindShare(const std::string &account, const std::string &model) const
+const ShareRecord *ConfigurationState::FindShare(const std::string &account, const std::string &served) const
 {
-	for (const std::string &name : {"account:" + account, "model:" + model, std::string("*")}) {
+	for (const std::string &name : {"account:" + account, served, std::string("*")}) {
 		auto found = this->shares.find(name);
 		if (found != this->shares.end()) return &found->second.record;
 	}
--- a/src/configuration/configuration_state.h
+++ b/src/configuration/configuration_state.h
@@ -52,8 +52,8 @@
 	/** @return The account whose key has \a digest, with its name; null when there is none. */
 	const std::pair<const std::string, Versioned<AccountRecord>> *FindAccount(const KeyDigest &digest) const;
 
-	/** @return The shares that apply to \a account and \a model; null when none do. */
-	const ShareRecord *FindShare(const std::string &account, const std::string &model) const;
+	/** @return The shares that apply to \a account and to what is \a served ("model:NAME" or "service:NAME"); null when none do. */
+	const ShareRecord *FindShare(const std::string &account, const std::string &served) const;
 
 	/** @return Sequence of the last entry in force; 0 before the first. */
 	uint64_t Sequence() const { return this->sequence; }
--- a/src/instance/instance.h
+++ b/src/instance/instance.h
@@ -75,7 +75,7 @@
 	void Reject(const std::shared_ptr<HttpExchange> &exchange, int status, const std::string &reason, const std::string &message);
 	const std::pair<const std::string, Versioned<AccountRecord>> *Authenticate(const std::shared_ptr<HttpExchange> &exchange);
 	bool FillSpec(const std::shared_ptr<HttpExchange> &exchange, const std::string &account, const AccountRecord &record, CallSpec *spec);
-	void ChooseHalls(const std::string &account, const std::string &model, uint64_t random, CallSpec *spec);
+	void ChooseHalls(const std::string &account, const std::string &name, uint64_t draw, CallSpec *spec);
 	void Begin(const std::shared_ptr<Call> &call, const std::shared_ptr<HttpExchange> &exchange, const std::string &account);
 	Duration WaitLimit(ServiceClass service_class) const;
 	std::string RenderMetrics();
--- a/src/instance/instance_http.cpp
+++ b/src/instance/instance_http.cpp
@@ -109,9 +109,9 @@
 	return true;
 }
 
-void Instance::ChooseHalls(const std::string &account, const std::string &model, uint64_t draw, CallSpec *spec)
+void Instance::ChooseHalls(const std::string &account, const std::string &name, uint64_t draw, CallSpec *spec)
 {
-	const ShareRecord *share = this->configuration.State().FindShare(account, model);
+	const ShareRecord *share = this->configuration.State().FindShare(account, (spec->generated ? "model:" : "service:") + name);
 	std::vector<HallPreference> halls;
 	if (share != nullptr) {
 		halls = share->halls;
@@ -129,7 +129,7 @@
 		for (const std::string &hall : known) halls.push_back({hall, 1});
 		std::stable_partition(halls.begin(), halls.end(), [&](const HallPreference &hall) { return hall.hall == this->settings.hall; });
 	}
-	PolicyRequest request{account, model, spec->service_class, spec->prompt_tokens, spec->repeatable};
+	PolicyRequest request{account, name, spec->service_class, spec->prompt_tokens, spec->repeatable};
 	if (auto routed = this->policy.Route(request, halls)) halls = std::move(*routed);
 	spec->halls = std::move(halls);
 	if (auto priority = this->policy.Priority(request)) spec->priority = *priority;
@@ -170,7 +170,7 @@
 	spec.prompt_tokens = request.prompt_tokens;
 	spec.max_tokens = request.max_tokens;
 	spec.prefix = request.prefix;
-	this->ChooseHalls(account->first, "model:" + request.model, this->random(), &spec);
+	this->ChooseHalls(account->first, request.model, this->random(), &spec);
 	std::string name = this->settings.name + "-" + this->NewNonce();
 	auto call = std::make_shared<CompletionCall>(*this, exchange, std::move(spec), std::move(name), account->first, std::move(request));
 	this->Begin(call, exchange, account->first);
@@ -194,7 +194,7 @@
 	if (this->dispatcher.Targets().ForModel(spec.model).empty()) {
 		return this->Reject(exchange, 404, "unknown-service", "path: there is no service " + service.substr(0, 64));
 	}
-	this->ChooseHalls(account->first, "service:" + service, this->random(), &spec);
+	this->ChooseHalls(account->first, service, this->random(), &spec);
 	std::string name = this->settings.name + "-" + this->NewNonce();
 	this->Begin(std::make_shared<ServiceCall>(*this, exchange, std::move(spec), std::move(name), account->first, std::move(path)), exchange,
 	            account->first);
--- a/src/tests/configuration_test.cpp
+++ b/src/tests/configuration_test.cpp
@@ -159,6 +159,18 @@
 	CHECK(std::get<EntriesMessage>(tail).entries.size() == 3);
 }
 
+TEST_CASE("Configuration - the share of an account goes before that of a model or service, and both before the one of all")
+{
+	ConfigurationState state;
+	Change change = MakeChange("c", "*", 1, 0);
+	for (const char *name : {"model:small", "account:kiosk"})
+		change.records.push_back({RecordKind::Share, name, false, std::string("{\"") + name + "\":1}"});
+	REQUIRE(state.Apply({1, change}));
+	CHECK(state.FindShare("kiosk", "model:small")->halls.at(0).hall == "account:kiosk");
+	CHECK(state.FindShare("other", "model:small")->halls.at(0).hall == "model:small");
+	CHECK(state.FindShare("other", "service:pay")->halls.at(0).hall == "hall");
+}
+
 TEST_CASE("Configuration - validation names what is wrong")
 {
 	ConfigurationState state;
