--- a/src/instance/configuration_keeper.cpp
+++ b/src/instance/configuration_keeper.cpp
@@ -5,11 +5,13 @@
 #include "instance/configuration_keeper.h"
 #include "metrics/log.h"
 #include <algorithm>
+#include <malloc.h>
 
 namespace cottonspool {
 
 static const char *const ENTRY_PREFIX = "config/entry/";
 static const char *const SNAPSHOT_KEY = "config/snapshot";
+static constexpr size_t TRIM_BYTES = 1U << 20; ///< Bytes read at once after which freed memory is given back to the system.
 
 /** @return The key of entry number \a sequence; keys sort like sequences. */
 static std::string EntryKey(uint64_t sequence)
@@ -39,7 +41,11 @@
 	if (!entry || !this->state.Apply(entry.value())) return false;
 	(*counter)++;
 	this->recent.emplace_back(entry.value().sequence, text);
-	if (this->recent.size() > MAX_RECENT) this->recent.pop_front();
+	this->recent_bytes += text.size();
+	while (this->recent.size() > MAX_RECENT || (this->recent_bytes > MAX_RECENT_BYTES && this->recent.size() > 1)) {
+		this->recent_bytes -= this->recent.front().second.size();
+		this->recent.pop_front();
+	}
 	return true;
 }
 
@@ -92,6 +98,8 @@
 	}
 	if (!moved.value()) return;
 	this->recent.clear();
+	this->recent_bytes = 0;
+	malloc_trim(0);
 	this->Announce({});
 }
 
--- a/src/instance/configuration_keeper.h
+++ b/src/instance/configuration_keeper.h
@@ -101,8 +101,9 @@
 	void MaybeSnapshot();
 	void Announce(std::vector<std::string> entries);
 
-	static constexpr size_t MAX_RECENT = 512; ///< Entries remembered for peers.
-	static constexpr int MAX_TRIES = 8;       ///< Rounds of one acceptance.
+	static constexpr size_t MAX_RECENT = 512;              ///< Entries remembered for peers.
+	static constexpr size_t MAX_RECENT_BYTES = 256U << 10; ///< Most bytes of them.
+	static constexpr int MAX_TRIES = 8;                    ///< Rounds of one acceptance.
 
 	Platform &platform;                                  ///< Table and objects.
 	int64_t snapshot_every;                              ///< Entries between snapshots.
@@ -110,6 +111,7 @@
 	Changed changed;                                     ///< Told of every movement.
 	ConfigurationState state;                            ///< Configuration in force.
 	std::deque<std::pair<uint64_t, std::string>> recent; ///< Last entries, for peers.
+	size_t recent_bytes = 0;                             ///< Bytes of the last entries.
 	TimePoint confirmed_at;                              ///< Last confirmation.
 	bool polling = false;                                ///< A poll is under way.
 	ConfigurationCounters counters;                      ///< Counters.
