Fix: [Claims] Release the claim of a caller that leaves while its call waits

Cause: the claim stayed taken although nothing was sent, so the key answered unknown for good. Found while reading; the new part of scenario not_repeatable failed before (key not usable again within 5 s) and passes now, with exactly one run.

--- a/src/instance/call.cpp
+++ b/src/instance/call.cpp
@@ -38,6 +38,7 @@
 		call->over = true;
 		call->OnCallerGone();
 		if (call->submitted && !call->sent) call->instance.dispatcher.Withdraw(call->spec.id);
+		if (!call->doubtful) call->SettleClaim(RanState::No, 0, "", "");
 		call->instance.metrics.Count("cottonspool_callers_gone_total");
 		call->instance.OnCallOver(call->spec.id);
 	};
@@ -141,17 +142,21 @@
 	this->over = true;
 	this->exchange->on_closed = nullptr;
 	this->instance.metrics.Count(std::string("cottonspool_answers_total{ran=\"") + RanStateName(ran) + "\"}");
-	bool claimed = !this->claim_nonce.empty() && !this->claim_version.empty();
-	if (claimed && ran != RanState::Unknown) {
-		ClaimRow row{.state = ran == RanState::Yes ? ClaimState::Done : ClaimState::Released, .nonce = this->claim_nonce};
-		row.request_hash = this->request_hash;
-		row.version = this->claim_version;
-		row.status = status;
-		row.content_type = content_type;
-		row.body = body;
-		this->instance.claims.Settle(this->idempotency_key, std::move(row));
-	}
+	this->SettleClaim(ran, status, content_type, body);
 	this->instance.OnCallOver(this->spec.id);
 }
 
+void Call::SettleClaim(RanState ran, int status, const std::string &content_type, const std::string &body)
+{
+	if (this->claim_version.empty() || ran == RanState::Unknown) return;
+	ClaimRow row{.state = ran == RanState::Yes ? ClaimState::Done : ClaimState::Released, .nonce = this->claim_nonce};
+	row.request_hash = this->request_hash;
+	row.version = this->claim_version;
+	row.status = status;
+	row.content_type = content_type;
+	row.body = body;
+	this->claim_version.clear();
+	this->instance.claims.Settle(this->idempotency_key, std::move(row));
+}
+
 } // namespace cottonspool
--- a/src/instance/call_base.h
+++ b/src/instance/call_base.h
@@ -86,6 +86,9 @@
 	void Submit();
 	void WatchCaller();
 
+	/** Record what became of our claim, if there is one and it is known. */
+	void SettleClaim(RanState ran, int status, const std::string &content_type, const std::string &body);
+
 	std::string claim_version; ///< Version of our claim's row; empty when there is none.
 	std::string claim_nonce;   ///< Nonce of our claim.
 };
--- a/tests/scenarios/not_repeatable.lua
+++ b/tests/scenarios/not_repeatable.lua
@@ -111,3 +111,21 @@
 	if lib.ran(again) == "yes" then lib.check(runs()[key] == 1, key .. " said to have run") end
 end
 for key, count in pairs(runs()) do lib.check(count <= 1 or key == "", "key " .. key .. " ran " .. count .. " times") end
+
+-- A caller that goes away while its call still waits: it was not sent, so its key can be used again, and runs once.
+lib.standin("till1", "service", { slots = 1 })
+lib.apply(lib.target("till1", lib.ports.till1, "hall-a", "till", 'kind = "service"'))
+lib.ready("i1", 2)
+local function till(key, delay, limit)
+	return http_start{ url = "http://" .. lib.ports.i1 .. "/services/till/x?delay_ms=" .. delay, body = "pay", limit_ms = limit,
+		headers = { "Authorization: Bearer kiosk-key", "Cottonspool-Repeatable: no", "Idempotency-Key: " .. key } }
+end
+local busy = till("busy", 1200, 8000)
+sleep_ms(200)
+http_wait(till("left", 0, 400))
+lib.check(http_wait(busy).status == 200, "the call in front")
+lib.check(lib.runs_by_key(lib.record("till1"))["left"] == nil, "a call whose caller had left was sent")
+lib.until_true(5000, "the key of a caller that left while waiting can be used again", function()
+	return http_wait(till("left", 0, 3000)).status == 200
+end)
+lib.check(lib.runs_by_key(lib.record("till1"))["left"] == 1, "left: not exactly one run")
