--- a/bench/overhead.sh
+++ b/bench/overhead.sh
@@ -5,23 +5,7 @@
 cd "$(dirname "$0")/.."
 STREAMS=${1:-400} STEP=${2:-25} ROUNDS=${3:-3}
 ulimit -n 65536 2>/dev/null || ulimit -n "$(ulimit -Hn)"
-DIR=$(mktemp -d)
-PIDS=()
-finish() {
-	kill "${PIDS[@]}" 2>/dev/null || true
-	wait 2>/dev/null || true
-	rm -rf "$DIR"
-}
-trap finish EXIT
-start() {
-	local NAME=$1
-	shift
-	"$@" >"$DIR/$NAME.out" 2>&1 &
-	PIDS+=($!)
-	for _ in $(seq 100); do grep -qE 'listening port=|event=started' "$DIR/$NAME.out" && return 0; sleep 0.05; done
-	return 1
-}
-port() { sed -n 's/^listening port=//p' "$DIR/$1.out"; }
+source bench/processes.sh
 start platform build/cottonspool-standin platform
 URLS="" CHANGE=""
 for I in 1 2 3 4; do
@@ -32,8 +16,7 @@
 printf '[instance]\nname = "one"\nhall = "hall-a"\nhttp_port = 0\npeer_port = 0\n[platform]\nurl = "http://127.0.0.1:%s"\n[operator]\nkey_sha256 = "%s"\n' \
 	"$(port platform)" "$(printf ops | sha256sum | cut -d' ' -f1)" >"$DIR/one.toml"
 start one build/cottonspool serve --settings "$DIR/one.toml"
-PID=${PIDS[-1]}
-HTTP=$(sed -n 's/.*event=started.* http=\([0-9.:]*\).*/\1/p' "$DIR/one.out")
+HTTP=$(address one)
 printf 'author = "bench"\n[account.kiosk]\nkey_sha256 = "%s"\n[model.small]\n%s' "$(printf kiosk-key | sha256sum | cut -d' ' -f1)" "$CHANGE" >"$DIR/change.toml"
 build/cottonspool apply "$DIR/change.toml" --server "http://$HTTP" --key ops --wait_s 10 >/dev/null
 sleep 2
--- a/bench/process_size.sh
+++ b/bench/process_size.sh
@@ -4,30 +4,14 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 ACCOUNTS=${1:-47000} TARGETS=${2:-3700} WATCH=${3:-20}
-DIR=$(mktemp -d)
-PIDS=()
-finish() {
-	kill "${PIDS[@]}" 2>/dev/null || true
-	wait 2>/dev/null || true
-	rm -rf "$DIR"
-}
-trap finish EXIT
-wait_for() { for _ in $(seq 200); do grep -qE "$2" "$DIR/$1.out" && return 0; sleep 0.05; done; return 1; }
-build/cottonspool-standin platform >"$DIR/platform.out" 2>&1 &
-PIDS+=($!)
-wait_for platform 'listening port='
-build/cottonspool-standin engine --name engine >"$DIR/engine.out" 2>&1 &
-PIDS+=($!)
-wait_for engine 'listening port='
-port() { sed -n 's/^listening port=//p' "$DIR/$1.out"; }
+source bench/processes.sh
+start platform build/cottonspool-standin platform
+start engine build/cottonspool-standin engine --name engine
 serve() {
 	printf '[instance]\nname = "%s"\nhall = "hall0"\nhttp_port = 0\npeer_port = 0\n[targets]\nwatched = 2\nreport_poll_ms = 2000\n[callers]\nmax_body_bytes = 100000000\n[platform]\nurl = "http://127.0.0.1:%s"\n[operator]\nkey_sha256 = "%s"\n' \
 		"$1" "$(port platform)" "$(printf ops | sha256sum | cut -d' ' -f1)" >"$DIR/$1.toml"
-	build/cottonspool serve --settings "$DIR/$1.toml" >"$DIR/$1.out" 2>&1 &
-	PIDS+=($!)
-	PID=$!
-	wait_for "$1" 'event=started'
-	HTTP=$(sed -n 's/.*event=started.* http=\([0-9.:]*\).*/\1/p' "$DIR/$1.out")
+	start "$1" build/cottonspool serve --settings "$DIR/$1.toml"
+	HTTP=$(address "$1")
 }
 memory() { awk '/^VmRSS|^VmHWM/ {printf "%s %.1f MB ", $1, $2 / 1024}' "/proc/$PID/status"; }
 cpu() { awk '{print $14 + $15}' "/proc/$PID/stat"; }
