--- a/bench/overhead.sh
+++ b/bench/overhead.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 STREAMS=${1:-400} STEP=${2:-25} ROUNDS=${3:-3}
 ulimit -n 65536 2>/dev/null || ulimit -n "$(ulimit -Hn)"
-source bench/processes.sh
+source scripts/processes.sh
 start platform build/cottonspool-standin platform
 URLS="" CHANGE=""
 for I in 1 2 3 4; do
--- a/bench/process_size.sh
+++ b/bench/process_size.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 ACCOUNTS=${1:-47000} TARGETS=${2:-3700} WATCH=${3:-20}
-source bench/processes.sh
+source scripts/processes.sh
 start platform build/cottonspool-standin platform
 start engine build/cottonspool-standin engine --name engine
 serve() {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,29 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/build.sh | tail -1
-DIR=$(mktemp -d)
-PIDS=()
-finish() {
-	for PID in "${PIDS[@]}"; do kill "$PID" 2>/dev/null || true; done
-	wait 2>/dev/null || true
-	rm -rf "$DIR"
-}
-trap finish EXIT
-
-# Start a stand-in: name, verb, flags. Prints nothing; the port is in PORT afterwards.
-standin() {
-	local NAME=$1
-	shift
-	build/cottonspool-standin "$@" >"$DIR/$NAME.out" 2>&1 &
-	PIDS+=($!)
-	for _ in $(seq 100); do
-		PORT=$(sed -n 's/^listening port=//p' "$DIR/$NAME.out")
-		[ -n "$PORT" ] && return 0
-		sleep 0.05
-	done
-	echo "$NAME did not start" >&2
-	return 1
-}
+source scripts/processes.sh
 
 # Start an entry instance: name, data hall, seed of a peer. Its addresses are in HTTP and PEER afterwards.
 instance() {
@@ -46,24 +24,21 @@
 		[stop]
 		notice_ms = 300
 	TOML
-	build/cottonspool serve --settings "$DIR/$NAME.toml" 2>"$DIR/$NAME.log" &
-	PIDS+=($!)
-	INSTANCES+=($!)
-	for _ in $(seq 100); do
-		HTTP=$(sed -n 's/.*event=started.* http=\([0-9.:]*\).*/\1/p' "$DIR/$NAME.log")
-		PEER=$(sed -n 's/.*event=started.* peers=\([0-9.:]*\).*/\1/p' "$DIR/$NAME.log")
-		[ -n "$PEER" ] && return 0
-		sleep 0.05
-	done
-	echo "$NAME did not start" >&2
-	return 1
+	start "$NAME" build/cottonspool serve --settings "$DIR/$NAME.toml"
+	INSTANCES+=("$PID")
+	HTTP=$(address "$NAME")
+	PEER=$(sed -n 's/.*event=started.* peers=\([0-9.:]*\).*/\1/p' "$DIR/$NAME.out")
 }
 
 INSTANCES=()
-standin platform platform && PLATFORM=$PORT
-standin engine-1 engine --name engine-1 && ENGINE1=$PORT
-standin engine-2 engine --name engine-2 && ENGINE2=$PORT
-standin receipts service && SERVICE=$PORT
+start platform build/cottonspool-standin platform
+PLATFORM=$(port platform)
+start engine-1 build/cottonspool-standin engine --name engine-1
+ENGINE1=$(port engine-1)
+start engine-2 build/cottonspool-standin engine --name engine-2
+ENGINE2=$(port engine-2)
+start receipts build/cottonspool-standin service
+SERVICE=$(port receipts)
 instance hall-a-1 hall-a "" && FIRST=$HTTP SEED="\"$PEER\""
 instance hall-a-2 hall-a "$SEED" && SECOND=$HTTP
 instance hall-b-1 hall-b "$SEED" && THIRD=$HTTP
--- a/bench/processes.sh
+++ b/scripts/processes.sh
@@ -1,4 +1,4 @@
-# What the bench scripts share: a folder of their own, and processes that end with the script. To be sourced.
+# What the demo and the bench scripts share: a folder of their own, and processes that end with the script. To be sourced.
 DIR=$(mktemp -d)
 PIDS=()
 finish() {
