--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -66,6 +66,9 @@
 	/** @return The targets, to configure and to look at. */
 	TargetTable &Targets() { return this->targets; }
 
+	/** @return The targets, to look at. */
+	const TargetTable &Targets() const { return this->targets; }
+
 	/** @return The target that holds \a call, or nothing while it waits. */
 	std::optional<TargetNumber> Holder(CallId call) const;
 
--- a/src/instance/instance_operator.cpp
+++ b/src/instance/instance_operator.cpp
@@ -98,7 +98,7 @@
 		        {{"name", member.name}, {"hall", member.hall}, {"sequence", member.sequence}, {"stopping", member.stopping}});
 	}
 	status["targets"] = Json::array();
-	const TargetTable &targets = const_cast<Instance *>(this)->dispatcher.Targets();
+	const TargetTable &targets = this->dispatcher.Targets();
 	for (uint32_t i = 0; i < targets.Size(); i++) {
 		const TargetState &target = targets.Get(TargetNumber{i});
 		if (target.known || !target.in_flight.empty()) status["targets"].push_back(TargetStatus(targets, target, now));
