--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -85,7 +85,11 @@
 	if (!target) return false;
 	tracked.holder = target;
 	tracked.charged = this->ExpectedTokens(call);
-	if (tracked.attempts++ > 0) this->counters.retries++;
+	if (tracked.attempts++ > 0) {
+		this->counters.retries++;
+	} else if (RetryBudget *pool = this->PoolBudget(call.model)) {
+		pool->OnFirstAttempt();
+	}
 	this->counters.sends++;
 	this->in_flight++;
 	this->targets.OnSent(*target, call, now);
@@ -103,30 +107,60 @@
 	while (this->queue.ForEachHead(this->limits.heads_tried, visit) > 0) {}
 }
 
-void Dispatcher::OnToken(CallId call, TimePoint now)
+void Dispatcher::OnToken(CallId call, TimePoint now, uint32_t tokens)
 {
 	auto found = this->calls.find(call);
 	if (found == this->calls.end() || !found->second.holder) return;
-	this->targets.OnToken(*found->second.holder, call, now);
+	this->targets.OnToken(*found->second.holder, call, now, tokens);
+}
+
+RetryBudget *Dispatcher::PoolBudget(ModelNumber model)
+{
+	if (!this->limits.pool_retry) return nullptr;
+	return &this->pool_budgets.try_emplace(model.value, *this->limits.pool_retry).first->second;
+}
+
+bool Dispatcher::SpendRetry(const Tracked &tracked)
+{
+	RetryBudget *pool = this->PoolBudget(tracked.call.model);
+	if (pool != nullptr) return pool->TryRetry();
+	RetryBudget &target = this->target_budgets.at(tracked.holder->value);
+	RetryBudget &account = this->account_budgets.try_emplace(tracked.call.account.value, this->limits.retry).first->second;
+	return target.TryRetry() && account.TryRetry();
 }
 
 void Dispatcher::SendAgain(Tracked &tracked, SendEnd end, TimePoint now, Decisions &decisions)
 {
-	CallSpec call = tracked.call;
-	if (tracked.attempts >= this->limits.max_attempts || now >= call.deadline) {
-		this->GiveUp(call, GiveUpReason::DeadlinePassed, decisions);
+	uint32_t most = tracked.call.max_attempts > 0 ? tracked.call.max_attempts : this->limits.max_attempts;
+	if (tracked.attempts >= most || now >= tracked.call.deadline) {
+		CallSpec given_up = tracked.call;
+		this->GiveUp(given_up, GiveUpReason::DeadlinePassed, decisions);
 		return;
 	}
-	RetryBudget &target = this->target_budgets.at(tracked.holder->value);
-	RetryBudget &account = this->account_budgets.try_emplace(call.account.value, this->limits.retry).first->second;
-	if (!target.TryRetry() || !account.TryRetry()) {
-		this->GiveUp(call, GiveUpReason::RetryBudget, decisions);
+	if (!this->SpendRetry(tracked)) {
+		CallSpec given_up = tracked.call;
+		this->GiveUp(given_up, GiveUpReason::RetryBudget, decisions);
 		return;
 	}
-	uint64_t random = HashText("backoff", call.id.value * 31 + tracked.attempts);
+	uint64_t random = HashText("backoff", tracked.call.id.value * 31 + tracked.attempts);
+	RetryBudget &target = this->target_budgets.at(tracked.holder->value);
 	tracked.not_before = end == SendEnd::NotRun ? now : now + target.Backoff(tracked.attempts, random);
+	tracked.call.avoid.push_back(*tracked.holder);
 	tracked.holder.reset();
-	this->queue.PushFront(call, this->ExpectedTokens(call));
+	this->queue.PushFront(tracked.call, this->ExpectedTokens(tracked.call));
+}
+
+void Dispatcher::TryElsewhere(Tracked &tracked, TimePoint now, Decisions &decisions)
+{
+	tracked.attempts--;
+	tracked.call.avoid.push_back(*tracked.holder);
+	tracked.holder.reset();
+	if (++tracked.unsent >= this->limits.max_unsent || now >= tracked.call.deadline) {
+		CallSpec given_up = tracked.call;
+		this->GiveUp(given_up, GiveUpReason::NoTarget, decisions);
+		return;
+	}
+	this->queue.PushFront(tracked.call, this->ExpectedTokens(tracked.call));
 }
 
 Decisions Dispatcher::OnSendEnded(CallId id, SendEnd end, TimePoint now)
@@ -141,8 +175,11 @@
 	if (end == SendEnd::Complete && tracked.call.generated) this->lengths.Learn(tracked.call, generated);
 	double cost = tracked.call.generated ? tracked.call.prompt_tokens + generated : 1;
 	this->queue.Correct(tracked.call.account, tracked.call.service_class, tracked.call.account_weight, cost - tracked.charged);
-	bool again = end == SendEnd::NotRun || (end == SendEnd::Lost && tracked.call.repeatable);
-	if (again) {
+	bool failed = end == SendEnd::Lost || end == SendEnd::Failed;
+	bool again = end == SendEnd::NotRun || (failed && tracked.call.repeatable);
+	if (end == SendEnd::NotSent) {
+		this->TryElsewhere(tracked, now, decisions);
+	} else if (again) {
 		this->SendAgain(tracked, end, now, decisions);
 	} else {
 		this->calls.erase(found);
@@ -183,6 +220,45 @@
 	return decisions;
 }
 
+std::optional<TargetNumber> Dispatcher::ChooseMove(CallId id, const std::vector<TargetNumber> &refused, TimePoint now)
+{
+	auto found = this->calls.find(id);
+	if (found == this->calls.end() || !found->second.holder) return std::nullopt;
+	const Tracked &tracked = found->second;
+	CallSpec run = tracked.call;
+	const TargetState &source = this->targets.Get(*tracked.holder);
+	// What the run holds by now is what it needs there from the start.
+	auto flight = source.in_flight.find(id);
+	if (flight != source.in_flight.end()) run.prompt_tokens += flight->second.generated;
+	// Memory moves twice as fast inside a data hall: it goes first, whichever hall the caller would prefer.
+	for (HallPreference &hall : run.halls) {
+		if (hall.hall == source.hall) std::swap(hall, run.halls.front());
+	}
+	run.avoid = refused;
+	run.avoid.push_back(*tracked.holder);
+	run.press_from = now;
+	return this->router->Choose(run, this->targets, now);
+}
+
+void Dispatcher::OnMoved(CallId id, TargetNumber target, TimePoint now)
+{
+	auto found = this->calls.find(id);
+	if (found == this->calls.end() || !found->second.holder) return;
+	this->targets.OnMoved(*found->second.holder, target, id, now);
+	this->target_budgets.try_emplace(target.value, this->limits.retry);
+	found->second.holder = target;
+}
+
+std::vector<CallId> Dispatcher::CallsAt(TargetNumber target) const
+{
+	std::vector<std::pair<double, CallId>> held;
+	for (const auto &[id, flight] : this->targets.Get(target).in_flight) held.emplace_back(-flight.residual, id);
+	std::sort(held.begin(), held.end());
+	std::vector<CallId> calls;
+	for (const auto &[residual, id] : held) calls.push_back(id);
+	return calls;
+}
+
 std::optional<TargetNumber> Dispatcher::Holder(CallId call) const
 {
 	auto found = this->calls.find(call);
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -14,7 +14,9 @@
 struct DispatchLimits {
 	TargetLimits targets;                                      ///< Admission and health of targets.
 	QueueLimits queue;                                         ///< Waiting calls.
-	RetryLimits retry;                                         ///< Retries.
+	RetryLimits retry;                                         ///< Retries caused by one target, and spent for one client account.
+	std::optional<RetryLimits> pool_retry;                     ///< Retries at all targets of one model or service together.
+	uint32_t max_unsent = 6;                                   ///< Most targets tried in a row that could not be reached.
 	LengthEstimateLimits lengths;                              ///< Length estimate.
 	bool refuse_early = true;                                  ///< Give up at once when the expected wait passes the deadline.
 	uint32_t max_attempts = 3;                                 ///< Most sends of one call.
@@ -26,7 +28,9 @@
 /** How a send ended. */
 enum class SendEnd : uint8_t {
 	Complete,     ///< The whole answer came.
+	NotSent,      ///< Certain: no byte has reached a target; does not count as an attempt.
 	NotRun,       ///< Certain: the target has not begun.
+	Failed,       ///< The whole answer came, and it tells a fault of the target.
 	Lost,         ///< In doubt, or the run is lost with nothing delivered.
 	LostAfterUse, ///< Lost after something reached the caller; never sent again.
 	CallerGone,   ///< The caller went away.
@@ -51,8 +55,17 @@
 	/** The caller of \a call went away while it waited. */
 	void Withdraw(CallId call);
 
-	/** A token of \a call came. */
-	void OnToken(CallId call, TimePoint now);
+	/** \a tokens of \a call came at once. */
+	void OnToken(CallId call, TimePoint now, uint32_t tokens = 1);
+
+	/** @return Where a run of \a call could go on, other than where it is and than \a refused; nothing when there is no room. */
+	std::optional<TargetNumber> ChooseMove(CallId call, const std::vector<TargetNumber> &refused, TimePoint now);
+
+	/** The run of \a call goes on at \a target. */
+	void OnMoved(CallId call, TargetNumber target, TimePoint now);
+
+	/** @return The calls whose runs \a target holds, those with most still to come first. */
+	std::vector<CallId> CallsAt(TargetNumber target) const;
 
 	/** The send of \a call has ended. A call that may run again waits again; otherwise it is forgotten or given up. */
 	Decisions OnSendEnded(CallId call, SendEnd end, TimePoint now);
@@ -93,6 +106,7 @@
 		CallSpec call;                      ///< The call.
 		std::optional<TargetNumber> holder; ///< Target that has it.
 		uint32_t attempts = 0;              ///< Sends so far.
+		uint32_t unsent = 0;                ///< Targets in a row that could not be reached.
 		double charged = 0;                 ///< Tokens its account was charged.
 		TimePoint not_before;               ///< Earliest next send, after a failed one.
 	};
@@ -101,6 +115,9 @@
 	void Drain(TimePoint now, Decisions &decisions);
 	void GiveUp(const CallSpec &call, GiveUpReason reason, Decisions &decisions);
 	void SendAgain(Tracked &tracked, SendEnd end, TimePoint now, Decisions &decisions);
+	void TryElsewhere(Tracked &tracked, TimePoint now, Decisions &decisions);
+	bool SpendRetry(const Tracked &tracked);
+	RetryBudget *PoolBudget(ModelNumber model);
 	void MeasureRate(double tokens, TimePoint now);
 	double ExpectedTokens(const CallSpec &call) const;
 	bool AnyTarget(const CallSpec &call) const;
@@ -113,6 +130,7 @@
 	std::unordered_map<CallId, Tracked, StrongIdHash> calls;   ///< Calls not yet ended.
 	std::unordered_map<uint32_t, RetryBudget> target_budgets;  ///< Retries caused by each target.
 	std::unordered_map<uint32_t, RetryBudget> account_budgets; ///< Retries spent for each account.
+	std::unordered_map<uint32_t, RetryBudget> pool_budgets;    ///< Retries at all targets of each model or service.
 	DispatchCounters counters;                                 ///< Counters.
 	size_t in_flight = 0;                                      ///< Calls sent and not ended.
 	double rate = 0;                                           ///< Tokens dispatched a second while calls waited; 0 while unknown.
--- a/src/decision/request_type.h
+++ b/src/decision/request_type.h
@@ -51,6 +51,9 @@
 	TimePoint deadline;                                     ///< When it is given up if it has not been sent.
 	std::vector<HallPreference> halls;                      ///< Halls in order of preference; empty means any.
 	bool generated = true;                                  ///< A model generation; false for a plain service call.
+	uint32_t max_attempts = 0;                              ///< Most targets it may be sent to; 0 means the dispatcher's own bound.
+	TimePoint press_from = TimePoint::max();                ///< From then on it goes to a target without room, up to a bound.
+	std::vector<TargetNumber> avoid;                        ///< Targets that are not to get it again.
 };
 
 /** Why a call was given up before it was sent. */
--- a/src/decision/router.cpp
+++ b/src/decision/router.cpp
@@ -27,13 +27,20 @@
 	return std::nullopt;
 }
 
+/** @return Whether \a call is not to go to \a target again. */
+static bool IsAvoided(const CallSpec &call, TargetNumber target)
+{
+	return std::find(call.avoid.begin(), call.avoid.end(), target) != call.avoid.end();
+}
+
 /** @return The targets that may get \a call now. */
 static std::vector<TargetNumber> Usable(const CallSpec &call, const TargetTable &targets, TimePoint now)
 {
 	std::vector<TargetNumber> usable;
 	for (TargetNumber number : targets.ForModel(call.model)) {
 		const TargetState &target = targets.Get(number);
-		if (targets.IsUsable(target, call.model, now) && HallPenalty(call, target)) usable.push_back(number);
+		if (!targets.IsUsable(target, call.model, now) || IsAvoided(call, number)) continue;
+		if (HallPenalty(call, target)) usable.push_back(number);
 	}
 	return usable;
 }
@@ -57,6 +64,7 @@
 		std::optional<TargetNumber> best = this->Best(call, targets, now, this->rules.use_headroom);
 		// An interactive call does not wait for room: it goes first at the engine, and what it takes is kept free by the other classes.
 		bool may_press = call.service_class == ServiceClass::Interactive && call.generated && this->rules.use_press;
+		may_press = may_press || now >= call.press_from;
 		return best || !may_press ? best : this->Best(call, targets, now, false);
 	}
 
@@ -67,7 +75,7 @@
 		double best_score = std::numeric_limits<double>::max();
 		for (TargetNumber number : targets.ForModel(call.model)) {
 			const TargetState &target = targets.Get(number);
-			if (!targets.IsUsable(target, call.model, now)) continue;
+			if (!targets.IsUsable(target, call.model, now) || IsAvoided(call, number)) continue;
 			std::optional<double> penalty = HallPenalty(call, target);
 			if (!penalty || (with_room && !this->HasRoom(call, target, targets, now))) continue;
 			if (!with_room && this->rules.use_headroom && targets.Pressure(target) > MOST_PRESSURE) continue;
--- /dev/null
+++ b/src/decision/target_registry.cpp
@@ -0,0 +1,103 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file target_registry.cpp Which listed targets may be used. */
+
+#include "decision/target_registry.h"
+#include <algorithm>
+#include <set>
+
+namespace cottonspool {
+
+void TargetRegistry::Judge(Entry &entry, const char *source, bool changed, TimePoint now, std::vector<TargetEvent> &events)
+{
+	bool usable = !entry.departed && (!entry.missing || now < entry.usable_until);
+	bool told = usable == entry.usable && !changed;
+	entry.usable = usable;
+	if (told) return;
+	events.push_back({usable ? TargetChange::Usable : TargetChange::Leaving, entry.target, source});
+}
+
+void TargetRegistry::Note(const ListedTarget &target, TimePoint now, std::vector<TargetEvent> &events)
+{
+	auto [found, added] = this->entries.try_emplace(target.id);
+	Entry &entry = found->second;
+	bool changed = added || !entry.target.SaysSameAs(target);
+	bool was_departed = entry.departed;
+	entry.target = target;
+	entry.missing = false;
+	entry.departed = entry.departed || target.leaving;
+	if (added) entry.usable = !entry.departed;
+	// A departed target that changes its row again says nothing new.
+	if (was_departed) return;
+	this->Judge(entry, target.leaving ? "notice" : "listed", changed, now, events);
+}
+
+void TargetRegistry::NoteMissing(Entry &entry, const char *source, TimePoint now, std::vector<TargetEvent> &events)
+{
+	if (!entry.missing) {
+		entry.missing = true;
+		entry.missing_since = now;
+		entry.usable_until = this->lapse_until;
+	}
+	this->Judge(entry, source, false, now, events);
+}
+
+void TargetRegistry::NoteAllMissing(const std::vector<Entry *> &gone, const char *source, TimePoint now, std::vector<TargetEvent> &events)
+{
+	// Many rows that go at once without notice have lapsed while the store was away, even if its absence went unnoticed here.
+	auto unannounced = [](const Entry *entry) { return !entry->missing && !entry->departed; };
+	size_t newly = static_cast<size_t>(std::count_if(gone.begin(), gone.end(), unannounced));
+	auto usable = std::count_if(this->entries.begin(), this->entries.end(), [](const auto &entry) { return entry.second.usable; });
+	bool lapse = newly >= this->limits.lapse_least && static_cast<double>(newly) >= this->limits.lapse_part * static_cast<double>(usable);
+	if (lapse) this->lapse_until = std::max(this->lapse_until, now + this->limits.lapse_grace);
+	for (Entry *entry : gone) this->NoteMissing(*entry, source, now, events);
+}
+
+std::vector<TargetEvent> TargetRegistry::OnAll(const std::vector<TargetRow> &rows, TimePoint now)
+{
+	std::vector<TargetEvent> events;
+	std::set<std::string> seen;
+	for (const TargetRow &row : rows) {
+		if (!row.target) continue;
+		seen.insert(row.id);
+		this->Note(*row.target, now, events);
+	}
+	std::vector<Entry *> gone;
+	for (auto &[id, entry] : this->entries) {
+		if (!seen.contains(id)) gone.push_back(&entry);
+	}
+	this->NoteAllMissing(gone, "not-listed", now, events);
+	return events;
+}
+
+std::vector<TargetEvent> TargetRegistry::OnChanges(const std::vector<TargetRow> &rows, TimePoint now)
+{
+	std::vector<TargetEvent> events;
+	std::vector<Entry *> gone;
+	for (const TargetRow &row : rows) {
+		auto found = this->entries.find(row.id);
+		if (row.target) this->Note(*row.target, now, events);
+		if (!row.target && found != this->entries.end()) gone.push_back(&found->second);
+	}
+	this->NoteAllMissing(gone, "removed", now, events);
+	return events;
+}
+
+void TargetRegistry::OnStoreRegained(TimePoint now)
+{
+	this->lapse_until = now + this->limits.lapse_grace;
+}
+
+std::vector<TargetEvent> TargetRegistry::OnTick(TimePoint now)
+{
+	std::vector<TargetEvent> events;
+	for (auto it = this->entries.begin(); it != this->entries.end();) {
+		Entry &entry = it->second;
+		if (entry.missing) this->Judge(entry, "lapsed", false, now, events);
+		bool forget = entry.missing && !entry.usable && now - entry.missing_since > this->limits.remembered;
+		it = forget ? this->entries.erase(it) : std::next(it);
+	}
+	return events;
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/decision/target_registry.h
@@ -0,0 +1,83 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file target_registry.h Which listed targets may be used: departures are final, and an outage of the list is not a departure. */
+
+#pragma once
+
+#include "decision/serving_type.h"
+#include <map>
+
+namespace cottonspool {
+
+/** What became of a target. */
+enum class TargetChange : uint8_t {
+	Usable,  ///< New, changed or back: may be used as described.
+	Leaving, ///< Gets nothing new; what runs there may still finish or move.
+};
+
+/** One change of the registry. */
+struct TargetEvent {
+	TargetChange change = TargetChange::Usable; ///< What became of it.
+	ListedTarget target;                        ///< Target as last seen.
+	const char *source = "";                    ///< What told it, for logs.
+};
+
+/** One row of the list: what a target says of itself, or that its row is gone. */
+struct TargetRow {
+	std::string id;                     ///< Name of the incarnation.
+	std::optional<ListedTarget> target; ///< What it says; nothing when the row is gone.
+};
+
+/** Times of the registry. */
+struct RegistryLimits {
+	Duration lapse_grace = std::chrono::seconds(2); ///< Time after the store's return in which live targets re-enter their rows.
+	Duration remembered = std::chrono::minutes(2);  ///< Time for which a departed target's name is remembered.
+	size_t lapse_least = 3;                         ///< Rows gone without notice at once from which it may be a lapse.
+	double lapse_part = 0.34;                       ///< Part of all usable targets from which it is taken for one.
+};
+
+/**
+ * Targets as the list shows them. A target that said it leaves never becomes usable again under the same name. One whose
+ * row is missing is gone, unless the store was away just before: rows lapse then, and live targets write theirs again.
+ */
+class TargetRegistry {
+public:
+	explicit TargetRegistry(RegistryLimits limits) : limits(limits) {}
+
+	/** The whole list was read. */
+	std::vector<TargetEvent> OnAll(const std::vector<TargetRow> &rows, TimePoint now);
+
+	/** Rows were written or removed. */
+	std::vector<TargetEvent> OnChanges(const std::vector<TargetRow> &rows, TimePoint now);
+
+	/** The store answers again. */
+	void OnStoreRegained(TimePoint now);
+
+	/** Time has passed. */
+	std::vector<TargetEvent> OnTick(TimePoint now);
+
+	/** @return Targets remembered. */
+	size_t Size() const { return this->entries.size(); }
+
+private:
+	/** One target. */
+	struct Entry {
+		ListedTarget target;          ///< As last seen.
+		bool departed = false;        ///< Said that it leaves: final.
+		bool missing = false;         ///< Its row is gone.
+		bool usable = true;           ///< As last told.
+		TimePoint missing_since;      ///< When its row went.
+		TimePoint usable_until;       ///< While its row is missing after an outage: used until then.
+	};
+
+	void Judge(Entry &entry, const char *source, bool changed, TimePoint now, std::vector<TargetEvent> &events);
+	void NoteMissing(Entry &entry, const char *source, TimePoint now, std::vector<TargetEvent> &events);
+	void Note(const ListedTarget &target, TimePoint now, std::vector<TargetEvent> &events);
+	void NoteAllMissing(const std::vector<Entry *> &gone, const char *source, TimePoint now, std::vector<TargetEvent> &events);
+
+	RegistryLimits limits;                ///< Times.
+	std::map<std::string, Entry> entries; ///< Targets by name.
+	TimePoint lapse_until;                ///< Until then missing rows may come back.
+};
+
+} // namespace cottonspool
--- a/src/decision/target_table.cpp
+++ b/src/decision/target_table.cpp
@@ -125,21 +125,22 @@
 	target.in_flight.emplace(call.id, std::move(flight));
 }
 
-void TargetTable::OnToken(TargetNumber number, CallId call, TimePoint now)
+void TargetTable::OnToken(TargetNumber number, CallId call, TimePoint now, uint32_t tokens)
 {
 	TargetState &target = this->targets[number.value];
 	auto found = target.in_flight.find(call);
 	if (found == target.in_flight.end()) return;
 	InFlightCall &flight = found->second;
 	if (flight.generated > 0) {
-		double interval = Seconds(now - flight.last_token);
+		double interval = Seconds(now - flight.last_token) / tokens;
 		target.interval = target.interval == 0 ? interval : target.interval + INTERVAL_SMOOTHING * (interval - target.interval);
 	}
 	flight.last_token = now;
-	flight.generated++;
-	target.own_tokens++;
-	double residual = std::max(0.0, flight.residual - 1);
-	if (flight.generated % RESIDUAL_REFRESH_TOKENS == 0) {
+	uint32_t before = flight.generated;
+	flight.generated += tokens;
+	target.own_tokens += tokens;
+	double residual = std::max(0.0, flight.residual - tokens);
+	if (before / RESIDUAL_REFRESH_TOKENS != flight.generated / RESIDUAL_REFRESH_TOKENS) {
 		residual = this->lengths.Residual(flight.call, flight.generated);
 		this->mean_residual += RESIDUAL_SMOOTHING * (residual - this->mean_residual);
 	}
@@ -147,6 +148,26 @@
 	flight.residual = residual;
 }
 
+void TargetTable::OnMoved(TargetNumber from, TargetNumber to, CallId call, TimePoint now)
+{
+	TargetState &source = this->targets[from.value];
+	TargetState &target = this->targets[to.value];
+	auto found = source.in_flight.find(call);
+	if (found == source.in_flight.end() || from == to) return;
+	InFlightCall flight = std::move(found->second);
+	source.in_flight.erase(found);
+	double held = flight.call.prompt_tokens + flight.generated;
+	source.own_tokens -= held;
+	source.own_residual -= flight.residual;
+	if (source.in_flight.empty()) source.own_tokens = source.own_residual = 0;
+	flight.sent = now;
+	flight.last_token = now;
+	target.own_tokens += held;
+	target.own_residual += flight.residual;
+	target.spent_since_report += held + target.growth * flight.residual;
+	target.in_flight.emplace(call, std::move(flight));
+}
+
 uint32_t TargetTable::OnEnded(TargetNumber number, CallId call, bool healthy, TimePoint now)
 {
 	TargetState &target = this->targets[number.value];
--- a/src/decision/target_table.h
+++ b/src/decision/target_table.h
@@ -93,8 +93,11 @@
 	/** This instance sends \a call to \a target. */
 	void OnSent(TargetNumber target, const CallSpec &call, TimePoint now);
 
-	/** A token of \a call came. */
-	void OnToken(TargetNumber target, CallId call, TimePoint now);
+	/** \a tokens of \a call came at once. */
+	void OnToken(TargetNumber target, CallId call, TimePoint now, uint32_t tokens = 1);
+
+	/** The run of \a call goes on at \a to instead of \a from. */
+	void OnMoved(TargetNumber from, TargetNumber to, CallId call, TimePoint now);
 
 	/** \a call has ended at \a target; \a healthy tells whether the target behaved. @return Tokens generated. */
 	uint32_t OnEnded(TargetNumber target, CallId call, bool healthy, TimePoint now);
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,308 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file gateway.cpp One instance on the platform: its life, its requests. */
+
+#include "gateway/gateway.h"
+#include "gateway/stream_relay.h"
+#include "metrics/log.h"
+#include "platform/wire_configuration.h"
+#include <fstream>
+#include <random>
+#include <sstream>
+#include <uv.h>
+
+namespace cottonspool {
+
+static constexpr Duration SETTINGS_LOOK = std::chrono::seconds(1);                 ///< Time between looks at the settings file.
+static constexpr Duration NOT_READY_RETRY_AFTER = std::chrono::milliseconds(400);  ///< When to come back while no configuration is known.
+static constexpr Duration STOPPING_RETRY_AFTER = std::chrono::milliseconds(50);    ///< When to come back, to another instance, while this one stops.
+static constexpr Duration LATEST_WHILE_STOPPING = std::chrono::milliseconds(5000); ///< Time limit above which a new request is not begun while stopping.
+static constexpr size_t ACCOUNT_SERIES = 64;                                       ///< Client accounts with metrics of their own.
+
+/** The tick's timer. */
+struct Gateway::Timer {
+	uv_timer_t timer{}; ///< libuv's timer.
+};
+
+/** @return A seed that no other process has. */
+static uint64_t RandomSeed()
+{
+	std::random_device device;
+	return (static_cast<uint64_t>(device()) << 32) ^ device();
+}
+
+/** @return The content of the file at \a path; empty if it cannot be read. */
+static std::string ReadFile(const std::string &path)
+{
+	std::ifstream in(path);
+	std::stringstream text;
+	text << in.rdbuf();
+	return text.str();
+}
+
+Gateway::Gateway(uv_loop_s *loop, NodeSettings given, std::string settings_path, GatewayLimits limits)
+    : limits(limits), upstream(loop), metrics(ACCOUNT_SERIES), dispatcher(limits.dispatch, MakeRouter("headroom", 0)), loop(loop),
+      settings(std::move(given)), settings_path(std::move(settings_path)), store(this->upstream, this->settings.store),
+      configuration_watch(this->store, CONFIGURATION_TABLE, limits.watch), target_watch(this->store, TARGET_TABLE, limits.watch),
+      registry(limits.registry), front(loop, [this](const std::shared_ptr<FrontExchange> &exchange) { this->HandleRequest(exchange); }),
+      readiness(loop, [this](const std::shared_ptr<FrontExchange> &exchange) { this->HandleReady(exchange); }),
+      figures(loop, [this](const std::shared_ptr<FrontExchange> &exchange) { this->HandleMetrics(exchange); }), random(RandomSeed()),
+      timer(std::make_unique<Timer>())
+{
+}
+
+Gateway::~Gateway() = default;
+
+Result<void> Gateway::Start()
+{
+	this->settings_text = ReadFile(this->settings_path);
+	BOOST_OUTCOME_TRYV(this->front.Listen(this->settings.front));
+	BOOST_OUTCOME_TRYV(this->readiness.Listen(this->settings.ready));
+	if (this->settings.first_port != 0) {
+		Endpoint at{this->settings.ip, this->settings.first_port};
+		BOOST_OUTCOME_TRYV(this->figures.Listen(at));
+	}
+	Log(LogLevel::Info, "started",
+	    {{"hall", this->settings.hall}, {"front", this->settings.front.Text()}, {"store", this->settings.store.Text()}});
+	this->WatchStore();
+	uv_timer_init(this->loop, &this->timer->timer);
+	this->timer->timer.data = this;
+	auto tick_ms = static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(this->limits.tick).count());
+	uv_timer_start(
+	        &this->timer->timer, [](uv_timer_t *t) { static_cast<Gateway *>(t->data)->OnTick(); }, tick_ms, tick_ms);
+	return outcome::success();
+}
+
+bool Gateway::IsReady() const
+{
+	return !this->stopping && this->routes.IsKnown() && this->target_watch.IsKnown();
+}
+
+void Gateway::HandleReady(const std::shared_ptr<FrontExchange> &exchange)
+{
+	if (!IsReadinessPath(exchange->head.target)) return exchange->Respond(404, {}, {});
+	exchange->Respond(this->IsReady() ? 200 : 503, {}, {});
+}
+
+void Gateway::HandleMetrics(const std::shared_ptr<FrontExchange> &exchange)
+{
+	this->metrics.Gauge("cottonspool_calls_in_flight", static_cast<double>(this->calls.size()));
+	this->metrics.Gauge("cottonspool_calls_waiting", static_cast<double>(this->dispatcher.Queue().Size()));
+	this->metrics.Gauge("cottonspool_connections", static_cast<double>(this->front.Connections()));
+	this->metrics.Gauge("cottonspool_configuration_version", static_cast<double>(this->routes.Configuration().version));
+	this->metrics.Gauge("cottonspool_store_calls", static_cast<double>(this->configuration_watch.Calls() + this->target_watch.Calls()));
+	this->metrics.Gauge("cottonspool_upstream_connects", static_cast<double>(this->upstream.Counters().connects));
+	this->metrics.Gauge("cottonspool_stray_answers", static_cast<double>(this->upstream.Counters().strays));
+	this->metrics.Gauge("cottonspool_log_lines_dropped", static_cast<double>(DroppedLogLines()));
+	exchange->Respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, this->metrics.Render());
+}
+
+void Gateway::Reject(const std::shared_ptr<FrontExchange> &exchange, const RequestInfo &info, int status, const char *reason,
+                     std::optional<Duration> retry_after)
+{
+	Log(LogLevel::Info, "refused",
+	    {{"request", info.attempt},
+	     {"status", std::to_string(status)},
+	     {"reason", reason},
+	     {"configuration", std::to_string(this->routes.Configuration().version)},
+	     {"confirmed_ms_ago", FormatMilliseconds(MonotonicNow() - this->configuration_watch.ConfirmedAt())},
+	     {"retry_after_ms", retry_after ? FormatMilliseconds(*retry_after) : ""}});
+	this->metrics.Count(std::string("cottonspool_requests_total{outcome=\"") + reason + "\"}");
+	exchange->Respond(status, OwnAnswerHeaders(info.attempt, retry_after), {});
+}
+
+bool Gateway::Admit(const std::shared_ptr<FrontExchange> &exchange, RelayRequest *request)
+{
+	const RequestInfo &info = request->info;
+	if (!this->routes.IsKnown() || !this->target_watch.IsKnown()) {
+		this->Reject(exchange, info, 503, "no-configuration", NOT_READY_RETRY_AFTER);
+		return false;
+	}
+	std::string_view host = FindHeader(exchange->head.headers, "host");
+	host = host.substr(0, host.find(':'));
+	std::string_view path = std::string_view(exchange->head.target).substr(0, exchange->head.target.find('?'));
+	const Route *route = this->routes.FindRoute(host, path);
+	if (route == nullptr) {
+		this->Reject(exchange, info, 404, "no-route", std::nullopt);
+		return false;
+	}
+	const ClientAccount *account = nullptr;
+	if (this->routes.CheckKey(*route, info.key, &account) == KeyVerdict::Unknown) {
+		this->Reject(exchange, info, 401, "unknown-key", std::nullopt);
+		return false;
+	}
+	if (info.attempt.empty()) {
+		this->Reject(exchange, info, 400, "no-id", std::nullopt);
+		return false;
+	}
+	request->route = *route;
+	request->account = account != nullptr ? account->name : "";
+	request->rank = account != nullptr && account->rank ? *account->rank : route->rank;
+	request->pool = RouteTable::ChoosePool(*route, std::uniform_real_distribution<double>(0, 1)(this->random));
+	if (const Pool *pool = this->routes.FindPool(request->pool); pool != nullptr && pool->engine) {
+		request->tokens_per_event = pool->engine->tokens_per_event;
+		request->can_move = pool->engine->can_move;
+		request->spec.generated = true;
+	} else {
+		request->spec.generated = false;
+	}
+	if (this->stopping && route->timeout > LATEST_WHILE_STOPPING) {
+		this->Reject(exchange, info, 503, "stopping", STOPPING_RETRY_AFTER);
+		return false;
+	}
+	return true;
+}
+
+void Gateway::FillSpec(RelayRequest *request, TimePoint now)
+{
+	const Route &route = request->route;
+	CallSpec &spec = request->spec;
+	Duration given = std::min(route.timeout, request->info.deadline.value_or(route.timeout));
+	request->ends_at = now + given;
+	spec.id = CallId{this->next_call++};
+	spec.account = this->accounts.Intern(request->account);
+	spec.model = this->pools.Intern(request->pool);
+	spec.service_class = static_cast<ServiceClass>(std::clamp(request->rank, 0, static_cast<int>(SERVICE_CLASS_COUNT) - 1));
+	spec.repeatable = route.kind == RunKind::Repeatable;
+	spec.max_attempts = route.max_attempts;
+	spec.arrived = now;
+	spec.deadline = std::min(request->ends_at, now + FromSeconds(Seconds(route.objective) * this->limits.wait_part));
+	spec.press_from = now + FromSeconds(Seconds(route.objective) * this->limits.press_part);
+	if (spec.generated) {
+		spec.prompt_tokens = std::max<uint32_t>(1, request->info.prompt_tokens);
+		spec.max_tokens = request->info.most_output_tokens;
+	}
+	spec.halls.push_back({this->settings.hall, 1});
+	for (const std::string &hall : this->settings.halls) {
+		if (hall != this->settings.hall) spec.halls.push_back({hall, 1});
+	}
+}
+
+void Gateway::HandleRequest(const std::shared_ptr<FrontExchange> &exchange)
+{
+	RelayRequest request;
+	request.info = ReadRequest(exchange->head);
+	if (!this->Admit(exchange, &request)) return;
+	this->FillSpec(&request, exchange->read_at);
+	this->Begin(exchange, std::move(request));
+}
+
+void Gateway::Begin(const std::shared_ptr<FrontExchange> &exchange, RelayRequest request)
+{
+	Log(LogLevel::Info, "received",
+	    {{"request", request.info.attempt},
+	     {"route", request.route.name},
+	     {"pool", request.pool},
+	     {"account", request.account},
+	     {"rank", std::to_string(request.rank)},
+	     {"prompt_tokens", std::to_string(request.info.prompt_tokens)},
+	     {"limit_ms", FormatMilliseconds(request.ends_at - request.spec.arrived)},
+	     {"configuration", std::to_string(this->routes.Configuration().version)}});
+	CallId id = request.spec.id;
+	std::shared_ptr<RelayCall> call;
+	if (request.route.kind == RunKind::Stream) {
+		call = std::make_shared<StreamRelay>(*this, exchange, std::move(request));
+	} else {
+		call = std::make_shared<PlainRelay>(*this, exchange, std::move(request));
+	}
+	this->calls.emplace(id, call);
+	call->Begin(MonotonicNow());
+}
+
+void Gateway::Carry(Decisions decisions)
+{
+	this->to_carry.push_back(std::move(decisions));
+	if (this->carrying) return;
+	this->carrying = true;
+	while (!this->to_carry.empty()) {
+		Decisions next = std::move(this->to_carry.front());
+		this->to_carry.pop_front();
+		for (const SendAction &action : next.sends) {
+			auto found = this->calls.find(action.call);
+			std::shared_ptr<RelayCall> call = found == this->calls.end() ? nullptr : found->second;
+			if (call) call->OnSend(action);
+		}
+		for (const GiveUpAction &action : next.give_ups) {
+			auto found = this->calls.find(action.call);
+			std::shared_ptr<RelayCall> call = found == this->calls.end() ? nullptr : found->second;
+			if (call) call->OnGiveUp(action);
+		}
+	}
+	this->carrying = false;
+}
+
+void Gateway::OnCallOver(CallId call)
+{
+	this->calls.erase(call);
+}
+
+void Gateway::OnTick()
+{
+	TimePoint now = MonotonicNow();
+	this->upstream.OnTick(now);
+	this->front.OnTick(now);
+	this->readiness.OnTick(now);
+	this->configuration_watch.OnTick(now);
+	this->target_watch.OnTick(now);
+	this->OnTargetEvents(this->registry.OnTick(now), now);
+	this->PollReports(now);
+	this->Carry(this->dispatcher.OnTick(now));
+	std::vector<std::shared_ptr<RelayCall>> all;
+	all.reserve(this->calls.size());
+	for (const auto &[id, call] : this->calls) all.push_back(call);
+	for (const auto &call : all) call->OnTick(now);
+	if (now - this->settings_checked > SETTINGS_LOOK) {
+		this->settings_checked = now;
+		if (ReadFile(this->settings_path) != this->settings_text) this->Reload();
+	}
+	if (this->stopping) this->FinishStopping(now);
+	FlushLog();
+}
+
+void Gateway::Reload()
+{
+	std::string text = ReadFile(this->settings_path);
+	Result<NodeSettings> read = ParseNodeSettings(text, this->settings_path);
+	this->settings_text = text;
+	if (!read) return Log(LogLevel::Error, "reload-refused", {{"error", FormatError(read.error())}});
+	// Addresses that are listened on stay as they are until the process starts anew.
+	this->settings.bounds = read.value().bounds;
+	this->settings.halls = read.value().halls;
+	this->settings.heartbeat = read.value().heartbeat;
+	if (!(this->settings.store == read.value().store)) {
+		this->settings.store = read.value().store;
+		this->store.SetAddress(this->settings.store);
+		this->upstream.Drop(WireStore::PEER);
+	}
+	Log(LogLevel::Info, "reloaded", {{"store", this->settings.store.Text()}});
+}
+
+void Gateway::Stop()
+{
+	if (this->stopping) {
+		this->stop_begun = TimePoint{};
+		return this->FinishStopping(MonotonicNow());
+	}
+	this->stopping = true;
+	this->stop_begun = MonotonicNow();
+	this->front.BeginClosing();
+	Log(LogLevel::Info, "stopping", {{"in_flight", std::to_string(this->calls.size())}});
+}
+
+void Gateway::FinishStopping(TimePoint now)
+{
+	Duration since = now - this->stop_begun;
+	bool at_once = since >= this->settings.bounds.stop_grace - this->limits.stop_margin;
+	bool done = this->calls.empty() && since >= this->limits.stop_notice;
+	if (!at_once && !done) return;
+	std::vector<std::shared_ptr<RelayCall>> all;
+	for (const auto &[id, call] : this->calls) all.push_back(call);
+	this->cut_calls += all.size();
+	for (const auto &call : all) call->Cut();
+	this->front.StopListening();
+	Log(LogLevel::Info, "stopped", {{"cut", std::to_string(this->cut_calls)}});
+	FlushLog();
+	uv_stop(this->loop);
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,123 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file gateway.h One instance on the operators' platform: the loop's shells around the decisions. */
+
+#pragma once
+
+#include "core/name_table.h"
+#include "gateway/relay_call.h"
+#include "metrics/metrics.h"
+#include "platform/node_settings.h"
+#include "platform/wire_engine.h"
+#include "platform/wire_store.h"
+#include <pcg_random.hpp>
+
+namespace cottonspool {
+
+/** One instance on the platform. All its work is done on one loop's thread. */
+class Gateway {
+public:
+	Gateway(uv_loop_s *loop, NodeSettings settings, std::string settings_path, GatewayLimits limits);
+	~Gateway();
+	Gateway(const Gateway &) = delete;
+	Gateway &operator=(const Gateway &) = delete;
+
+	/** Listen, begin to read the store, serve once a configuration is known. */
+	Result<void> Start();
+
+	/** Begin to stop: fail readiness, finish what is in flight, then end the loop. A second call ends at once. */
+	void Stop();
+
+	/** The settings file may have changed: read it again. */
+	void Reload();
+
+	/** Carry out decisions of the dispatcher. */
+	void Carry(Decisions decisions);
+
+	/** The final answer of \a call has been given. */
+	void OnCallOver(CallId call);
+
+	/** A target told its load with an answer. */
+	void OnLoadTold(TargetNumber target, const TargetLoad &load);
+
+	/** @return Where \a target is. */
+	const Endpoint &AddressOf(TargetNumber target) const { return this->records[target.value].address; }
+
+	/** @return Limits on callers that are in force. */
+	const FrontLimits &FrontLimitsInForce() const { return this->front.limits; }
+
+	/** @return Requests cut by the end of the process. */
+	size_t CutCalls() const { return this->cut_calls; }
+
+	GatewayLimits limits;    ///< Times and bounds.
+	HttpUpstream upstream;   ///< Calls to targets and to the store.
+	Metrics metrics;         ///< Figures.
+	Dispatcher dispatcher;   ///< Decisions.
+
+private:
+	/** What the gateway keeps of one target beside what the dispatcher knows. */
+	struct TargetRecord {
+		Endpoint address;         ///< Where it is.
+		std::string pool;         ///< Its pool.
+		bool engine = false;      ///< It tells reports.
+		uint64_t reports = 0;     ///< Reports taken in.
+		TimePoint next_report;    ///< When the next one is asked for.
+		TimePoint report_limit;   ///< When the one under way is given up.
+		uint64_t report_call = 0; ///< Call under way; 0 for none.
+	};
+
+	void HandleRequest(const std::shared_ptr<FrontExchange> &exchange);
+	void HandleReady(const std::shared_ptr<FrontExchange> &exchange);
+	void HandleMetrics(const std::shared_ptr<FrontExchange> &exchange);
+	void Reject(const std::shared_ptr<FrontExchange> &exchange, const RequestInfo &info, int status, const char *reason,
+	            std::optional<Duration> retry_after);
+	bool Admit(const std::shared_ptr<FrontExchange> &exchange, RelayRequest *request);
+	void FillSpec(RelayRequest *request, TimePoint now);
+	void Begin(const std::shared_ptr<FrontExchange> &exchange, RelayRequest request);
+
+	void WatchStore();
+	void OnConfigurationRows(const std::vector<StoredRow> &rows, TimePoint now);
+	void ApplyConfiguration(ServingConfiguration configuration);
+	void OnTargetRows(const std::vector<StoredRow> &rows, bool all, TimePoint now);
+	void OnTargetEvents(const std::vector<TargetEvent> &events, TimePoint now);
+	void UseTarget(const ListedTarget &target);
+	void LeaveTarget(const ListedTarget &target, const char *source, TimePoint now);
+	void RefreshTargets();
+	void PollReports(TimePoint now);
+	void PollReport(TargetNumber target, TimePoint now);
+	void OnReport(TargetNumber target, const std::optional<EngineReport> &report);
+
+	void OnTick();
+	void FinishStopping(TimePoint now);
+	bool IsReady() const;
+
+	uv_loop_s *loop;                                                            ///< Loop.
+	NodeSettings settings;                                                      ///< Settings.
+	std::string settings_path;                                                  ///< File that they are in.
+	WireStore store;                                                            ///< Platform's store.
+	TableWatch configuration_watch;                                             ///< Follows the configuration.
+	TableWatch target_watch;                                                    ///< Follows the targets.
+	RouteTable routes;                                                          ///< Configuration in force.
+	TargetRegistry registry;                                                    ///< Targets as listed.
+	std::vector<TargetRecord> records;                                          ///< Targets by number.
+	std::map<std::string, ListedTarget> usable;                                 ///< Targets in use by name.
+	NameTable<ModelNumber> pools;                                               ///< Numbers of pools.
+	NameTable<AccountNumber> accounts;                                          ///< Numbers of client accounts.
+	HttpFront front;                                                            ///< Callers.
+	HttpFront readiness;                                                        ///< Platform's balancer.
+	HttpFront figures;                                                          ///< Metrics.
+	pcg64 random;                                                               ///< Randomness of choices.
+	std::unordered_map<CallId, std::shared_ptr<RelayCall>, StrongIdHash> calls; ///< Requests not yet answered.
+	std::deque<Decisions> to_carry;                                             ///< Decisions not yet carried out.
+	bool carrying = false;                                                      ///< Decisions are being carried out.
+	uint64_t next_call = 1;                                                     ///< Number of the next request.
+	bool stopping = false;                                                      ///< Stop() was called.
+	TimePoint stop_begun;                                                       ///< When.
+	TimePoint settings_checked;                                                 ///< When the settings file was last looked at.
+	std::string settings_text;                                                  ///< Its content.
+	size_t cut_calls = 0;                                                       ///< Requests cut by the end.
+	struct Timer;
+	std::unique_ptr<Timer> timer; ///< The tick.
+};
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/gateway/gateway_targets.cpp
@@ -0,0 +1,202 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file gateway_targets.cpp What a gateway learns from the store and from targets. */
+
+#include "core/hash_func.h"
+#include "gateway/gateway.h"
+#include "metrics/log.h"
+#include "platform/wire_configuration.h"
+#include "platform/wire_engine.h"
+#include <random>
+
+namespace cottonspool {
+
+static constexpr double REPORT_JITTER = 0.3; ///< Part of the time between reports by which each is moved, so that instances don't ask together.
+
+void Gateway::WatchStore()
+{
+	TimePoint now = MonotonicNow();
+	auto lost = [](const char *table) {
+		return [table](const RowsAnswer &answer, TimePoint) {
+			Log(LogLevel::Warning, "store-lost",
+			    {{"table", table}, {"failure", StoreFailureName(answer.failure)}, {"cause", answer.cause}});
+		};
+	};
+	this->configuration_watch.on_lost = lost("configuration");
+	this->target_watch.on_lost = lost("targets");
+	this->configuration_watch.on_regained = [](Duration away, TimePoint) {
+		Log(LogLevel::Info, "store-regained", {{"table", "configuration"}, {"away_ms", FormatMilliseconds(away)}});
+	};
+	this->target_watch.on_regained = [this](Duration away, TimePoint at) {
+		Log(LogLevel::Info, "store-regained", {{"table", "targets"}, {"away_ms", FormatMilliseconds(away)}});
+		this->registry.OnStoreRegained(at);
+	};
+	auto configuration = [this](const std::vector<StoredRow> &rows, TimePoint at) { this->OnConfigurationRows(rows, at); };
+	this->configuration_watch.on_all = configuration;
+	this->configuration_watch.on_changes = configuration;
+	this->target_watch.on_all = [this](const std::vector<StoredRow> &rows, TimePoint at) { this->OnTargetRows(rows, true, at); };
+	this->target_watch.on_changes = [this](const std::vector<StoredRow> &rows, TimePoint at) { this->OnTargetRows(rows, false, at); };
+	this->configuration_watch.Start(now);
+	this->target_watch.Start(now);
+}
+
+void Gateway::OnConfigurationRows(const std::vector<StoredRow> &rows, TimePoint)
+{
+	// Several versions may come at once: only the newest is worth reading.
+	const StoredRow *newest = nullptr;
+	for (const StoredRow &row : rows) {
+		if (!IsConfigurationKey(row.key) || row.deleted) continue;
+		if (newest == nullptr || row.version >= newest->version) newest = &row;
+	}
+	if (newest == nullptr) return;
+	Result<ServingConfiguration> decoded = DecodeConfiguration(newest->value);
+	if (!decoded) return Log(LogLevel::Error, "configuration-unreadable", {{"error", FormatError(decoded.error())}});
+	this->ApplyConfiguration(std::move(decoded.value()));
+}
+
+void Gateway::ApplyConfiguration(ServingConfiguration configuration)
+{
+	uint64_t before = this->routes.Configuration().version;
+	uint64_t version = configuration.version;
+	if (!this->routes.Apply(std::move(configuration))) {
+		return Log(LogLevel::Info, "configuration-older", {{"in_force", std::to_string(before)}, {"seen", std::to_string(version)}});
+	}
+	const ServingConfiguration &now_in_force = this->routes.Configuration();
+	this->front.limits.max_head_bytes = now_in_force.limits.max_head_bytes;
+	this->front.limits.max_body_bytes = now_in_force.limits.max_body_bytes;
+	this->front.limits.head_timeout = now_in_force.limits.head_timeout;
+	this->front.limits.idle_timeout = now_in_force.limits.idle_timeout;
+	Log(LogLevel::Info, "configuration",
+	    {{"version", std::to_string(version)},
+	     {"before", std::to_string(before)},
+	     {"routes", std::to_string(now_in_force.routes.size())},
+	     {"accounts", std::to_string(now_in_force.accounts.size())}});
+	this->RefreshTargets();
+}
+
+void Gateway::RefreshTargets()
+{
+	for (const auto &[id, target] : this->usable) this->UseTarget(target);
+}
+
+void Gateway::OnTargetRows(const std::vector<StoredRow> &rows, bool all, TimePoint now)
+{
+	std::vector<TargetRow> decoded;
+	for (const StoredRow &row : rows) {
+		Result<TargetRow> target = DecodeTargetRow(row);
+		if (target) {
+			decoded.push_back(std::move(target.value()));
+		} else {
+			Log(LogLevel::Warning, "target-unreadable", {{"error", FormatError(target.error())}});
+		}
+	}
+	this->OnTargetEvents(all ? this->registry.OnAll(decoded, now) : this->registry.OnChanges(decoded, now), now);
+}
+
+void Gateway::OnTargetEvents(const std::vector<TargetEvent> &events, TimePoint now)
+{
+	for (const TargetEvent &event : events) {
+		if (event.change == TargetChange::Leaving) {
+			this->LeaveTarget(event.target, event.source, now);
+			continue;
+		}
+		this->usable[event.target.id] = event.target;
+		this->UseTarget(event.target);
+		Log(LogLevel::Info, "target-usable",
+		    {{"target", event.target.id}, {"pool", event.target.pool}, {"hall", event.target.hall}, {"source", event.source}});
+	}
+	if (!events.empty()) this->Carry(this->dispatcher.OnTick(now));
+}
+
+void Gateway::UseTarget(const ListedTarget &listed)
+{
+	Result<Endpoint> address = ParseEndpoint(listed.address);
+	if (!address) return Log(LogLevel::Warning, "target-unreadable", {{"target", listed.id}, {"error", FormatError(address.error())}});
+	const Pool *pool = this->routes.FindPool(listed.pool);
+	bool engine = pool != nullptr && pool->engine;
+	TargetTable &targets = this->dispatcher.Targets();
+	TargetNumber number = targets.Configure(listed.id, listed.hall, {this->pools.Intern(listed.pool)}, engine);
+	targets.ClearLeaving(number);
+	targets.SetUnreported(number, engine ? pool->engine->memory_tokens : listed.slots);
+	if (this->records.size() <= number.value) this->records.resize(number.value + 1);
+	TargetRecord &record = this->records[number.value];
+	record.address = address.value();
+	record.pool = listed.pool;
+	record.engine = engine;
+}
+
+void Gateway::LeaveTarget(const ListedTarget &listed, const char *source, TimePoint now)
+{
+	this->usable.erase(listed.id);
+	std::optional<TargetNumber> number = this->dispatcher.Targets().Find(listed.id);
+	Log(LogLevel::Info, "target-leaving",
+	    {{"target", listed.id},
+	     {"pool", listed.pool},
+	     {"source", source},
+	     {"own_calls", number ? std::to_string(this->dispatcher.Targets().Get(*number).in_flight.size()) : "0"}});
+	if (!number) return;
+	this->dispatcher.Targets().MarkLeaving(*number);
+	this->dispatcher.Targets().Forget(*number);
+	this->upstream.Drop(listed.id);
+	for (CallId id : this->dispatcher.CallsAt(*number)) {
+		auto found = this->calls.find(id);
+		std::shared_ptr<RelayCall> call = found == this->calls.end() ? nullptr : found->second;
+		if (call) call->OnTargetLeaving(now);
+	}
+}
+
+void Gateway::OnLoadTold(TargetNumber number, const TargetLoad &load)
+{
+	TargetRecord &record = this->records[number.value];
+	if (record.engine || load.slots == 0) return;
+	LoadReport report;
+	report.sequence = ++record.reports;
+	report.capacity_tokens = load.slots;
+	report.used_tokens = load.running;
+	report.running = load.running;
+	report.waiting = load.waiting;
+	this->Carry(this->dispatcher.OnReport(number, report, MonotonicNow()));
+}
+
+void Gateway::PollReports(TimePoint now)
+{
+	for (const auto &[id, listed] : this->usable) {
+		std::optional<TargetNumber> number = this->dispatcher.Targets().Find(id);
+		if (!number || !this->records[number->value].engine) continue;
+		TargetRecord &record = this->records[number->value];
+		if (record.report_call != 0 && now >= record.report_limit) {
+			this->upstream.Cancel(record.report_call);
+			record.report_call = 0;
+		}
+		if (record.report_call == 0 && now >= record.next_report) this->PollReport(*number, now);
+	}
+}
+
+void Gateway::PollReport(TargetNumber number, TimePoint now)
+{
+	TargetRecord &record = this->records[number.value];
+	const std::string &name = this->dispatcher.Targets().Get(number).name;
+	double jitter = std::uniform_real_distribution<double>(1 - REPORT_JITTER, 1 + REPORT_JITTER)(this->random);
+	record.next_report = now + FromSeconds(Seconds(this->limits.report_poll) * jitter);
+	record.report_limit = now + this->limits.report_limit;
+	record.report_call = this->upstream.Start(
+	        MakeReportCall(record.address, name, [this, number](const std::optional<EngineReport> &report) { this->OnReport(number, report); }));
+}
+
+void Gateway::OnReport(TargetNumber number, const std::optional<EngineReport> &told)
+{
+	TargetRecord &record = this->records[number.value];
+	record.report_call = 0;
+	if (!told || told->memory_tokens == 0) return;
+	LoadReport report;
+	report.sequence = ++record.reports;
+	report.capacity_tokens = told->memory_tokens;
+	report.used_tokens = told->used_tokens;
+	report.running = told->running;
+	report.waiting = told->waiting;
+	report.waiting_tokens = told->waiting_tokens;
+	report.age = this->limits.report_age;
+	this->Carry(this->dispatcher.OnReport(number, report, MonotonicNow()));
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/gateway/relay_call.cpp
@@ -0,0 +1,268 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file relay_call.cpp One caller's request: what plain requests and streams share. */
+
+#include "gateway/gateway.h"
+#include "metrics/log.h"
+#include <algorithm>
+#include <cmath>
+
+namespace cottonspool {
+
+static constexpr Duration LEAST_RETRY_AFTER = std::chrono::milliseconds(50); ///< Least time told to come back after.
+
+RelayCall::RelayCall(Gateway &gateway, std::shared_ptr<FrontExchange> exchange, RelayRequest request)
+    : gateway(gateway), exchange(std::move(exchange)), request(std::move(request))
+{
+}
+
+void RelayCall::Begin(TimePoint now)
+{
+	std::weak_ptr<RelayCall> weak = this->weak_from_this();
+	this->exchange->on_gone = [weak] {
+		if (auto self = weak.lock()) self->OnCallerGone();
+	};
+	this->gateway.Carry(this->gateway.dispatcher.Submit(this->request.spec, now));
+}
+
+void RelayCall::OnSend(const SendAction &action)
+{
+	if (this->over) return;
+	TimePoint now = MonotonicNow();
+	this->target = action.target;
+	this->attempts++;
+	this->sent_at = now;
+	this->LogSend(now);
+	this->link = this->StartUpstream(action.target, std::nullopt);
+}
+
+void RelayCall::LogSend(TimePoint now)
+{
+	const TargetState &state = this->gateway.dispatcher.Targets().Get(*this->target);
+	Duration age = state.report.sequence == 0 ? Duration(0) : now - state.report_at;
+	Log(LogLevel::Info, "sent",
+	    {{"request", this->request.info.attempt},
+	     {"target", state.name},
+	     {"hall", state.hall},
+	     {"attempt", std::to_string(this->attempts)},
+	     {"waited_ms", FormatMilliseconds(now - this->request.spec.arrived)},
+	     {"pressure", FormatNumber(this->gateway.dispatcher.Targets().Pressure(state))},
+	     {"own_calls", std::to_string(state.in_flight.size())},
+	     {"report_age_ms", FormatMilliseconds(age)}});
+}
+
+uint64_t RelayCall::StartUpstream(TargetNumber number, std::optional<ResumePoint> resume)
+{
+	TimePoint now = MonotonicNow();
+	const TargetState &state = this->gateway.dispatcher.Targets().Get(number);
+	SendInfo info;
+	info.remaining = this->request.ends_at - now;
+	info.target = state.name;
+	info.account = this->request.account;
+	if (state.engine) info.urgency = std::clamp(this->request.rank, 0, 9);
+	info.resume = std::move(resume);
+	UpstreamCall call;
+	call.to = this->gateway.AddressOf(number);
+	call.peer = state.name;
+	call.method = this->exchange->head.method;
+	call.target = this->exchange->head.target;
+	call.headers = HeadersForTarget(this->exchange->head.headers, info);
+	call.body = this->exchange->body;
+	call.connect_limit = this->gateway.limits.connect;
+	if (this->request.route.kind != RunKind::Repeatable) call.reuse_rest = this->gateway.limits.reuse_once;
+	std::weak_ptr<RelayCall> weak = this->weak_from_this();
+	auto call_number = std::make_shared<uint64_t>(0);
+	call.on_head = [weak, number = call_number](const HttpHead &head) {
+		auto self = weak.lock();
+		return self && self->OnHead(*number, head);
+	};
+	call.on_body = [weak, number = call_number](std::string_view bytes) {
+		if (auto self = weak.lock()) self->OnBody(*number, bytes);
+	};
+	call.on_end = [weak, number = call_number](UpstreamEnd end, const char *cause) {
+		if (auto self = weak.lock()) self->OnEnd(*number, end, cause);
+	};
+	*call_number = this->gateway.upstream.Start(std::move(call));
+	return *call_number;
+}
+
+bool RelayCall::IsMine(const HttpHead &head) const
+{
+	AnswerInfo info = ReadAnswer(head);
+	if (info.attempt.empty()) return head.status / 100 != 2;
+	return info.attempt == this->request.info.attempt;
+}
+
+Duration RelayCall::RetryAfter(Duration wanted) const
+{
+	Duration left = this->request.ends_at - MonotonicNow();
+	return std::max(LEAST_RETRY_AFTER, std::min(wanted, left / 3));
+}
+
+void RelayCall::OnGiveUp(const GiveUpAction &action)
+{
+	this->target.reset();
+	if (this->over || this->DeliverInstead()) return;
+	const char *reason = GiveUpReasonName(action.reason);
+	if (this->doubtful) return this->Fail(502, reason);
+	this->Fail(503, reason, this->RetryAfter(action.retry_after));
+}
+
+void RelayCall::OnTick(TimePoint now)
+{
+	if (this->over || now + this->gateway.limits.answer_slack < this->request.ends_at) return;
+	// The last moment for an answer: what was sent may have run, what was not has not.
+	bool sent = this->target.has_value();
+	if (this->link != 0) this->gateway.upstream.Cancel(this->link);
+	this->link = 0;
+	if (!sent) this->gateway.dispatcher.Withdraw(this->request.spec.id);
+	if (sent) this->EndSend(SendEnd::LostAfterUse);
+	if (this->over) return;
+	bool may_have_run = sent || this->doubtful;
+	this->Fail(may_have_run ? 504 : 503, "time-limit", may_have_run ? std::nullopt : std::optional(this->RetryAfter(LEAST_RETRY_AFTER)));
+}
+
+void RelayCall::Cut()
+{
+	if (this->over) return;
+	if (this->link != 0) this->gateway.upstream.Cancel(this->link);
+	this->link = 0;
+	bool sent = this->target.has_value() || this->doubtful;
+	this->Fail(sent ? 502 : 503, "instance-stops", sent ? std::nullopt : std::optional(LEAST_RETRY_AFTER));
+}
+
+void RelayCall::Fail(int status, const char *reason, std::optional<Duration> retry_after)
+{
+	if (this->over) return;
+	if (this->exchange->IsStarted()) {
+		this->exchange->Abort();
+		return this->Conclude(reason, 0);
+	}
+	this->exchange->Respond(status, OwnAnswerHeaders(this->request.info.attempt, retry_after), {});
+	this->Conclude(reason, status);
+}
+
+void RelayCall::Conclude(const char *outcome, int status)
+{
+	if (this->over) return;
+	this->over = true;
+	this->exchange->on_gone = nullptr;
+	this->exchange->on_drained = nullptr;
+	Duration took = MonotonicNow() - this->request.spec.arrived;
+	Log(LogLevel::Info, "finished",
+	    {{"request", this->request.info.attempt},
+	     {"route", this->request.route.name},
+	     {"outcome", outcome},
+	     {"status", std::to_string(status)},
+	     {"ran", this->target || this->doubtful ? "maybe" : "no"},
+	     {"attempts", std::to_string(this->attempts)},
+	     {"ms", FormatMilliseconds(took)}});
+	this->gateway.metrics.Count(std::string("cottonspool_requests_total{outcome=\"") + outcome + "\"}");
+	this->gateway.OnCallOver(this->request.spec.id);
+}
+
+void RelayCall::EndSend(SendEnd end)
+{
+	if (!this->target) return;
+	if (end == SendEnd::Lost || end == SendEnd::Failed) this->doubtful = true;
+	bool ends_here = end != SendEnd::NotRun && end != SendEnd::NotSent && end != SendEnd::Lost && end != SendEnd::Failed;
+	if (!ends_here) this->target.reset();
+	this->gateway.Carry(this->gateway.dispatcher.OnSendEnded(this->request.spec.id, end, MonotonicNow()));
+}
+
+void RelayCall::OnCallerGone()
+{
+	if (this->over) return;
+	auto keep = this->shared_from_this();
+	if (this->link != 0) this->gateway.upstream.Cancel(this->link);
+	this->link = 0;
+	this->OnGone();
+	if (this->target) {
+		this->EndSend(SendEnd::CallerGone);
+	} else {
+		this->gateway.dispatcher.Withdraw(this->request.spec.id);
+	}
+	this->Conclude("caller-gone", 0);
+}
+
+bool PlainRelay::OnHead(uint64_t, const HttpHead &head)
+{
+	if (!this->IsMine(head)) return false;
+	this->answer = Answer{head, ReadAnswer(head), {}};
+	if (this->answer.info.load) this->gateway.OnLoadTold(*this->target, *this->answer.info.load);
+	return true;
+}
+
+void PlainRelay::OnBody(uint64_t, std::string_view bytes)
+{
+	if (this->over) return;
+	if (this->passing) return this->exchange->Write(bytes);
+	this->answer.body.append(bytes);
+	bool success = this->answer.head.status / 100 == 2 && this->answer.info.stamped;
+	if (this->answer.body.size() <= this->gateway.limits.max_answer_bytes || !success) return;
+	this->passing = true;
+	this->exchange->Start(this->answer.head.status, HeadersForCaller(this->answer.head.headers), this->answer.head.length, this->answer.head.reason);
+	this->exchange->Write(this->answer.body);
+	this->answer.body.clear();
+}
+
+void PlainRelay::OnEnd(uint64_t, UpstreamEnd end, const char *cause)
+{
+	auto keep = this->shared_from_this();
+	this->link = 0;
+	if (this->over) return;
+	if (end == UpstreamEnd::Complete) return this->OnWhole();
+	Log(LogLevel::Info, "send-ended",
+	    {{"request", this->request.info.attempt},
+	     {"target", this->gateway.dispatcher.Targets().Get(*this->target).name},
+	     {"sent", end == UpstreamEnd::NotSent ? "no" : "maybe"},
+	     {"cause", cause}});
+	if (end == UpstreamEnd::NotSent) return this->EndSend(SendEnd::NotSent);
+	this->EndSend(SendEnd::Lost);
+	if (this->request.spec.repeatable && !this->passing) return;
+	this->Fail(502, "answer-lost");
+}
+
+void PlainRelay::OnWhole()
+{
+	const AnswerInfo &info = this->answer.info;
+	int status = this->answer.head.status;
+	if (this->passing) {
+		this->exchange->Finish();
+		this->EndSend(SendEnd::Complete);
+		return this->Conclude("answered", status);
+	}
+	if (info.not_run) {
+		this->EndSend(SendEnd::NotRun);
+		return;
+	}
+	bool unusable = status / 100 == 2 && !info.stamped;
+	// Only the target's own word says that it has not run the request: its status alone must not promise that to the caller.
+	bool promises = status == 503 || status == 429 || status == 408 || status == 421;
+	if (!unusable && !promises && status < 500) return this->Deliver(this->answer);
+	if (!unusable && !promises) this->kept = this->answer;
+	this->EndSend(SendEnd::Failed);
+	if (this->over || this->request.spec.repeatable) return;
+	if (!this->DeliverInstead()) this->Fail(502, "answer-unusable");
+}
+
+bool PlainRelay::DeliverInstead()
+{
+	if (!this->kept || this->over) return false;
+	Answer last = std::move(*this->kept);
+	this->kept.reset();
+	this->exchange->Respond(last.head.status, HeadersForCaller(last.head.headers), last.body, last.head.reason);
+	this->Conclude("answered", last.head.status);
+	return true;
+}
+
+void PlainRelay::Deliver(const Answer &whole)
+{
+	this->exchange->Respond(whole.head.status, HeadersForCaller(whole.head.headers), whole.body, whole.head.reason);
+	this->gateway.metrics.Observe(Measure::ServiceSeconds, this->request.account, this->request.spec.service_class,
+	                              Seconds(MonotonicNow() - this->request.spec.arrived));
+	this->EndSend(SendEnd::Complete);
+	this->Conclude("answered", whole.head.status);
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/gateway/relay_call.h
@@ -0,0 +1,124 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file relay_call.h One caller's request on its way to a target and back: what plain requests and streams share. */
+
+#pragma once
+
+#include "gateway/gateway_type.h"
+#include "net/http_front.h"
+#include "net/http_upstream.h"
+
+namespace cottonspool {
+
+class Gateway;
+
+/** One caller's request from its arrival to its final answer. */
+class RelayCall : public std::enable_shared_from_this<RelayCall> {
+public:
+	RelayCall(Gateway &gateway, std::shared_ptr<FrontExchange> exchange, RelayRequest request);
+	virtual ~RelayCall() = default;
+
+	/** Hand it to the dispatcher. */
+	void Begin(TimePoint now);
+
+	/** The dispatcher says: send it. */
+	void OnSend(const SendAction &action);
+
+	/** The dispatcher says: give it up. */
+	void OnGiveUp(const GiveUpAction &action);
+
+	/** Some time has passed. */
+	virtual void OnTick(TimePoint now);
+
+	/** The target that holds it gets nothing new any more. */
+	virtual void OnTargetLeaving(TimePoint) {}
+
+	/** The process ends: break off what cannot be finished. */
+	void Cut();
+
+	/** @return Whether the final answer has been given, or the caller is gone. */
+	bool IsOver() const { return this->over; }
+
+	/** @return What the dispatcher knows of it. */
+	const CallSpec &Spec() const { return this->request.spec; }
+
+	/** @return What the caller asked for. */
+	const RelayRequest &Request() const { return this->request; }
+
+protected:
+	/** The head of a target's answer came on the call \a from. @return False if the answer belongs to another request. */
+	virtual bool OnHead(uint64_t from, const HttpHead &head) = 0;
+
+	/** A part of the answer's body came on the call \a from. */
+	virtual void OnBody(uint64_t from, std::string_view bytes) = 0;
+
+	/** The call \a from to a target is over. */
+	virtual void OnEnd(uint64_t from, UpstreamEnd end, const char *cause) = 0;
+
+	/** It was given up while an answer of a target is at hand: @return Whether that was delivered instead. */
+	virtual bool DeliverInstead() { return false; }
+
+	/** The caller left: let go of everything beside the call to the target. */
+	virtual void OnGone() {}
+
+	/** Start the call to \a target. @param resume Where the run goes on from, if it was moved. */
+	uint64_t StartUpstream(TargetNumber target, std::optional<ResumePoint> resume);
+
+	/** Answer with a status of our own, if no answer has begun; break the answer off otherwise. */
+	void Fail(int status, const char *reason, std::optional<Duration> retry_after = std::nullopt);
+
+	/** The final answer was given. */
+	void Conclude(const char *outcome, int status);
+
+	/** Tell the dispatcher how the send ended, and carry out what it decides. */
+	void EndSend(SendEnd end);
+
+	/** @return Whether \a head answers this request; an answer without an id is taken only when it tells a failure. */
+	bool IsMine(const HttpHead &head) const;
+
+	/** @return When a refused caller should come back: at most a third of what is left to it. */
+	Duration RetryAfter(Duration wanted) const;
+
+	Gateway &gateway;                        ///< Gateway.
+	std::shared_ptr<FrontExchange> exchange; ///< Caller.
+	RelayRequest request;                    ///< What it asks for.
+	std::optional<TargetNumber> target;      ///< Target that has it; nothing while it waits.
+	uint64_t link = 0;                       ///< Call to the target; 0 for none.
+	uint32_t attempts = 0;                   ///< Sends so far.
+	TimePoint sent_at;                       ///< When it was last sent.
+	bool doubtful = false;                   ///< Some send ended in doubt: it may have run.
+	bool over = false;                       ///< Final answer given, or caller gone.
+
+private:
+	void OnCallerGone();
+	void LogSend(TimePoint now);
+};
+
+/** A request whose answer is held until it is whole. */
+class PlainRelay : public RelayCall {
+public:
+	using RelayCall::RelayCall;
+
+protected:
+	bool OnHead(uint64_t from, const HttpHead &head) override;
+	void OnBody(uint64_t from, std::string_view bytes) override;
+	void OnEnd(uint64_t from, UpstreamEnd end, const char *cause) override;
+	bool DeliverInstead() override;
+
+private:
+	/** A whole answer of a target. */
+	struct Answer {
+		HttpHead head;      ///< Head.
+		AnswerInfo info;    ///< What its fields say.
+		std::string body;   ///< Body.
+	};
+
+	void OnWhole();
+	void Deliver(const Answer &answer);
+
+	Answer answer;              ///< Answer being received.
+	std::optional<Answer> kept; ///< Whole answer that tells a fault, kept while another target is tried.
+	bool passing = false;       ///< The answer is too large to be held: it is passed on as it comes.
+};
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/gateway/stream_relay.cpp
@@ -0,0 +1,302 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file stream_relay.cpp A generation passed on event by event. */
+
+#include "gateway/stream_relay.h"
+#include "gateway/gateway.h"
+#include "metrics/log.h"
+
+namespace cottonspool {
+
+bool StreamRelay::OnHead(uint64_t from, const HttpHead &head)
+{
+	if (this->over) return true;
+	if (from == this->move.resume_link) return this->OnResumeHead(head);
+	if (from != this->link) return true;
+	if (!this->IsMine(head)) return false;
+	AnswerInfo info = ReadAnswer(head);
+	if (info.load) this->gateway.OnLoadTold(*this->target, *info.load);
+	this->streaming = head.status == 200 && info.stamped;
+	this->answer_head = head;
+	if (this->streaming) this->StartAnswer(head);
+	return true;
+}
+
+void StreamRelay::StartAnswer(const HttpHead &head)
+{
+	if (this->exchange->IsStarted()) return;
+	this->exchange->Start(head.status, HeadersForCaller(head.headers), std::nullopt, head.reason);
+	std::weak_ptr<RelayCall> weak = this->weak_from_this();
+	this->exchange->on_drained = [weak] {
+		auto self = std::static_pointer_cast<StreamRelay>(weak.lock());
+		if (self) self->SetFlow();
+	};
+}
+
+void StreamRelay::OnBody(uint64_t from, std::string_view bytes)
+{
+	if (this->over || from != this->link) return;
+	if (!this->streaming) {
+		this->answer_body.append(bytes.substr(0, this->gateway.limits.max_answer_bytes));
+		return;
+	}
+	auto keep = this->shared_from_this();
+	if (!this->splitter.Add(bytes)) return this->LoseRun("an event longer than the bound");
+	this->PassEvents();
+	this->SetFlow();
+}
+
+void StreamRelay::PassEvents()
+{
+	TimePoint now = MonotonicNow();
+	while (std::optional<RawEvent> event = this->splitter.Next()) this->PassEvent(*event, now);
+}
+
+void StreamRelay::PassEvent(const RawEvent &event, TimePoint now)
+{
+	if (event.id && this->has_event && *event.id <= this->last_event) return;
+	this->exchange->Write(event.bytes);
+	if (!event.id) return;
+	const std::string &account = this->request.account;
+	if (!this->has_event) {
+		Duration first = now - this->request.spec.arrived;
+		this->gateway.metrics.Observe(Measure::FirstTokenSeconds, account, this->request.spec.service_class, Seconds(first));
+	} else {
+		Duration gap = now - this->last_at;
+		this->longest_gap = std::max(this->longest_gap, gap);
+		this->gateway.metrics.Observe(Measure::TokenIntervalSeconds, account, this->request.spec.service_class, Seconds(gap));
+	}
+	this->has_event = true;
+	this->last_event = *event.id;
+	this->last_at = now;
+	this->events++;
+	this->gateway.dispatcher.OnToken(this->request.spec.id, now, this->request.tokens_per_event);
+}
+
+void StreamRelay::SetFlow()
+{
+	if (this->over) return;
+	bool pause = this->exchange->Backlog() > this->gateway.FrontLimitsInForce().max_backlog_bytes;
+	if (pause == this->paused) return;
+	this->paused = pause;
+	if (this->link != 0) this->gateway.upstream.SetReading(this->link, !pause);
+}
+
+void StreamRelay::OnEnd(uint64_t from, UpstreamEnd end, const char *cause)
+{
+	auto keep = this->shared_from_this();
+	if (from == this->move.resume_link) {
+		this->move.resume_link = 0;
+		if (!this->over) this->OnResumeEnd(end, cause);
+		return;
+	}
+	if (from != this->link) return;
+	this->link = 0;
+	if (!this->over) this->OnRunEnd(end, cause);
+}
+
+void StreamRelay::OnRunEnd(UpstreamEnd end, const char *cause)
+{
+	if (end == UpstreamEnd::NotSent) return this->EndSend(SendEnd::NotSent);
+	if (end == UpstreamEnd::Complete && this->streaming) return this->Finish();
+	if (end == UpstreamEnd::Complete) return this->RelayRefusal();
+	// A run whose memory has been, or is being, copied goes on from the copy.
+	if (this->move.phase != MovePhase::None) return this->LogMove("source-lost", cause);
+	this->LoseRun(cause);
+}
+
+void StreamRelay::RelayRefusal()
+{
+	AnswerInfo info = ReadAnswer(this->answer_head);
+	int status = this->answer_head.status;
+	if (info.not_run) return this->EndSend(SendEnd::NotRun);
+	bool promises = status == 503 || status == 429 || status == 408 || status == 421;
+	this->EndSend(SendEnd::Failed);
+	if (this->over) return;
+	if (promises || status / 100 == 2) return this->Fail(502, "answer-unusable");
+	this->exchange->Respond(status, HeadersForCaller(this->answer_head.headers), this->answer_body, this->answer_head.reason);
+	this->Conclude("answered", status);
+}
+
+void StreamRelay::Finish()
+{
+	this->exchange->Write(this->splitter.TakeRest());
+	this->exchange->Finish();
+	this->OnGone();
+	Log(LogLevel::Info, "streamed",
+	    {{"request", this->request.info.attempt},
+	     {"events", std::to_string(this->events)},
+	     {"longest_gap_ms", FormatMilliseconds(this->longest_gap)},
+	     {"moves", std::to_string(this->moves)}});
+	this->EndSend(SendEnd::Complete);
+	this->Conclude("answered", 200);
+}
+
+void StreamRelay::LoseRun(const char *cause)
+{
+	Log(LogLevel::Warning, "run-lost",
+	    {{"request", this->request.info.attempt},
+	     {"target", this->target ? this->gateway.dispatcher.Targets().Get(*this->target).name : ""},
+	     {"events", std::to_string(this->events)},
+	     {"cause", cause}});
+	this->OnGone();
+	if (this->link != 0) this->gateway.upstream.Cancel(this->link);
+	this->link = 0;
+	this->EndSend(this->has_event ? SendEnd::LostAfterUse : SendEnd::Lost);
+	this->Fail(502, "run-lost");
+}
+
+void StreamRelay::OnGone()
+{
+	if (this->move.resume_link != 0) this->gateway.upstream.Cancel(this->move.resume_link);
+	if (this->move.call != 0) this->gateway.upstream.Cancel(this->move.call);
+	bool unused = !this->move.handle.empty() && this->target;
+	if (unused) {
+		const std::string &name = this->gateway.dispatcher.Targets().Get(*this->target).name;
+		this->gateway.upstream.Start(MakeDropCall(this->gateway.AddressOf(*this->target), name, this->move.handle));
+	}
+	this->move = Move{};
+}
+
+void StreamRelay::OnTick(TimePoint now)
+{
+	if (this->over) return;
+	auto keep = this->shared_from_this();
+	if (this->move.phase == MovePhase::Resuming && this->link != 0 && now >= this->move.overlap_until) {
+		this->gateway.upstream.Cancel(this->link);
+		this->link = 0;
+	}
+	if (this->move.phase == MovePhase::None) this->TryMove(now);
+	if (!this->over) RelayCall::OnTick(now);
+}
+
+void StreamRelay::OnTargetLeaving(TimePoint now)
+{
+	this->TryMove(now);
+}
+
+void StreamRelay::TryMove(TimePoint now)
+{
+	if (this->over || !this->target || this->link == 0 || !this->request.can_move) return;
+	if (this->move.phase != MovePhase::None || now < this->move.not_before) return;
+	const TargetState &source = this->gateway.dispatcher.Targets().Get(*this->target);
+	if (!source.leaving) return;
+	auto flight = source.in_flight.find(this->request.spec.id);
+	if (flight == source.in_flight.end()) return;
+	// A run that has begun and ends soon is done before a copy of it would be.
+	double interval = source.interval > 0 ? source.interval : 0.01;
+	if (this->has_event && FromSeconds(flight->second.residual * interval) < this->gateway.limits.least_move) return;
+	std::optional<TargetNumber> to = this->gateway.dispatcher.ChooseMove(this->request.spec.id, this->move.refused, now);
+	if (!to) {
+		this->move.refused.clear();
+		this->move.not_before = now + this->gateway.limits.move_retry;
+		return this->LogMove("no-engine", "none has room");
+	}
+	this->move.phase = MovePhase::Copying;
+	this->move.to = *to;
+	this->move.begun = now;
+	this->move.tries++;
+	std::weak_ptr<RelayCall> weak = this->weak_from_this();
+	auto done = [weak](const MoveAnswer &answer) {
+		auto self = std::static_pointer_cast<StreamRelay>(weak.lock());
+		if (!self || self->over) return;
+		self->move.call = 0;
+		self->OnCopied(answer);
+	};
+	this->move.call = this->gateway.upstream.Start(MakeMoveCall(this->gateway.AddressOf(*this->target), source.name, this->request.info.attempt,
+	                                                            this->gateway.AddressOf(*to).Text(), false, done));
+	this->LogMove("copy", "asked");
+}
+
+void StreamRelay::OnCopied(const MoveAnswer &answer)
+{
+	auto keep = this->shared_from_this();
+	Duration pause = this->gateway.limits.move_retry;
+	switch (answer.kind) {
+	case MoveAnswer::Kind::Copied:
+		this->move.handle = answer.handle;
+		this->LogMove("copy", "done");
+		return this->Resume();
+	case MoveAnswer::Kind::NoRoom:
+		this->move.refused.push_back(this->move.to);
+		return this->DropMove("no-room", Duration(0));
+	case MoveAnswer::Kind::NoRun:
+		return this->DropMove("no-run-yet", pause);
+	case MoveAnswer::Kind::Busy:
+		return this->DropMove("busy", pause);
+	case MoveAnswer::Kind::NoAnswer:
+		return this->DropMove("no-answer", pause);
+	}
+}
+
+void StreamRelay::DropMove(const char *why, Duration pause)
+{
+	this->LogMove("failed", why);
+	this->move.phase = MovePhase::None;
+	this->move.handle.clear();
+	this->move.not_before = MonotonicNow() + pause;
+	if (this->link == 0) this->LoseRun(why);
+}
+
+void StreamRelay::Resume()
+{
+	ResumePoint point;
+	point.source = this->gateway.AddressOf(*this->target).Text();
+	point.handle = this->move.handle;
+	point.last_event = this->last_event;
+	this->move.phase = MovePhase::Resuming;
+	this->move.overlap_until = MonotonicNow() + this->gateway.limits.move_overlap;
+	this->move.resume_link = this->StartUpstream(this->move.to, point);
+}
+
+bool StreamRelay::OnResumeHead(const HttpHead &head)
+{
+	if (!this->IsMine(head)) return false;
+	AnswerInfo info = ReadAnswer(head);
+	if (head.status == 200 && info.stamped) {
+		this->TakeOver();
+		this->StartAnswer(head);
+	} else {
+		this->LogMove("refused", std::to_string(head.status).c_str());
+	}
+	return true;
+}
+
+void StreamRelay::TakeOver()
+{
+	if (this->link != 0) this->gateway.upstream.Cancel(this->link);
+	this->link = this->move.resume_link;
+	this->splitter.TakeRest();
+	this->streaming = true;
+	this->moves++;
+	this->LogMove("taken-over", "done");
+	this->gateway.metrics.Count("cottonspool_moves_total");
+	TargetNumber to = this->move.to;
+	this->gateway.dispatcher.OnMoved(this->request.spec.id, to, MonotonicNow());
+	this->target = to;
+	this->move = Move{};
+	if (this->paused) this->gateway.upstream.SetReading(this->link, false);
+}
+
+void StreamRelay::OnResumeEnd(UpstreamEnd, const char *cause)
+{
+	this->move.refused.push_back(this->move.to);
+	this->DropMove(cause, Duration(0));
+}
+
+void StreamRelay::LogMove(const char *step, const char *result)
+{
+	const TargetTable &targets = this->gateway.dispatcher.Targets();
+	Duration took = this->move.begun == TimePoint{} ? Duration(0) : MonotonicNow() - this->move.begun;
+	Log(LogLevel::Info, "move",
+	    {{"request", this->request.info.attempt},
+	     {"step", step},
+	     {"result", result},
+	     {"from", this->target ? targets.Get(*this->target).name : ""},
+	     {"to", this->move.phase == MovePhase::None ? "" : targets.Get(this->move.to).name},
+	     {"last_event", std::to_string(this->last_event)},
+	     {"try", std::to_string(this->move.tries)},
+	     {"ms", FormatMilliseconds(took)}});
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/gateway/stream_relay.h
@@ -0,0 +1,84 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file stream_relay.h A generation passed on event by event, which goes on elsewhere when its engine leaves. */
+
+#pragma once
+
+#include "gateway/relay_call.h"
+#include "generation/event_splitter.h"
+#include "platform/wire_engine.h"
+
+namespace cottonspool {
+
+/**
+ * One generation. When its engine is to leave, the run's memory is copied to another engine while it goes on; then the
+ * other engine is asked to continue, and only once it answers is the old run given up. Events are passed on by their
+ * numbers, each once and in order, whichever engine they come from.
+ */
+class StreamRelay : public RelayCall {
+public:
+	using RelayCall::RelayCall;
+
+	void OnTick(TimePoint now) override;
+	void OnTargetLeaving(TimePoint now) override;
+
+protected:
+	bool OnHead(uint64_t from, const HttpHead &head) override;
+	void OnBody(uint64_t from, std::string_view bytes) override;
+	void OnEnd(uint64_t from, UpstreamEnd end, const char *cause) override;
+	void OnGone() override;
+
+private:
+	/** How far a move to another engine has come. */
+	enum class MovePhase : uint8_t {
+		None,     ///< Not moving.
+		Copying,  ///< The memory is being copied.
+		Resuming, ///< The other engine was asked to go on.
+	};
+
+	/** A move to another engine. */
+	struct Move {
+		MovePhase phase = MovePhase::None;    ///< How far it is.
+		TargetNumber to;                      ///< Engine that it goes to.
+		std::string handle;                   ///< Name of the copy, at the old engine; empty while there is none.
+		std::vector<TargetNumber> refused;    ///< Engines without room.
+		TimePoint begun;                      ///< When the copy was asked for.
+		TimePoint not_before;                 ///< Earliest next try.
+		TimePoint overlap_until;              ///< When the old run is given up, answered or not.
+		uint64_t call = 0;                    ///< Call under way that copies.
+		uint64_t resume_link = 0;             ///< Call under way that goes on.
+		uint32_t tries = 0;                   ///< Copies asked for.
+	};
+
+	void PassEvents();
+	void PassEvent(const RawEvent &event, TimePoint now);
+	void Finish();
+	void StartAnswer(const HttpHead &head);
+	void RelayRefusal();
+	void TryMove(TimePoint now);
+	void OnCopied(const MoveAnswer &answer);
+	void Resume();
+	bool OnResumeHead(const HttpHead &head);
+	void OnResumeEnd(UpstreamEnd end, const char *cause);
+	void OnRunEnd(UpstreamEnd end, const char *cause);
+	void TakeOver();
+	void DropMove(const char *why, Duration pause);
+	void LoseRun(const char *cause);
+	void SetFlow();
+	void LogMove(const char *step, const char *result);
+
+	EventSplitter splitter;            ///< Events of the engine that is being followed.
+	HttpHead answer_head;              ///< Head of an answer that is no stream.
+	std::string answer_body;           ///< Its body.
+	bool streaming = false;            ///< The engine is sending events.
+	bool has_event = false;            ///< An event was passed on.
+	uint64_t last_event = 0;           ///< Number of the last one.
+	uint64_t events = 0;               ///< Events passed on.
+	TimePoint last_at;                 ///< When it was passed on.
+	Duration longest_gap{0};           ///< Longest pause between events.
+	bool paused = false;               ///< The engine is not being read, since the caller reads slowly.
+	Move move;                         ///< Move under way.
+	uint32_t moves = 0;                ///< Moves done.
+};
+
+} // namespace cottonspool
--- a/src/instance/instance.cpp
+++ b/src/instance/instance.cpp
@@ -299,6 +299,7 @@
 void Instance::OnTick()
 {
 	TimePoint now = MonotonicNow();
+	FlushLog();
 	this->Carry(this->dispatcher.OnTick(now));
 	this->watch.OnTick(now, this->settings.report_poll);
 	if (!this->stopping) this->orders.OnTick(this->configuration.State(), this->random(), now);
@@ -359,6 +360,7 @@
 	uv_timer_stop(&this->timer->timer);
 	this->peers.Shutdown();
 	this->client.Shutdown();
+	FlushLog();
 	uv_stop(this->loop);
 }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,6 +2,7 @@
 
 /** @file main.cpp Command line of cottonspool. */
 
+#include "gateway/gateway.h"
 #include "instance/instance.h"
 #include "metrics/log.h"
 #include "operator/operator_func.h"
@@ -24,6 +25,8 @@
 static const char *const USAGE = R"(cottonspool VERB [ARGUMENT ...] [flags]
 
   serve --settings FILE      run an entry instance; --check only checks the settings
+  gateway                    run an instance on the operators' platform, with the settings file that its environment
+                             names or --settings FILE; --check only checks the settings
   settings                   print the reference of all settings
   check FILE                 check a change file and try its policies
   apply FILE                 have a change accepted; --wait_s waits until it is in force
@@ -76,6 +79,45 @@
 	return instance.CutCalls() == 0 ? EXIT_OK : EXIT_FAILED;
 }
 
+/** Run an instance on the operators' platform until it is stopped. */
+static int RunGateway()
+{
+	std::string path = FLAGS_settings.empty() ? NodeSettingsPath() : FLAGS_settings;
+	if (path.empty()) {
+		std::cerr << "cottonspool: gateway needs the platform's environment or --settings FILE" << std::endl;
+		return EXIT_USAGE;
+	}
+	Result<NodeSettings> settings = LoadNodeSettings(path);
+	if (!settings) {
+		std::cerr << "cottonspool: " << FormatError(settings.error()) << std::endl;
+		return EXIT_USAGE;
+	}
+	if (FLAGS_check) {
+		std::cout << path << ": all right" << std::endl;
+		return EXIT_OK;
+	}
+	InitLog("info", "json", settings.value().name);
+	uv_loop_t *loop = uv_default_loop();
+	Gateway gateway(loop, settings.value(), path, GatewayLimitsFor(settings.value()));
+	Result<void> started = gateway.Start();
+	if (!started) {
+		std::cerr << "cottonspool: " << FormatError(started.error()) << std::endl;
+		return EXIT_FAILED;
+	}
+	uv_signal_t terminate{};
+	uv_signal_t interrupt{};
+	uv_signal_t reload{};
+	auto stop = [](uv_signal_t *signal, int) { static_cast<Gateway *>(signal->data)->Stop(); };
+	auto read_again = [](uv_signal_t *signal, int) { static_cast<Gateway *>(signal->data)->Reload(); };
+	for (auto [handle, number] : {std::pair(&terminate, SIGTERM), std::pair(&interrupt, SIGINT), std::pair(&reload, SIGHUP)}) {
+		uv_signal_init(loop, handle);
+		handle->data = &gateway;
+		uv_signal_start(handle, number == SIGHUP ? +read_again : +stop, number);
+	}
+	uv_run(loop, UV_RUN_DEFAULT);
+	return gateway.CutCalls() == 0 ? EXIT_OK : EXIT_FAILED;
+}
+
 /** @return The flags of the operators' verbs. */
 static OperatorOptions ReadOptions()
 {
@@ -104,6 +146,7 @@
 	const char *user = getenv("USER");
 	std::string author = FLAGS_author.empty() && user != nullptr ? user : FLAGS_author;
 	if (verb == "serve") return RunServe();
+	if (verb == "gateway") return RunGateway();
 	if (verb == "settings") {
 		std::cout << SettingsReference();
 		return EXIT_OK;
--- /dev/null
+++ b/src/metrics/line_buffer.cpp
@@ -0,0 +1,43 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file line_buffer.cpp Lines on their way to a reader who may be slow. */
+
+#include "metrics/line_buffer.h"
+#include <algorithm>
+#include <cerrno>
+#include <climits>
+#include <poll.h>
+#include <unistd.h>
+
+namespace cottonspool {
+
+void LineBuffer::Add(std::string_view line)
+{
+	if (this->bytes.size() + line.size() + 1 > this->most) {
+		this->dropped++;
+		return;
+	}
+	if (this->dropped > this->told) {
+		this->bytes += "{\"event\":\"log-lines-dropped\",\"lines\":" + std::to_string(this->dropped - this->told) + "}\n";
+		this->told = this->dropped;
+	}
+	this->bytes += line;
+	this->bytes += '\n';
+}
+
+void LineBuffer::Flush()
+{
+	size_t done = 0;
+	while (done < this->bytes.size()) {
+		// A pipe that is ready takes PIPE_BUF bytes at once: a write of no more than that does not wait.
+		pollfd ready{this->fd, POLLOUT, 0};
+		if (poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0) break;
+		ssize_t written = write(this->fd, this->bytes.data() + done, std::min<size_t>(this->bytes.size() - done, PIPE_BUF));
+		if (written < 0 && errno == EINTR) continue;
+		if (written <= 0) break;
+		done += static_cast<size_t>(written);
+	}
+	this->bytes.erase(0, done);
+}
+
+} // namespace cottonspool
--- a/src/metrics/log.cpp
+++ b/src/metrics/log.cpp
@@ -1,23 +1,42 @@
 /* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
 
-/** @file log.cpp Log lines, by Boost.Log. */
+/** @file log.cpp Log lines, by Boost.Log, through a bounded buffer. */
 
 #include "metrics/log.h"
+#include "metrics/line_buffer.h"
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/support/date_time.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
-#include <iostream>
+#include <boost/make_shared.hpp>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace cottonspool {
 
 namespace trivial = boost::log::trivial;
 
-static bool json_form = false;    ///< Lines are JSON objects.
-static std::string instance_name; ///< Name on each line.
+static constexpr size_t MOST_WAITING_BYTES = 256U << 10; ///< Lines that may wait for a slow reader: a few seconds of a busy instance.
+static constexpr size_t FLUSH_BYTES = 32U << 10;         ///< Waiting bytes from which a line is flushed at once.
+
+static bool json_form = false;                                      ///< Lines are JSON objects.
+static std::string instance_name;                                   ///< Name on each line.
+static LineBuffer lines(STDOUT_FILENO, MOST_WAITING_BYTES);         ///< Lines on their way.
+
+/** Boost.Log's way into the buffer; only the loop's thread writes lines. */
+class BufferBackend : public boost::log::sinks::basic_formatted_sink_backend<char, boost::log::sinks::concurrent_feeding> {
+public:
+	/** Take one formatted line. */
+	void consume(const boost::log::record_view &, const string_type &line)
+	{
+		lines.Add(line);
+		if (lines.Waiting() >= FLUSH_BYTES) lines.Flush();
+	}
+};
 
 /** @return Boost.Log's level for \a level. */
 static trivial::severity_level ToSeverity(LogLevel level)
@@ -37,14 +56,46 @@
 
 void InitLog(const std::string &level, const std::string &form, const std::string &instance)
 {
+	using Sink = boost::log::sinks::unlocked_sink<BufferBackend>;
 	json_form = form == "json";
 	instance_name = instance;
 	trivial::severity_level least = trivial::info;
 	trivial::from_string(level.c_str(), level.size(), least);
+	auto sink = boost::make_shared<Sink>(boost::make_shared<BufferBackend>());
 	boost::log::add_common_attributes();
-	auto format = json_form ? "%Message%" : "%TimeStamp% %Severity% %Message%";
-	boost::log::add_console_log(std::clog, boost::log::keywords::format = format, boost::log::keywords::auto_flush = true);
+	if (json_form) {
+		sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+	} else {
+		auto stamp = boost::log::expressions::format_date_time<boost::posix_time::ptime>("TimeStamp", "%Y-%m-%d %H:%M:%S.%f");
+		sink->set_formatter(boost::log::expressions::stream << stamp << " " << trivial::severity << " " << boost::log::expressions::smessage);
+	}
+	boost::log::core::get()->add_sink(sink);
 	boost::log::core::get()->set_filter(trivial::severity >= least);
+	std::atexit(FlushLog);
+}
+
+void FlushLog()
+{
+	lines.Flush();
+}
+
+uint64_t DroppedLogLines()
+{
+	return lines.Dropped();
+}
+
+std::string FormatMilliseconds(Duration duration)
+{
+	char text[32];
+	snprintf(text, sizeof(text), "%.2f", Seconds(duration) * 1000);
+	return text;
+}
+
+std::string FormatNumber(double number)
+{
+	char text[32];
+	snprintf(text, sizeof(text), "%.3f", number);
+	return text;
 }
 
 /** @return \a value, in quotes when it has spaces. */
@@ -58,9 +109,13 @@
 	static boost::log::sources::severity_logger<trivial::severity_level> logger;
 	std::string line;
 	if (json_form) {
-		nlohmann::json object{{"event", event}, {"instance", instance_name}, {"level", trivial::to_string(ToSeverity(level))}};
+		nlohmann::ordered_json object;
+		object["at_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(MonotonicNow().time_since_epoch()).count();
+		object["event"] = event;
+		object["instance"] = instance_name;
+		object["level"] = trivial::to_string(ToSeverity(level));
 		for (const LogField &field : fields) object[field.first] = field.second;
-		line = object.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+		line = object.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 	} else {
 		line = std::string("event=") + event + " instance=" + instance_name;
 		for (const LogField &field : fields) line += std::string(" ") + field.first + "=" + Quoted(field.second);
--- /dev/null
+++ b/src/net/http_front.cpp
@@ -0,0 +1,317 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file http_front.cpp HTTP/1.1 server that goes on reading while a request is worked on. */
+
+#include "net/http_front.h"
+#include <strings.h>
+
+namespace cottonspool {
+
+static constexpr size_t MAX_PIPELINED_BYTES = 256U << 10; ///< Bytes read ahead of an answer, beyond which the caller has to wait.
+
+/** One connection of a caller. */
+class FrontConnection : public std::enable_shared_from_this<FrontConnection> {
+public:
+	FrontConnection(HttpFront &front, std::shared_ptr<TcpStream> stream);
+
+	/** Begin to read. */
+	void Begin();
+
+	/** Look whether the caller has taken too long. */
+	void OnTick(TimePoint now);
+
+	/** @return Whether it rests between two requests. */
+	bool IsIdle() const { return !this->exchange && !this->reader.IsInsideMessage(); }
+
+	/** Close it, and tell the request under way that the caller is gone if \a tell. */
+	void Close(bool tell);
+
+	/** The answer under way is whole. */
+	void OnAnswered(bool keep_alive);
+
+	/** Close it so that the caller sees that the answer is not whole. */
+	void Break();
+
+	HttpFront &front;                                           ///< Server.
+	std::shared_ptr<TcpStream> stream;                          ///< Connection.
+	std::list<std::shared_ptr<FrontConnection>>::iterator place; ///< Place in the server's list.
+
+private:
+	void OnData(std::string_view bytes);
+	void OnHead(HttpHead &&head);
+	void OnBody(std::string_view bytes);
+	void OnComplete();
+	void ReadOn();
+	void Refuse(int status);
+	void RefuseMalformed();
+	void Forget();
+
+	HttpReader reader{HttpReader::Kind::Requests}; ///< Reads requests.
+	std::shared_ptr<FrontExchange> exchange;       ///< Request being read or worked on.
+	bool handed_over = false;                      ///< The handler has it.
+	bool in_reader = false;                        ///< The reader is at work.
+	TimePoint since;                               ///< Begin of the present wait.
+	bool forgotten = false;                        ///< Out of the server's list.
+	bool refused = false;                          ///< Nothing more is read.
+};
+
+FrontConnection::FrontConnection(HttpFront &front, std::shared_ptr<TcpStream> stream) : front(front), stream(std::move(stream))
+{
+	this->since = MonotonicNow();
+	this->reader.max_head_bytes = front.limits.max_head_bytes;
+	this->reader.on_head = [this](HttpHead &&head) { this->OnHead(std::move(head)); };
+	this->reader.on_body = [this](std::string_view bytes) { this->OnBody(bytes); };
+	this->reader.on_complete = [this] { this->OnComplete(); };
+}
+
+void FrontConnection::Begin()
+{
+	std::weak_ptr<FrontConnection> weak = this->weak_from_this();
+	this->stream->on_data = [weak](std::string_view bytes) {
+		if (auto self = weak.lock()) self->OnData(bytes);
+	};
+	this->stream->on_end = [weak](TcpEnd, const char *) {
+		if (auto self = weak.lock()) self->Close(true);
+	};
+	this->stream->on_drained = [weak] {
+		auto self = weak.lock();
+		if (self && self->exchange && self->exchange->on_drained) self->exchange->on_drained();
+	};
+}
+
+void FrontConnection::OnData(std::string_view bytes)
+{
+	if (this->refused) return;
+	auto keep = this->shared_from_this();
+	if (this->IsIdle()) this->since = MonotonicNow();
+	this->reader.max_head_bytes = this->front.limits.max_head_bytes;
+	this->in_reader = true;
+	bool readable = this->reader.Add(bytes);
+	this->in_reader = false;
+	if (!readable) this->RefuseMalformed();
+	this->ReadOn();
+	if (this->handed_over && this->reader.Kept() > MAX_PIPELINED_BYTES) this->stream->SetReading(false);
+}
+
+void FrontConnection::ReadOn()
+{
+	if (this->in_reader) return;
+	// A loop rather than a call from each answer: many small requests sent at once must not deepen the stack.
+	while (!this->refused && !this->handed_over && this->reader.IsPaused()) {
+		this->in_reader = true;
+		bool readable = this->reader.Resume();
+		this->in_reader = false;
+		if (!readable) this->RefuseMalformed();
+	}
+}
+
+void FrontConnection::OnHead(HttpHead &&head)
+{
+	this->exchange = std::make_shared<FrontExchange>();
+	this->exchange->connection = this;
+	this->exchange->keep_alive = head.keep_alive;
+	this->exchange->head = std::move(head);
+	this->since = MonotonicNow();
+	if (this->exchange->head.length.value_or(0) > this->front.limits.max_body_bytes) return this->Refuse(413);
+	std::string_view expect = FindHeader(this->exchange->head.headers, "expect");
+	if (strncasecmp(expect.data(), "100-continue", expect.size()) == 0 && !expect.empty()) {
+		this->stream->Write("HTTP/1.1 100 Continue\r\n\r\n");
+	}
+}
+
+void FrontConnection::OnBody(std::string_view bytes)
+{
+	if (this->refused || !this->exchange) return;
+	this->since = MonotonicNow();
+	if (this->exchange->body.size() + bytes.size() > this->front.limits.max_body_bytes) return this->Refuse(413);
+	this->exchange->body.append(bytes);
+}
+
+void FrontConnection::OnComplete()
+{
+	if (this->refused || !this->exchange) return;
+	this->exchange->read_at = MonotonicNow();
+	this->handed_over = true;
+	this->front.handler(this->exchange);
+}
+
+void FrontConnection::Refuse(int status)
+{
+	if (this->refused) return;
+	this->refused = true;
+	std::string text = "HTTP/1.1 " + std::to_string(status) + " " + ReasonPhrase(status) + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+	if (this->exchange) this->exchange->connection = nullptr;
+	this->exchange.reset();
+	this->stream->Write(std::move(text));
+	this->stream->CloseAfterWrites();
+	this->Forget();
+}
+
+void FrontConnection::RefuseMalformed()
+{
+	// Bytes that came behind a request under way belong to a later one: the answer under way is not spoilt by them.
+	if (this->handed_over) {
+		this->refused = true;
+		if (this->exchange) this->exchange->keep_alive = false;
+		return;
+	}
+	this->Refuse(this->reader.Error() == HttpReadError::HeadersTooBig ? 431 : 400);
+}
+
+void FrontConnection::OnTick(TimePoint now)
+{
+	if (this->handed_over || this->refused) return;
+	Duration waited = now - this->since;
+	const FrontLimits &limits = this->front.limits;
+	if (this->IsIdle()) {
+		if (waited > limits.idle_timeout) this->Close(false);
+		return;
+	}
+	Duration most = this->exchange ? limits.body_timeout : limits.head_timeout;
+	if (waited > most) this->Refuse(408);
+}
+
+void FrontConnection::OnAnswered(bool keep_alive)
+{
+	auto keep = this->shared_from_this();
+	this->exchange->connection = nullptr;
+	this->exchange.reset();
+	this->handed_over = false;
+	this->since = MonotonicNow();
+	if (!keep_alive || this->refused) {
+		this->refused = true;
+		this->stream->CloseAfterWrites();
+		return this->Forget();
+	}
+	this->stream->SetReading(true);
+	this->ReadOn();
+}
+
+void FrontConnection::Break()
+{
+	auto keep = this->shared_from_this();
+	this->exchange->connection = nullptr;
+	this->exchange.reset();
+	this->refused = true;
+	this->stream->Abort();
+	this->Forget();
+}
+
+void FrontConnection::Close(bool tell)
+{
+	auto keep = this->shared_from_this();
+	std::shared_ptr<FrontExchange> left = std::move(this->exchange);
+	this->refused = true;
+	this->stream->Close();
+	this->Forget();
+	if (!left) return;
+	left->connection = nullptr;
+	if (tell && this->handed_over && left->on_gone) left->on_gone();
+}
+
+void FrontConnection::Forget()
+{
+	if (this->forgotten) return;
+	this->forgotten = true;
+	this->front.connections.erase(this->place);
+}
+
+void FrontExchange::SendHead(int status, const HttpHeaders &headers, std::optional<uint64_t> length, std::string_view reason,
+                             std::string_view first)
+{
+	if (this->connection->front.IsClosing()) this->keep_alive = false;
+	std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
+	out += reason.empty() ? std::string_view(ReasonPhrase(status)) : reason;
+	out += "\r\n";
+	AppendHeaders(out, headers);
+	bool bodiless = status == 204 || status == 304;
+	this->chunked = !length && !bodiless;
+	if (this->chunked) out += "Transfer-Encoding: chunked\r\n";
+	if (length && !bodiless) out += "Content-Length: " + std::to_string(*length) + "\r\n";
+	if (!this->keep_alive) out += "Connection: close\r\n";
+	out += "\r\n";
+	out += first;
+	this->started = true;
+	this->connection->stream->Write(std::move(out));
+}
+
+void FrontExchange::Respond(int status, const HttpHeaders &headers, std::string_view answer_body, std::string_view reason)
+{
+	if (this->IsOver() || this->started) return;
+	bool head_only = this->head.method == "HEAD";
+	this->SendHead(status, headers, answer_body.size(), reason, head_only ? std::string_view() : answer_body);
+	this->connection->OnAnswered(this->keep_alive);
+}
+
+void FrontExchange::Start(int status, const HttpHeaders &headers, std::optional<uint64_t> length, std::string_view reason)
+{
+	if (this->IsOver() || this->started) return;
+	this->SendHead(status, headers, length, reason, {});
+}
+
+void FrontExchange::Write(std::string_view bytes)
+{
+	if (this->IsOver() || bytes.empty()) return;
+	if (!this->chunked) return this->connection->stream->Write(std::string(bytes));
+	char size[24];
+	snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+	std::string chunk = size;
+	chunk += bytes;
+	chunk += "\r\n";
+	this->connection->stream->Write(std::move(chunk));
+}
+
+void FrontExchange::Finish()
+{
+	if (this->IsOver()) return;
+	if (this->chunked) this->connection->stream->Write("0\r\n\r\n");
+	this->connection->OnAnswered(this->keep_alive);
+}
+
+void FrontExchange::Abort()
+{
+	if (!this->IsOver()) this->connection->Break();
+}
+
+size_t FrontExchange::Backlog() const
+{
+	return this->IsOver() ? 0 : this->connection->stream->Backlog();
+}
+
+HttpFront::HttpFront(uv_loop_s *loop, Handler handler)
+    : loop(loop), handler(std::move(handler)), listener(loop, [this](std::shared_ptr<TcpStream> stream) { this->OnStream(std::move(stream)); })
+{
+}
+
+HttpFront::~HttpFront()
+{
+	while (!this->connections.empty()) this->connections.front()->Close(false);
+}
+
+void HttpFront::OnStream(std::shared_ptr<TcpStream> stream)
+{
+	auto connection = std::make_shared<FrontConnection>(*this, std::move(stream));
+	this->connections.push_back(connection);
+	connection->place = std::prev(this->connections.end());
+	connection->Begin();
+}
+
+void HttpFront::StopListening()
+{
+	this->closing = true;
+	this->listener.Stop();
+	for (auto it = this->connections.begin(); it != this->connections.end();) {
+		std::shared_ptr<FrontConnection> connection = *it++;
+		if (connection->IsIdle()) connection->Close(false);
+	}
+}
+
+void HttpFront::OnTick(TimePoint now)
+{
+	for (auto it = this->connections.begin(); it != this->connections.end();) {
+		std::shared_ptr<FrontConnection> connection = *it++;
+		connection->OnTick(now);
+	}
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/net/tcp_stream.cpp
@@ -0,0 +1,270 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file tcp_stream.cpp One TCP connection on the libuv loop. */
+
+#include "net/tcp_stream.h"
+#include <charconv>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <uv.h>
+
+namespace cottonspool {
+
+static constexpr size_t READ_BUFFER = 64U << 10;           ///< Bytes read at once.
+static constexpr int LISTEN_BACKLOG = 1024;                ///< Connections that may wait to be accepted.
+static constexpr unsigned int UNANSWERED_BYTES_MS = 4000;  ///< Time without an acknowledgement after which a connection is dead.
+static constexpr unsigned int KEEPALIVE_IDLE_S = 3;        ///< Silence after which the other side is probed; finds paths cut without notice.
+static constexpr int KEEPALIVE_INTERVAL_S = 1;             ///< Time between such probes.
+static constexpr int KEEPALIVE_PROBES = 3;                 ///< Unanswered probes after which a connection is dead.
+
+Result<Endpoint> ParseEndpoint(std::string_view text)
+{
+	size_t colon = text.rfind(':');
+	unsigned int port = 0;
+	std::string_view digits = colon == std::string_view::npos ? std::string_view() : text.substr(colon + 1);
+	auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+	bool whole = !digits.empty() && parsed.ec == std::errc() && parsed.ptr == digits.data() + digits.size();
+	if (!whole || colon == 0 || port > UINT16_MAX) return Error{Step::Settings, std::string(text), "an address has the form IP:PORT"};
+	return Endpoint{std::string(text.substr(0, colon)), static_cast<uint16_t>(port)};
+}
+
+/** libuv's handle with what keeps the stream alive. */
+struct TcpStream::Handle {
+	uv_tcp_t tcp{};                  ///< The handle itself.
+	uv_connect_t connect{};          ///< Request of an outgoing connection.
+	uv_shutdown_t shutdown{};        ///< Request of an orderly close.
+	std::shared_ptr<TcpStream> self; ///< Keeps the stream alive while libuv knows the handle.
+};
+
+/** One write that libuv has queued. */
+struct QueuedWrite {
+	uv_write_t request{}; ///< libuv's request.
+	std::string bytes;    ///< Bytes to be written.
+};
+
+TcpStream::TcpStream() : handle(new Handle)
+{
+}
+
+TcpStream::~TcpStream() = default;
+
+std::shared_ptr<TcpStream> TcpStream::Connect(uv_loop_s *loop, const Endpoint &to)
+{
+	auto stream = std::make_shared<TcpStream>();
+	uv_tcp_init(loop, &stream->handle->tcp);
+	stream->handle->tcp.data = stream.get();
+	stream->handle->self = stream;
+	stream->handle->connect.data = stream.get();
+	sockaddr_in address{};
+	int failed = uv_ip4_addr(to.ip.c_str(), to.port, &address);
+	auto connected = [](uv_connect_t *request, int status) {
+		auto *self = static_cast<TcpStream *>(request->data);
+		if (self->closed) return;
+		if (status < 0) return self->End(TcpEnd::Refused, uv_strerror(status));
+		self->opened = true;
+		self->SetOptions();
+		self->StartReading();
+		if (self->on_open) self->on_open();
+	};
+	if (failed == 0) {
+		failed = uv_tcp_connect(&stream->handle->connect, &stream->handle->tcp, reinterpret_cast<const sockaddr *>(&address), connected);
+	}
+	// A failure of the call itself is told like any other, from the loop, once the owner has set its functions.
+	if (failed != 0) {
+		auto *timer = new uv_timer_t;
+		uv_timer_init(loop, timer);
+		timer->data = new std::pair<std::weak_ptr<TcpStream>, int>(stream, failed);
+		auto fire = [](uv_timer_t *t) {
+			auto *what = static_cast<std::pair<std::weak_ptr<TcpStream>, int> *>(t->data);
+			if (auto self = what->first.lock(); self && !self->closed) self->End(TcpEnd::Refused, uv_strerror(what->second));
+			delete what;
+			uv_close(reinterpret_cast<uv_handle_t *>(t), [](uv_handle_t *h) { delete reinterpret_cast<uv_timer_t *>(h); });
+		};
+		uv_timer_start(timer, fire, 0, 0);
+	}
+	return stream;
+}
+
+std::shared_ptr<TcpStream> TcpStream::Accept(uv_stream_s *listener)
+{
+	auto stream = std::make_shared<TcpStream>();
+	uv_tcp_init(listener->loop, &stream->handle->tcp);
+	stream->handle->tcp.data = stream.get();
+	stream->handle->self = stream;
+	if (uv_accept(listener, reinterpret_cast<uv_stream_t *>(&stream->handle->tcp)) != 0) {
+		stream->Close();
+		return nullptr;
+	}
+	stream->opened = true;
+	stream->SetOptions();
+	stream->StartReading();
+	return stream;
+}
+
+void TcpStream::SetOptions()
+{
+	uv_tcp_nodelay(&this->handle->tcp, 1);
+	uv_tcp_keepalive(&this->handle->tcp, 1, KEEPALIVE_IDLE_S);
+	uv_os_fd_t fd = -1;
+	if (uv_fileno(reinterpret_cast<uv_handle_t *>(&this->handle->tcp), &fd) != 0) return;
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &UNANSWERED_BYTES_MS, sizeof(UNANSWERED_BYTES_MS));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &KEEPALIVE_INTERVAL_S, sizeof(KEEPALIVE_INTERVAL_S));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &KEEPALIVE_PROBES, sizeof(KEEPALIVE_PROBES));
+}
+
+void TcpStream::StartReading()
+{
+	if (this->closed || this->reading || !this->opened || !this->want_read) return;
+	this->reading = true;
+	auto allocate = [](uv_handle_t *, size_t, uv_buf_t *buffer) {
+		static char shared[READ_BUFFER]; // One loop, one thread: the bytes are handed on before the next read.
+		*buffer = uv_buf_init(shared, sizeof(shared));
+	};
+	auto read = [](uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer) {
+		static_cast<TcpStream *>(stream->data)->OnRead(length, buffer->base);
+	};
+	uv_read_start(reinterpret_cast<uv_stream_t *>(&this->handle->tcp), allocate, read);
+}
+
+void TcpStream::OnRead(long length, const char *bytes)
+{
+	if (length == 0 || this->closed) return;
+	auto keep = this->shared_from_this();
+	if (length < 0 && this->finishing) return this->SetReading(false);
+	if (length == UV_EOF) return this->End(TcpEnd::Closed, "closed by the other side");
+	if (length < 0) return this->End(TcpEnd::Reset, uv_strerror(static_cast<int>(length)));
+	if (this->on_data) this->on_data(std::string_view(bytes, static_cast<size_t>(length)));
+}
+
+void TcpStream::End(TcpEnd end, const char *cause)
+{
+	auto keep = this->shared_from_this();
+	this->Close();
+	if (this->on_end && !this->finishing) this->on_end(end, cause);
+}
+
+void TcpStream::Write(std::string bytes)
+{
+	if (this->closed || bytes.empty()) return;
+	auto *stream = reinterpret_cast<uv_stream_t *>(&this->handle->tcp);
+	if (this->opened && uv_stream_get_write_queue_size(stream) == 0) {
+		uv_buf_t buffer = uv_buf_init(bytes.data(), static_cast<unsigned int>(bytes.size()));
+		int written = uv_try_write(stream, &buffer, 1);
+		if (written == static_cast<int>(bytes.size())) return;
+		if (written > 0) bytes.erase(0, static_cast<size_t>(written));
+	}
+	auto *queued = new QueuedWrite;
+	queued->bytes = std::move(bytes);
+	queued->request.data = queued;
+	uv_buf_t buffer = uv_buf_init(queued->bytes.data(), static_cast<unsigned int>(queued->bytes.size()));
+	auto done = [](uv_write_t *request, int status) {
+		auto *self = static_cast<TcpStream *>(request->handle->data);
+		delete static_cast<QueuedWrite *>(request->data);
+		self->OnWritten(status);
+	};
+	uv_write(&queued->request, stream, &buffer, 1, done);
+}
+
+void TcpStream::OnWritten(int status)
+{
+	if (this->closed) return;
+	auto keep = this->shared_from_this();
+	if (status < 0) return this->End(this->opened ? TcpEnd::Reset : TcpEnd::Refused, uv_strerror(status));
+	if (this->Backlog() == 0 && this->on_drained) this->on_drained();
+}
+
+void TcpStream::SetReading(bool wanted)
+{
+	this->want_read = wanted;
+	if (wanted) return this->StartReading();
+	if (!this->reading || this->closed) return;
+	this->reading = false;
+	uv_read_stop(reinterpret_cast<uv_stream_t *>(&this->handle->tcp));
+}
+
+size_t TcpStream::Backlog() const
+{
+	if (this->closed) return 0;
+	return uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t *>(&this->handle->tcp));
+}
+
+/** Free \a handle and let go of its stream; the last step of every connection. */
+static void FreeHandle(uv_handle_t *handle)
+{
+	auto *owner = reinterpret_cast<TcpStream::Handle *>(handle);
+	delete owner;
+}
+
+void TcpStream::Close()
+{
+	if (this->closed) return;
+	this->closed = true;
+	auto *handle_base = reinterpret_cast<uv_handle_t *>(&this->handle->tcp);
+	if (!uv_is_closing(handle_base)) uv_close(handle_base, FreeHandle);
+}
+
+void TcpStream::CloseAfterWrites()
+{
+	if (this->closed || this->finishing) return;
+	this->finishing = true;
+	this->handle->shutdown.data = this;
+	auto done = [](uv_shutdown_t *request, int) {
+		auto *self = static_cast<TcpStream *>(request->data);
+		if (!self->closed) self->Close();
+	};
+	if (uv_shutdown(&this->handle->shutdown, reinterpret_cast<uv_stream_t *>(&this->handle->tcp), done) != 0) this->Close();
+}
+
+void TcpStream::Abort()
+{
+	if (this->closed) return;
+	this->closed = true;
+	auto *handle_base = reinterpret_cast<uv_handle_t *>(&this->handle->tcp);
+	if (uv_is_closing(handle_base)) return;
+	if (!this->opened || this->finishing || uv_tcp_close_reset(&this->handle->tcp, FreeHandle) != 0) uv_close(handle_base, FreeHandle);
+}
+
+/** libuv's handle of a listener. */
+struct TcpListener::Handle {
+	uv_tcp_t tcp{}; ///< The handle itself.
+};
+
+TcpListener::TcpListener(uv_loop_s *loop, OnStream on_stream) : loop(loop), on_stream(std::move(on_stream)), handle(nullptr)
+{
+}
+
+TcpListener::~TcpListener()
+{
+	this->Stop();
+}
+
+Result<uint16_t> TcpListener::Listen(const Endpoint &at)
+{
+	this->handle = new Handle;
+	uv_tcp_init(this->loop, &this->handle->tcp);
+	this->handle->tcp.data = this;
+	sockaddr_in address{};
+	int failed = uv_ip4_addr(at.ip.c_str(), at.port, &address);
+	if (failed == 0) failed = uv_tcp_bind(&this->handle->tcp, reinterpret_cast<const sockaddr *>(&address), 0);
+	auto accept = [](uv_stream_t *stream, int status) {
+		auto *self = static_cast<TcpListener *>(stream->data);
+		if (status < 0) return;
+		if (auto accepted = TcpStream::Accept(stream)) self->on_stream(std::move(accepted));
+	};
+	if (failed == 0) failed = uv_listen(reinterpret_cast<uv_stream_t *>(&this->handle->tcp), LISTEN_BACKLOG, accept);
+	sockaddr_in bound{};
+	int size = sizeof(bound);
+	if (failed == 0) failed = uv_tcp_getsockname(&this->handle->tcp, reinterpret_cast<sockaddr *>(&bound), &size);
+	if (failed != 0) return Error{Step::Listen, at.Text(), uv_strerror(failed)};
+	return ntohs(bound.sin_port);
+}
+
+void TcpListener::Stop()
+{
+	if (this->handle == nullptr) return;
+	uv_close(reinterpret_cast<uv_handle_t *>(&this->handle->tcp), [](uv_handle_t *h) { delete reinterpret_cast<Handle *>(h); });
+	this->handle = nullptr;
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/platform/node_settings.cpp
@@ -0,0 +1,117 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file node_settings.cpp Decodes the platform's settings file. */
+
+#include "platform/node_settings.h"
+#include <cstdlib>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace cottonspool {
+
+using Json = nlohmann::json;
+
+/** Reads fields of one file and remembers the first fault. */
+class FieldReader {
+public:
+	FieldReader(const Json &root, std::string file) : root(root), file(std::move(file)) {}
+
+	/** @return The text at \a path; a fault when it is missing. */
+	std::string Text(const char *path)
+	{
+		const Json *value = this->Find(path);
+		if (value != nullptr && value->is_string()) return value->get<std::string>();
+		this->Fail(path, "has to be a text");
+		return {};
+	}
+
+	/** @return The address at \a path; a fault when it is missing or misspelt. */
+	Endpoint Address(const char *path)
+	{
+		std::string text = this->Text(path);
+		if (this->fault) return {};
+		Result<Endpoint> endpoint = ParseEndpoint(text);
+		if (endpoint) return endpoint.value();
+		this->Fail(path, endpoint.error().message);
+		return {};
+	}
+
+	/** @return The number at \a path, or \a otherwise when there is none; a fault when it is out of range. */
+	double Number(const char *path, double otherwise, double least, double most)
+	{
+		const Json *value = this->Find(path);
+		if (value == nullptr || value->is_null()) return otherwise;
+		if (value->is_number() && value->get<double>() >= least && value->get<double>() <= most) return value->get<double>();
+		this->Fail(path, "has to be a number from " + std::to_string(least) + " to " + std::to_string(most));
+		return otherwise;
+	}
+
+	/** @return The value at \a path, or null. */
+	const Json *Find(const char *path) const
+	{
+		Json::json_pointer pointer(path);
+		return this->root.contains(pointer) ? &this->root.at(pointer) : nullptr;
+	}
+
+	/** @return The first fault, if there was one. */
+	const std::optional<Error> &Fault() const { return this->fault; }
+
+private:
+	void Fail(const char *path, const std::string &message)
+	{
+		if (!this->fault) this->fault = Error{Step::Settings, this->file, std::string(path) + " " + message};
+	}
+
+	const Json &root;           ///< Whole file.
+	std::string file;           ///< Name of the file, for errors.
+	std::optional<Error> fault; ///< First fault.
+};
+
+Result<NodeSettings> ParseNodeSettings(const std::string &text, const std::string &file)
+{
+	static constexpr double MOST_MS = 3600e3;
+	Json root = Json::parse(text, nullptr, false);
+	if (!root.is_object()) return Error{Step::Settings, file, "has to be a JSON object"};
+	FieldReader fields(root, file);
+	auto milliseconds = [&](const char *path, double otherwise) { return FromSeconds(fields.Number(path, otherwise, 0, MOST_MS) / 1000); };
+	auto seconds = [&](const char *path, double otherwise) { return FromSeconds(fields.Number(path, otherwise, 0, MOST_MS / 1000)); };
+	NodeSettings settings;
+	settings.name = fields.Text("/nodeName");
+	settings.hall = fields.Text("/zone");
+	settings.ip = fields.Text("/ip");
+	settings.front = fields.Address("/listen/front");
+	settings.ready = fields.Address("/listen/ready");
+	settings.store = fields.Address("/platform/address");
+	if (const Json *zones = fields.Find("/zones"); zones != nullptr && zones->is_object()) {
+		for (const auto &[zone, region] : zones->items()) settings.halls.push_back(zone);
+	}
+	settings.first_port = static_cast<uint16_t>(fields.Number("/internalPorts/0", 0, 0, UINT16_MAX));
+	settings.last_port = static_cast<uint16_t>(fields.Number("/internalPorts/1", 0, 0, UINT16_MAX));
+	settings.memory_mb = static_cast<uint64_t>(fields.Number("/limits/memoryMb", 0, 0, 1e9));
+	settings.heartbeat = milliseconds("/heartbeatMs", 1200);
+	settings.bounds.drain = milliseconds("/bounds/drainMs", 2000);
+	settings.bounds.stop_grace = seconds("/bounds/graceS", 8);
+	settings.bounds.retry_ratio = fields.Number("/bounds/retryBudgetRatio", 0.2, 0, 10);
+	settings.bounds.retry_window = seconds("/bounds/budgetWindowS", 10);
+	settings.bounds.retry_slack = fields.Number("/bounds/retrySlack", 50, 0, 1e9);
+	if (fields.Fault()) return *fields.Fault();
+	return settings;
+}
+
+std::string NodeSettingsPath()
+{
+	const char *path = std::getenv("COTTONSPOOL_NODE_FILE");
+	return path == nullptr ? "" : path;
+}
+
+Result<NodeSettings> LoadNodeSettings(const std::string &path)
+{
+	std::ifstream in(path);
+	if (!in) return Error{Step::Settings, path, "cannot be read"};
+	std::stringstream text;
+	text << in.rdbuf();
+	return ParseNodeSettings(text.str(), path);
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/platform/wire_engine.cpp
@@ -0,0 +1,114 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file wire_engine.cpp Calls to engines beside the requests themselves. */
+
+#include "platform/wire_engine.h"
+#include "platform/json_func.h"
+
+namespace cottonspool {
+
+std::optional<EngineReport> DecodeReport(const std::string &text)
+{
+	Json root = Json::parse(text, nullptr, false);
+	if (!root.is_object()) return std::nullopt;
+	EngineReport report;
+	report.running = static_cast<uint32_t>(CountOf(root, "running"));
+	report.waiting = static_cast<uint32_t>(CountOf(root, "queued"));
+	report.used_tokens = CountOf(root, "kvUsed");
+	report.memory_tokens = CountOf(root, "kvTotal");
+	// Here this name holds the prompt tokens of the first request that waits.
+	report.waiting_tokens = CountOf(root, "nextPageToken");
+	report.leaving = TextOf(root, "state") == "draining";
+	if (root.contains("leaves_ms")) report.leaves_in = MillisecondsOf(root, "leaves_ms");
+	return report;
+}
+
+MoveAnswer DecodeMove(int status, const std::string &text)
+{
+	Json root = Json::parse(text, nullptr, false);
+	MoveAnswer answer;
+	if (root.is_object()) {
+		answer.handle = TextOf(root, "handle");
+		// Here this name holds the number of events that the run has made.
+		answer.events = CountOf(root, "createdRev");
+	}
+	switch (status) {
+	case 200:
+		answer.kind = answer.handle.empty() ? MoveAnswer::Kind::NoAnswer : MoveAnswer::Kind::Copied;
+		break;
+	case 404:
+		answer.kind = MoveAnswer::Kind::NoRun;
+		break;
+	case 409:
+		answer.kind = MoveAnswer::Kind::Busy;
+		break;
+	case 503:
+		answer.kind = MoveAnswer::Kind::NoRoom;
+		break;
+	default:
+		break;
+	}
+	return answer;
+}
+
+/** Collects a whole answer: its status and body. */
+struct WholeAnswer {
+	int status = 0;   ///< Status.
+	std::string body; ///< Body.
+};
+
+/** Have \a call collect its answer and hand it to \a done; status 0 when there is none. */
+static void Collect(UpstreamCall &call, std::function<void(const WholeAnswer &)> done)
+{
+	auto answer = std::make_shared<WholeAnswer>();
+	call.on_head = [answer](const HttpHead &head) {
+		answer->status = head.status;
+		return true;
+	};
+	call.on_body = [answer](std::string_view bytes) { answer->body.append(bytes); };
+	call.on_end = [answer, done = std::move(done)](UpstreamEnd end, const char *) {
+		if (end != UpstreamEnd::Complete) answer->status = 0;
+		done(*answer);
+	};
+}
+
+UpstreamCall MakeReportCall(const Endpoint &to, const std::string &peer, std::function<void(std::optional<EngineReport>)> done)
+{
+	UpstreamCall call;
+	call.to = to;
+	call.peer = peer;
+	call.target = "/-/report";
+	call.headers = {{"Host", to.Text()}};
+	Collect(call, [done = std::move(done)](const WholeAnswer &answer) {
+		done(answer.status == 200 ? DecodeReport(answer.body) : std::nullopt);
+	});
+	return call;
+}
+
+UpstreamCall MakeMoveCall(const Endpoint &to, const std::string &peer, const std::string &attempt, const std::string &copy_to, bool stop,
+                          std::function<void(const MoveAnswer &)> done)
+{
+	UpstreamCall call;
+	call.to = to;
+	call.peer = peer;
+	call.method = "POST";
+	call.target = "/-/kv-move";
+	call.headers = {{"Host", to.Text()}, {"Content-Type", "application/json"}};
+	// Here "targetVersion" holds the address of the engine that the copy goes to.
+	call.body = Json{{"id", attempt}, {"targetVersion", copy_to}, {"last", stop}}.dump();
+	Collect(call, [done = std::move(done)](const WholeAnswer &answer) { done(DecodeMove(answer.status, answer.body)); });
+	return call;
+}
+
+UpstreamCall MakeDropCall(const Endpoint &to, const std::string &peer, const std::string &handle)
+{
+	UpstreamCall call;
+	call.to = to;
+	call.peer = peer;
+	call.method = "DELETE";
+	call.target = "/-/kv-handle/" + handle;
+	call.headers = {{"Host", to.Text()}};
+	return call;
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/platform/wire_engine.h
@@ -0,0 +1,55 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file wire_engine.h Calls to engines beside the requests themselves: reports of their state, moves of runs. */
+
+#pragma once
+
+#include "net/http_upstream.h"
+
+namespace cottonspool {
+
+/** An engine's own report of its state; some hundred milliseconds old when it arrives. */
+struct EngineReport {
+	uint32_t running = 0;                  ///< Generations being decoded.
+	uint32_t waiting = 0;                  ///< Generations accepted and not yet decoded.
+	uint64_t used_tokens = 0;              ///< Memory that cannot give way.
+	uint64_t memory_tokens = 0;            ///< Memory in all.
+	uint64_t waiting_tokens = 0;           ///< Prompt tokens of the first that waits.
+	bool leaving = false;                  ///< It leaves.
+	std::optional<Duration> leaves_in;     ///< How soon, if it knows.
+};
+
+/** Result of asking an engine to copy a run's memory to another one. */
+struct MoveAnswer {
+	enum class Kind : uint8_t {
+		Copied,   ///< The copy is done and named.
+		NoRun,    ///< No such run there: not begun, or ended.
+		Busy,     ///< A copy of this run is under way.
+		NoRoom,   ///< The other engine has no room, or cannot be reached.
+		NoAnswer, ///< The call ended without a usable answer.
+	};
+	Kind kind = Kind::NoAnswer; ///< What came of it.
+	std::string handle;         ///< Name of the copy, at the source; may be given with NoRoom too, once the run has stopped.
+	uint64_t events = 0;        ///< Events made so far.
+};
+
+/** @return The call that asks the engine \a peer at \a to for its report; \a done gets it, or nothing. */
+UpstreamCall MakeReportCall(const Endpoint &to, const std::string &peer, std::function<void(std::optional<EngineReport>)> done);
+
+/**
+ * @return The call that has the engine \a peer at \a to copy the memory of the run of \a attempt to the engine at \a copy_to.
+ * @param stop The run stops first, so that the copy is whole; otherwise it goes on meanwhile.
+ */
+UpstreamCall MakeMoveCall(const Endpoint &to, const std::string &peer, const std::string &attempt, const std::string &copy_to, bool stop,
+                          std::function<void(const MoveAnswer &)> done);
+
+/** @return The call that frees the copy \a handle at its source and at the other end. */
+UpstreamCall MakeDropCall(const Endpoint &to, const std::string &peer, const std::string &handle);
+
+/** Decode a report. */
+std::optional<EngineReport> DecodeReport(const std::string &text);
+
+/** Decode the answer to a move. */
+MoveAnswer DecodeMove(int status, const std::string &text);
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/platform/wire_request.cpp
@@ -0,0 +1,129 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file wire_request.cpp Header fields of requests and answers. */
+
+#include "platform/wire_request.h"
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <strings.h>
+
+namespace cottonspool {
+
+/** @return The number at the start of \a text, or nothing. */
+static std::optional<uint64_t> LeadingNumber(std::string_view text)
+{
+	uint64_t value = 0;
+	auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+	if (parsed.ec != std::errc()) return std::nullopt;
+	return value;
+}
+
+/** Split \a text at commas. */
+static std::vector<std::string_view> Split(std::string_view text)
+{
+	std::vector<std::string_view> parts;
+	while (!text.empty()) {
+		size_t comma = std::min(text.find(','), text.size());
+		parts.push_back(text.substr(0, comma));
+		text.remove_prefix(std::min(comma + 1, text.size()));
+	}
+	return parts;
+}
+
+RequestInfo ReadRequest(const HttpHead &head)
+{
+	static constexpr std::string_view SCHEME = "bearer ";
+	RequestInfo info;
+	info.attempt = FindHeader(head.headers, "X-Attempt-Id");
+	if (auto ms = LeadingNumber(FindHeader(head.headers, "X-Deadline-Ms"))) info.deadline = std::chrono::milliseconds(*ms);
+	std::string_view authorization = FindHeader(head.headers, "Authorization");
+	bool bearer = authorization.size() > SCHEME.size() && strncasecmp(authorization.data(), SCHEME.data(), SCHEME.size()) == 0;
+	if (bearer) info.key = authorization.substr(SCHEME.size());
+	info.model = FindHeader(head.headers, "X-Model");
+	// "IN,OUT": tokens of the prompt, and the most that may be generated.
+	std::vector<std::string_view> tokens = Split(FindHeader(head.headers, "X-Token-Count"));
+	if (!tokens.empty()) info.prompt_tokens = static_cast<uint32_t>(LeadingNumber(tokens[0]).value_or(0));
+	if (tokens.size() > 1) info.most_output_tokens = static_cast<uint32_t>(LeadingNumber(tokens[1]).value_or(0));
+	info.hinted_tokens = static_cast<uint32_t>(LeadingNumber(FindHeader(head.headers, "X-Length-Hint")).value_or(0));
+	// "ID:TOKENS,…": the last part is the request's own, the one before it the last that others may share.
+	std::vector<std::string_view> parts = Split(FindHeader(head.headers, "X-Prompt-Prefix"));
+	if (parts.size() > 1) info.shared_prefix = parts[parts.size() - 2].substr(0, parts[parts.size() - 2].find(':'));
+	return info;
+}
+
+/** @return Whether \a name is a field that only an instance may set, so that a caller's own is dropped. */
+static bool IsInstanceField(std::string_view name)
+{
+	static constexpr std::array<std::string_view, 12> FIELDS{
+	        "X-Deadline-Ms",    "X-Expect-Instance", "X-Tenant", "X-Request-Urgency", "X-Expect-Version", "X-Hold",
+	        "X-Pin-Ms",         "X-Kv-Backup",       "Kv-From",  "Kv-Fetch",          "Authorization",    "Expect"};
+	return std::any_of(FIELDS.begin(), FIELDS.end(), [&](std::string_view field) {
+		return field.size() == name.size() && strncasecmp(field.data(), name.data(), name.size()) == 0;
+	});
+}
+
+/** @return \a duration as whole milliseconds, at least 1. */
+static std::string Milliseconds(Duration duration)
+{
+	int64_t ms = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+	return std::to_string(std::max<int64_t>(1, ms));
+}
+
+HttpHeaders HeadersForTarget(const HttpHeaders &received, const SendInfo &info)
+{
+	HttpHeaders headers = WithoutConnectionFields(received);
+	std::erase_if(headers, [](const HttpHeader &header) { return IsInstanceField(header.name); });
+	if (info.resume) {
+		std::erase_if(headers, [](const HttpHeader &header) { return strcasecmp(header.name.c_str(), "Last-Event-Id") == 0; });
+	}
+	headers.push_back({"X-Deadline-Ms", Milliseconds(info.remaining)});
+	headers.push_back({"X-Expect-Instance", info.target});
+	if (!info.account.empty()) headers.push_back({"X-Tenant", info.account});
+	if (info.urgency) headers.push_back({"X-Request-Urgency", std::to_string(*info.urgency)});
+	if (info.resume) {
+		headers.push_back({"Kv-From", info.resume->source + "/" + info.resume->handle});
+		headers.push_back({"Last-Event-Id", std::to_string(info.resume->last_event)});
+	}
+	if (!info.backup_address.empty()) headers.push_back({"X-Kv-Backup", info.backup_address});
+	return headers;
+}
+
+AnswerInfo ReadAnswer(const HttpHead &head)
+{
+	AnswerInfo info;
+	info.attempt = FindHeader(head.headers, "X-Attempt-Id");
+	// Another target has the address (421): by its kind that answer says that the request has not run.
+	info.not_run = !FindHeader(head.headers, "X-Not-Executed").empty() || head.status == 421;
+	info.stamped = !FindHeader(head.headers, "X-Server-Stamp").empty();
+	std::vector<std::string_view> load = Split(FindHeader(head.headers, "X-Server-Load"));
+	if (load.size() == 3) {
+		auto number = [&](size_t i) { return static_cast<uint32_t>(LeadingNumber(load[i]).value_or(0)); };
+		info.load = TargetLoad{number(0), number(1), number(2)};
+	}
+	return info;
+}
+
+HttpHeaders HeadersForCaller(const HttpHeaders &received)
+{
+	return WithoutConnectionFields(received);
+}
+
+HttpHeaders OwnAnswerHeaders(const std::string &attempt, std::optional<Duration> retry_after)
+{
+	HttpHeaders headers;
+	if (!attempt.empty()) headers.push_back({"X-Attempt-Id", attempt});
+	if (retry_after) {
+		char text[32];
+		snprintf(text, sizeof(text), "%.2f", Seconds(*retry_after));
+		headers.push_back({"Retry-After", text});
+	}
+	return headers;
+}
+
+bool IsReadinessPath(std::string_view path)
+{
+	return path == "/-/readyz";
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/platform/wire_store.cpp
@@ -0,0 +1,118 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file wire_store.cpp Calls to the platform's store. */
+
+#include "platform/wire_store.h"
+#include "platform/json_func.h"
+#include <openssl/evp.h>
+
+namespace cottonspool {
+
+static constexpr int PAGE_ROWS = 500; ///< Most rows of a page, as the store allows.
+
+/** Decode base64 \a text. @return Nothing when it is misspelt. */
+static std::optional<std::string> DecodeBase64(const std::string &text)
+{
+	if (text.empty()) return std::string();
+	if (text.size() % 4 != 0) return std::nullopt;
+	std::string bytes(text.size() / 4 * 3, '\0');
+	int length = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()), reinterpret_cast<const unsigned char *>(text.data()),
+	                             static_cast<int>(text.size()));
+	if (length < 0) return std::nullopt;
+	size_t padding = text.ends_with("==") ? 2 : text.ends_with("=") ? 1 : 0;
+	bytes.resize(static_cast<size_t>(length) - padding);
+	return bytes;
+}
+
+/** @return \a text with everything but letters, digits and a few marks escaped. */
+static std::string EscapeQuery(std::string_view text)
+{
+	static constexpr char HEX[] = "0123456789ABCDEF";
+	std::string out;
+	for (char c : text) {
+		bool plain = isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' || c == '_' || c == '.';
+		if (plain) {
+			out += c;
+			continue;
+		}
+		auto byte = static_cast<unsigned char>(c);
+		out += {'%', HEX[byte >> 4], HEX[byte & 15]};
+	}
+	return out;
+}
+
+/** Decode one row. */
+static std::optional<StoredRow> DecodeRow(const Json &from)
+{
+	if (!from.is_object()) return std::nullopt;
+	StoredRow row;
+	// The row's key, whatever the name suggests.
+	row.key = TextOf(from, "tlsKey");
+	row.version = CountOf(from, "ver");
+	row.deleted = FlagOf(from, "deleted");
+	if (row.deleted) return row;
+	std::optional<std::string> value = DecodeBase64(TextOf(from, "value"));
+	if (!value) return std::nullopt;
+	row.value = std::move(*value);
+	return row;
+}
+
+RowsAnswer DecodeRows(int status, const std::string &text)
+{
+	if (status == 410) return {std::nullopt, StoreFailure::HistoryGone, "410"};
+	if (status == 429 || status == 503) return {std::nullopt, StoreFailure::Refused, std::to_string(status)};
+	if (status == 0) return {std::nullopt, StoreFailure::NoAnswer, "no whole answer"};
+	Json root = Json::parse(text, nullptr, false);
+	if (status != 200 || !root.is_object() || !root.contains("ver")) return {std::nullopt, StoreFailure::Malformed, std::to_string(status)};
+	RowsPage page;
+	page.version = CountOf(root, "ver");
+	page.more = FlagOf(root, "hasMore");
+	for (const Json &row : ListOf(root, "rows")) {
+		std::optional<StoredRow> decoded = DecodeRow(row);
+		if (!decoded) return {std::nullopt, StoreFailure::Malformed, "a row that cannot be read"};
+		page.rows.push_back(std::move(*decoded));
+	}
+	return {std::move(page), StoreFailure::NoAnswer, {}};
+}
+
+uint64_t WireStore::Get(std::string target, RowsDone done)
+{
+	struct Answer {
+		int status = 0;
+		std::string body;
+	};
+	auto answer = std::make_shared<Answer>();
+	UpstreamCall call;
+	call.to = this->address;
+	call.peer = PEER;
+	call.target = std::move(target);
+	call.headers = {{"Host", this->address.Text()}};
+	call.on_head = [answer](const HttpHead &head) {
+		answer->status = head.status;
+		return true;
+	};
+	call.on_body = [answer](std::string_view bytes) { answer->body.append(bytes); };
+	call.on_end = [answer, done = std::move(done)](UpstreamEnd end, const char *cause) {
+		RowsAnswer rows = DecodeRows(end == UpstreamEnd::Complete ? answer->status : 0, answer->body);
+		if (end != UpstreamEnd::Complete) rows.cause = cause;
+		done(std::move(rows));
+	};
+	return this->upstream.Start(std::move(call));
+}
+
+uint64_t WireStore::ReadRows(const std::string &table, const std::string &from, RowsDone done)
+{
+	// The system's own tables have one part, with an empty name.
+	std::string target = "/-/rows-get?table=" + EscapeQuery(table) + "&part=&limit=" + std::to_string(PAGE_ROWS);
+	if (!from.empty()) target += "&from=" + EscapeQuery(from);
+	return this->Get(std::move(target), std::move(done));
+}
+
+uint64_t WireStore::ReadChanges(const std::string &table, uint64_t version, Duration wait, RowsDone done)
+{
+	int64_t wait_ms = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+	std::string target = "/-/rows-feed?table=" + EscapeQuery(table) + "&sinceRev=" + std::to_string(version);
+	return this->Get(target + "&waitMs=" + std::to_string(wait_ms), std::move(done));
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/platform/wire_store.h
@@ -0,0 +1,36 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file wire_store.h The platform's store behind the interface that the product uses. */
+
+#pragma once
+
+#include "net/http_upstream.h"
+#include "store/table_store_base.h"
+
+namespace cottonspool {
+
+/** Calls to the platform's store. */
+class WireStore : public TableStore {
+public:
+	WireStore(HttpUpstream &upstream, Endpoint address) : upstream(upstream), address(std::move(address)) {}
+
+	uint64_t ReadRows(const std::string &table, const std::string &from, RowsDone done) override;
+	uint64_t ReadChanges(const std::string &table, uint64_t version, Duration wait, RowsDone done) override;
+	void Cancel(uint64_t call) override { this->upstream.Cancel(call); }
+
+	/** The store is at \a moved_to from now on. */
+	void SetAddress(Endpoint moved_to) { this->address = std::move(moved_to); }
+
+	static constexpr const char *PEER = "store"; ///< Name under which its connections are kept.
+
+private:
+	uint64_t Get(std::string target, RowsDone done);
+
+	HttpUpstream &upstream; ///< HTTP.
+	Endpoint address;       ///< Where the store is.
+};
+
+/** Decode an answer of the store. */
+RowsAnswer DecodeRows(int status, const std::string &text);
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/store/table_store_base.h
@@ -0,0 +1,66 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file table_store_base.h A store of versioned rows that can be read whole and followed, as an interface. */
+
+#pragma once
+
+#include "core/time_type.h"
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cottonspool {
+
+/** One row, or the news that it is gone. */
+struct StoredRow {
+	std::string key;      ///< Key inside the table.
+	std::string value;    ///< Content; empty when deleted.
+	uint64_t version = 0; ///< Version of the store at which it was written.
+	bool deleted = false; ///< It is gone.
+};
+
+/** A part of a table as of one version of the store, or what has changed since one. */
+struct RowsPage {
+	std::vector<StoredRow> rows; ///< Rows.
+	uint64_t version = 0;        ///< Version of the store that the rows are of.
+	bool more = false;           ///< Further rows follow behind the last one.
+};
+
+/** Why the store gave no rows. */
+enum class StoreFailure : uint8_t {
+	NoAnswer,    ///< No connection, or it broke.
+	Refused,     ///< It turned the call away: nothing was done.
+	HistoryGone, ///< Changes since that version are no longer known: read the table again.
+	Malformed,   ///< The answer could not be read.
+};
+
+/** @return The name of \a failure for logs. */
+const char *StoreFailureName(StoreFailure failure);
+
+/** Rows, or why there are none. */
+struct RowsAnswer {
+	std::optional<RowsPage> page;                    ///< Rows, if they came.
+	StoreFailure failure = StoreFailure::NoAnswer;   ///< Why not, otherwise.
+	std::string cause;                               ///< What went wrong, for logs.
+};
+
+/** A store of versioned rows. Each call ends with exactly one call of its \a done function unless it is cancelled. */
+class TableStore {
+public:
+	using RowsDone = std::function<void(RowsAnswer)>;
+
+	virtual ~TableStore() = default;
+
+	/** Read rows of \a table from the key \a from on. @return A number for Cancel(). */
+	virtual uint64_t ReadRows(const std::string &table, const std::string &from, RowsDone done) = 0;
+
+	/** Read what has changed in \a table after \a version; the store waits up to \a wait for a change. @return A number for Cancel(). */
+	virtual uint64_t ReadChanges(const std::string &table, uint64_t version, Duration wait, RowsDone done) = 0;
+
+	/** Give a call up; its connection is closed, since an answer may still come on it. */
+	virtual void Cancel(uint64_t call) = 0;
+};
+
+} // namespace cottonspool
--- /dev/null
+++ b/src/store/table_watch.h
@@ -0,0 +1,88 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file table_watch.h Follows one table of the store: whole at first, then change by change, whatever becomes of the store. */
+
+#pragma once
+
+#include "store/table_store_base.h"
+#include <memory>
+
+namespace cottonspool {
+
+/** Times of a table watch. */
+struct WatchLimits {
+	Duration wait = std::chrono::seconds(3);            ///< Time the store may wait for a change; bounds how long a dead connection goes unnoticed.
+	Duration slack = std::chrono::milliseconds(700);    ///< Time beyond it after which a call is given up.
+	Duration read_limit = std::chrono::milliseconds(1000); ///< Time after which reading a page is given up, at first; doubles with each try.
+	Duration read_most = std::chrono::seconds(4);       ///< Longest such time: a slow store must not be asked in vain for ever.
+	Duration pause_least = std::chrono::milliseconds(150); ///< Pause after a first failure; doubles.
+	Duration pause_most = std::chrono::milliseconds(800);  ///< Longest pause: recovery must be seen within the bounds on entries that lapsed.
+};
+
+/** Follows one table. Versions only go forward: an older answer than one taken in before is dropped. */
+class TableWatch {
+public:
+	std::function<void(const std::vector<StoredRow> &, TimePoint)> on_all;     ///< The whole table was read.
+	std::function<void(const std::vector<StoredRow> &, TimePoint)> on_changes; ///< Rows changed.
+	std::function<void(const RowsAnswer &, TimePoint)> on_lost;                ///< The store has stopped answering.
+	std::function<void(Duration, TimePoint)> on_regained;                      ///< It answers again after that time.
+
+	TableWatch(TableStore &store, std::string table, WatchLimits limits);
+	~TableWatch();
+	TableWatch(const TableWatch &) = delete;
+	TableWatch &operator=(const TableWatch &) = delete;
+
+	/** Begin to read. */
+	void Start(TimePoint now);
+
+	/** Time has passed; to be called some ten times a second. */
+	void OnTick(TimePoint now);
+
+	/** Forget what was read and read the whole table again. */
+	void ReadAgain(TimePoint now);
+
+	/** @return Whether the table was read whole at least once. */
+	bool IsKnown() const { return this->known; }
+
+	/** @return Whether the last call failed. */
+	bool IsLost() const { return this->lost; }
+
+	/** @return When the store last confirmed what is known here. */
+	TimePoint ConfirmedAt() const { return this->confirmed; }
+
+	/** @return Version of the store up to which the table is known. */
+	uint64_t Version() const { return this->version; }
+
+	/** @return Calls made since the start. */
+	uint64_t Calls() const { return this->calls; }
+
+private:
+	void ReadPage(TimePoint now);
+	void ReadChanges(TimePoint now);
+	void OnPage(RowsAnswer answer);
+	void OnChanges(RowsAnswer answer);
+	void OnFailure(const RowsAnswer &answer, TimePoint now);
+	void OnAnswered(TimePoint now);
+
+	TableStore &store;             ///< Store.
+	std::string table;             ///< Table.
+	WatchLimits limits;            ///< Times.
+	std::vector<StoredRow> pages;  ///< Rows of a read that is under way.
+	std::string next_key;          ///< Where its next page begins.
+	uint64_t pages_version = 0;    ///< Version of its first page: changes are read from there.
+	uint64_t version = 0;          ///< Version up to which the table is known.
+	uint64_t call = 0;             ///< Call under way; 0 for none.
+	uint64_t calls = 0;            ///< Calls made.
+	TimePoint call_limit;          ///< When it is given up.
+	TimePoint not_before;          ///< Earliest next call.
+	TimePoint confirmed;           ///< When the store last confirmed what is known.
+	TimePoint lost_since;          ///< When the first call failed.
+	Duration pause{0};             ///< Pause after the last failure.
+	Duration read_time{0};         ///< Time that a page may take now.
+	bool known = false;            ///< Read whole once.
+	bool following = false;        ///< Changes are followed; otherwise the table is read whole.
+	bool lost = false;             ///< The last call failed.
+	std::shared_ptr<bool> alive;   ///< False once this is gone; calls hold it.
+};
+
+} // namespace cottonspool
