--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -127,12 +127,24 @@
 	uv_read_start(reinterpret_cast<uv_stream_t *>(&this->handle->tcp), allocate, read);
 }
 
+bool TcpStream::IsReset() const
+{
+	// libuv tells an end as soon as the kernel reports a hang-up behind a partial read, also when it was a reset. Only the
+	// socket itself knows: after an orderly close a read gives nothing, after a reset it gives an error.
+	uv_os_fd_t fd = -1;
+	if (uv_fileno(reinterpret_cast<const uv_handle_t *>(&this->handle->tcp), &fd) != 0) return true;
+	char byte = 0;
+	ssize_t length = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return length < 0 && errno != EAGAIN && errno != EINTR;
+}
+
 void TcpStream::OnRead(long length, const char *bytes)
 {
 	if (length == 0 || this->closed) return;
 	auto keep = this->shared_from_this();
 	if (length < 0 && this->finishing) return this->SetReading(false);
-	if (length == UV_EOF) return this->End(TcpEnd::Closed, "closed by the other side");
+	if (length == UV_EOF && !this->IsReset()) return this->End(TcpEnd::Closed, "closed by the other side");
+	if (length == UV_EOF) return this->End(TcpEnd::Reset, "reset by the other side");
 	if (length < 0) return this->End(TcpEnd::Reset, uv_strerror(static_cast<int>(length)));
 	if (this->on_data) this->on_data(std::string_view(bytes, static_cast<size_t>(length)));
 }
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -89,6 +89,7 @@
 	void OnWritten(int status);
 	void End(TcpEnd end, const char *cause);
 	void SetOptions();
+	bool IsReset() const;
 
 	Handle *handle;         ///< libuv's handle; freed by its close callback.
 	bool opened = false;    ///< Was connected.
