Change: [Router] The wait for the first token counts; retries run within the request's time, not its first wait

A retried call was given up at the end of its first wait, so a failed answer of 60 ms was hardly ever tried again. Change: targets keep when the prompts sent there are expected to be read; the score adds that wait as a part of the objective. A target that failed a call gets it again only if there is no other. Urgency at engines: account, then route. The dispatcher's property test knew five ends of a send; it now draws all seven and also checks that no target gets a call again while another could.

--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -114,6 +114,17 @@
 	this->targets.OnToken(*found->second.holder, call, now, tokens);
 }
 
+TimePoint Dispatcher::RenewDeadline(Tracked &tracked, TimePoint now) const
+{
+	CallSpec &call = tracked.call;
+	if (call.ends_at == TimePoint::max()) return call.deadline;
+	// A call that was sent has been offered: its wait for another target begins anew, within its time.
+	call.deadline = std::min(call.ends_at, now + (call.deadline - call.arrived));
+	call.arrived = now;
+	call.press_from = now;
+	return call.ends_at;
+}
+
 RetryBudget *Dispatcher::PoolBudget(ModelNumber model)
 {
 	if (!this->limits.pool_retry) return nullptr;
@@ -132,7 +143,7 @@
 void Dispatcher::SendAgain(Tracked &tracked, SendEnd end, TimePoint now, Decisions &decisions)
 {
 	uint32_t most = tracked.call.max_attempts > 0 ? tracked.call.max_attempts : this->limits.max_attempts;
-	if (tracked.attempts >= most || now >= tracked.call.deadline) {
+	if (tracked.attempts >= most || now >= this->RenewDeadline(tracked, now)) {
 		CallSpec given_up = tracked.call;
 		this->GiveUp(given_up, GiveUpReason::DeadlinePassed, decisions);
 		return;
@@ -155,7 +166,7 @@
 	tracked.attempts--;
 	tracked.call.avoid.push_back(*tracked.holder);
 	tracked.holder.reset();
-	if (++tracked.unsent >= this->limits.max_unsent || now >= tracked.call.deadline) {
+	if (++tracked.unsent >= this->limits.max_unsent || now >= this->RenewDeadline(tracked, now)) {
 		CallSpec given_up = tracked.call;
 		this->GiveUp(given_up, GiveUpReason::NoTarget, decisions);
 		return;
@@ -236,6 +247,7 @@
 	}
 	run.avoid = refused;
 	run.avoid.push_back(*tracked.holder);
+	run.avoid_strictly = true;
 	run.press_from = now;
 	return this->router->Choose(run, this->targets, now);
 }
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -116,6 +116,7 @@
 	void GiveUp(const CallSpec &call, GiveUpReason reason, Decisions &decisions);
 	void SendAgain(Tracked &tracked, SendEnd end, TimePoint now, Decisions &decisions);
 	void TryElsewhere(Tracked &tracked, TimePoint now, Decisions &decisions);
+	TimePoint RenewDeadline(Tracked &tracked, TimePoint now) const;
 	bool SpendRetry(const Tracked &tracked);
 	RetryBudget *PoolBudget(ModelNumber model);
 	void MeasureRate(double tokens, TimePoint now);
--- a/src/decision/request_type.h
+++ b/src/decision/request_type.h
@@ -51,9 +51,12 @@
 	TimePoint deadline;                                     ///< When it is given up if it has not been sent.
 	std::vector<HallPreference> halls;                      ///< Halls in order of preference; empty means any.
 	bool generated = true;                                  ///< A model generation; false for a plain service call.
+	TimePoint ends_at = TimePoint::max();                   ///< When its final answer is due at the latest.
+	Duration objective{0};                                  ///< Latency within which its (first) answer is in time; zero if there is none.
 	uint32_t max_attempts = 0;                              ///< Most targets it may be sent to; 0 means the dispatcher's own bound.
 	TimePoint press_from = TimePoint::max();                ///< From then on it goes to a target without room, up to a bound.
-	std::vector<TargetNumber> avoid;                        ///< Targets that are not to get it again.
+	std::vector<TargetNumber> avoid;                        ///< Targets that get it only if there is no other.
+	bool avoid_strictly = false;                            ///< They don't get it at all.
 };
 
 /** Why a call was given up before it was sent. */
--- a/src/decision/router.cpp
+++ b/src/decision/router.cpp
@@ -13,6 +13,7 @@
 static constexpr double INTERVAL_WEIGHT = 0.4;     ///< Weight of the time between tokens against its median.
 static constexpr double CALLS_WEIGHT = 0.02;       ///< Weight of one call at the target: more calls make each step longer.
 static constexpr double MOST_PRESSURE = 1.5;       ///< Pressure from which even an interactive call waits.
+static constexpr double FIRST_TOKEN_WEIGHT = 1.5;  ///< Weight of the wait for the first token, as a part of the objective.
 static constexpr double OTHER_HALL_PENALTY = 0.10; ///< Pressure that the next preferred hall has to be better by.
 
 /** @return Penalty of the hall of \a target for \a call, or nothing when the hall gets no new work. */
@@ -33,6 +34,18 @@
 	return std::find(call.avoid.begin(), call.avoid.end(), target) != call.avoid.end();
 }
 
+/** @return \a call with nothing to avoid, if no target is left for it otherwise; nothing if one is. */
+static std::optional<CallSpec> WithoutAvoiding(const CallSpec &call, const TargetTable &targets, TimePoint now)
+{
+	if (call.avoid.empty() || call.avoid_strictly) return std::nullopt;
+	for (TargetNumber number : targets.ForModel(call.model)) {
+		if (!IsAvoided(call, number) && targets.IsUsable(targets.Get(number), call.model, now)) return std::nullopt;
+	}
+	CallSpec relaxed = call;
+	relaxed.avoid.clear();
+	return relaxed;
+}
+
 /** @return The targets that may get \a call now. */
 static std::vector<TargetNumber> Usable(const CallSpec &call, const TargetTable &targets, TimePoint now)
 {
@@ -48,7 +61,7 @@
 /** @return Load as a naive balancer sees it: the last report plus own calls that it cannot contain yet. */
 static double ReportedLoad(const TargetState &target)
 {
-	double fresh = static_cast<double>(target.in_flight.size()) - target.own_calls_at_report;
+	double fresh = static_cast<double>(target.in_flight.size()) - target.known_calls_at_report;
 	return target.report.running + target.report.waiting + std::max(0.0, fresh);
 }
 
@@ -61,6 +74,7 @@
 
 	std::optional<TargetNumber> Choose(const CallSpec &call, const TargetTable &targets, TimePoint now) override
 	{
+		if (std::optional<CallSpec> relaxed = WithoutAvoiding(call, targets, now)) return this->Choose(*relaxed, targets, now);
 		std::optional<TargetNumber> best = this->Best(call, targets, now, this->rules.use_headroom);
 		// An interactive call does not wait for room: it goes first at the engine, and what it takes is kept free by the other classes.
 		bool may_press = call.service_class == ServiceClass::Interactive && call.generated && this->rules.use_press;
@@ -79,7 +93,7 @@
 			std::optional<double> penalty = HallPenalty(call, target);
 			if (!penalty || (with_room && !this->HasRoom(call, target, targets, now))) continue;
 			if (!with_room && this->rules.use_headroom && targets.Pressure(target) > MOST_PRESSURE) continue;
-			double score = this->Score(call, target, targets) + *penalty;
+			double score = this->Score(call, target, targets, now) + *penalty;
 			if (score >= best_score) continue;
 			best = number;
 			best_score = score;
@@ -92,12 +106,14 @@
 		double need = targets.Need(target, call);
 		if (targets.Allowance(target, call, now) >= need) return true;
 		bool idle = target.in_flight.empty() && target.report.running + target.report.waiting == 0;
-		return idle && target.spent_since_report == 0;
+		return idle && target.sent_since_report == 0;
 	}
 
-	double Score(const CallSpec &call, const TargetState &target, const TargetTable &targets) const
+	double Score(const CallSpec &call, const TargetState &target, const TargetTable &targets, TimePoint now) const
 	{
 		double score = targets.Pressure(target) + CALLS_WEIGHT * ReportedLoad(target);
+		if (this->rules.use_first_token && call.generated && call.objective > Duration(0))
+			score += FIRST_TOKEN_WEIGHT * Seconds(targets.FirstTokenWait(target, call, now)) / Seconds(call.objective);
 		if (this->rules.use_interval && target.median_interval > 0)
 			score += INTERVAL_WEIGHT * (target.interval / target.median_interval - 1);
 		bool cached = this->rules.use_prefix && TargetTable::HasPrefix(target, call.prefix);
--- a/src/decision/router_base.h
+++ b/src/decision/router_base.h
@@ -24,6 +24,7 @@
 	bool use_interval = true; ///< Prefer targets whose tokens come faster than their like's.
 	bool use_press = true;    ///< Let interactive calls go without room, up to a bound.
 	bool use_prefix = true;   ///< Prefer a target that has the prompt's beginning cached.
+	bool use_first_token = true; ///< Prefer a target that reads the prompt soon.
 };
 
 /** Make the router named \a name ("headroom", "round-robin", "least-load", "two-choices", "rank-weighted"). @return Null for no such name.
--- a/src/decision/target_table.cpp
+++ b/src/decision/target_table.cpp
@@ -20,6 +20,10 @@
 static constexpr size_t SLOW_MIN_TARGETS = 3;           ///< Fewest measured targets from which a median says something.
 static constexpr Duration SENT_PREFIX_LIFE = std::chrono::seconds(10); ///< Time for which a prefix sent is believed to be cached.
 static constexpr size_t MAX_SENT_PREFIXES = 64;                        ///< Most of them remembered.
+static constexpr uint32_t PROMPT_RATE_LEAST = 256;                     ///< Shortest prompt that tells how fast prompts are read.
+static constexpr double PROMPT_RATE_SMOOTHING = 0.05;                  ///< Weight of the newest such figure.
+static constexpr double PROMPT_RATE_MIN = 500;                         ///< Least such figure believed, in tokens a second.
+static constexpr double PROMPT_RATE_MAX = 50000;                       ///< Largest such figure believed, in tokens a second.
 static constexpr double TURN_PART = 0.5;                               ///< Part of the headroom that goes to one instance in turn.
 
 TargetNumber TargetTable::Configure(std::string_view name, std::string_view hall, const std::vector<ModelNumber> &models, bool engine)
@@ -88,16 +92,16 @@
 	target.report = report;
 	target.report_at = now;
 	target.ready = true;
-	target.own_at_report = 0;
-	target.own_calls_at_report = 0;
-	target.spent_since_report = 0;
+	target.known_at_report = 0;
+	target.known_calls_at_report = 0;
+	target.sent_since_report = 0;
 	TimePoint made_at = now - report.age;
 	for (const auto &[id, flight] : target.in_flight) {
 		if (flight.sent < made_at) {
-			target.own_at_report += flight.call.prompt_tokens + flight.generated;
-			target.own_calls_at_report++;
+			target.known_at_report += flight.call.prompt_tokens + flight.generated;
+			target.known_calls_at_report++;
 		} else {
-			target.spent_since_report += this->Need(target, flight.call);
+			target.sent_since_report += this->Need(target, flight.call);
 		}
 	}
 	target.reported_prefixes = std::set<uint64_t>(report.prefixes.begin(), report.prefixes.end());
@@ -116,15 +120,43 @@
 {
 	TargetState &target = this->targets[number.value];
 	InFlightCall flight{call, 0, call.generated ? this->lengths.Residual(call, 0) : 0, now, now};
-	target.own_tokens += call.prompt_tokens;
-	target.own_residual += flight.residual;
+	target.known_tokens += call.prompt_tokens;
+	target.known_residual += flight.residual;
 	if (call.prefix != 0) target.sent_prefixes.emplace_back(call.prefix, now);
 	if (target.sent_prefixes.size() > MAX_SENT_PREFIXES) target.sent_prefixes.pop_front();
-	target.spent_since_report += call.prompt_tokens + target.growth * flight.residual;
+	target.sent_since_report += call.prompt_tokens + target.growth * flight.residual;
 	if (target.ejections > 0) target.probing = true;
+	this->NotePromptSent(target, flight, now);
 	target.in_flight.emplace(call.id, std::move(flight));
 }
 
+void TargetTable::NotePromptSent(TargetState &target, InFlightCall &flight, TimePoint now) const
+{
+	if (!target.engine || flight.generated > 0) return;
+	flight.reads_alone = target.unread_prompts == 0;
+	if (flight.reads_alone) target.prompts_read_at = now;
+	target.unread_prompts++;
+	target.prompts_read_at = std::max(now, target.prompts_read_at) + FromSeconds(flight.call.prompt_tokens / this->prompt_rate);
+}
+
+void TargetTable::NotePromptRead(TargetState &target, const InFlightCall &flight, TimePoint now)
+{
+	if (!target.engine || target.unread_prompts == 0) return;
+	target.unread_prompts--;
+	if (!flight.reads_alone || flight.generated == 0) return;
+	double took = Seconds(now - flight.sent);
+	if (took <= 0 || flight.call.prompt_tokens < PROMPT_RATE_LEAST) return;
+	double rate = std::clamp(flight.call.prompt_tokens / took, PROMPT_RATE_MIN, PROMPT_RATE_MAX);
+	this->prompt_rate += PROMPT_RATE_SMOOTHING * (rate - this->prompt_rate);
+}
+
+Duration TargetTable::FirstTokenWait(const TargetState &target, const CallSpec &call, TimePoint now) const
+{
+	Duration own = FromSeconds(call.prompt_tokens / this->prompt_rate);
+	if (target.unread_prompts == 0) return own;
+	return std::max(Duration(0), std::chrono::duration_cast<Duration>(target.prompts_read_at - now)) + own;
+}
+
 void TargetTable::OnToken(TargetNumber number, CallId call, TimePoint now, uint32_t tokens)
 {
 	TargetState &target = this->targets[number.value];
@@ -138,13 +170,14 @@
 	flight.last_token = now;
 	uint32_t before = flight.generated;
 	flight.generated += tokens;
-	target.own_tokens += tokens;
+	if (before == 0) this->NotePromptRead(target, flight, now);
+	target.known_tokens += tokens;
 	double residual = std::max(0.0, flight.residual - tokens);
 	if (before / RESIDUAL_REFRESH_TOKENS != flight.generated / RESIDUAL_REFRESH_TOKENS) {
 		residual = this->lengths.Residual(flight.call, flight.generated);
 		this->mean_residual += RESIDUAL_SMOOTHING * (residual - this->mean_residual);
 	}
-	target.own_residual += residual - flight.residual;
+	target.known_residual += residual - flight.residual;
 	flight.residual = residual;
 }
 
@@ -156,15 +189,16 @@
 	if (found == source.in_flight.end() || from == to) return;
 	InFlightCall flight = std::move(found->second);
 	source.in_flight.erase(found);
+	if (flight.generated == 0) this->NotePromptRead(source, flight, now);
 	double held = flight.call.prompt_tokens + flight.generated;
-	source.own_tokens -= held;
-	source.own_residual -= flight.residual;
-	if (source.in_flight.empty()) source.own_tokens = source.own_residual = 0;
+	source.known_tokens -= held;
+	source.known_residual -= flight.residual;
+	if (source.in_flight.empty()) source.known_tokens = source.known_residual = 0;
 	flight.sent = now;
 	flight.last_token = now;
-	target.own_tokens += held;
-	target.own_residual += flight.residual;
-	target.spent_since_report += held + target.growth * flight.residual;
+	target.known_tokens += held;
+	target.known_residual += flight.residual;
+	target.sent_since_report += held + target.growth * flight.residual;
 	target.in_flight.emplace(call, std::move(flight));
 }
 
@@ -174,10 +208,11 @@
 	auto found = target.in_flight.find(call);
 	if (found == target.in_flight.end()) return 0;
 	uint32_t generated = found->second.generated;
-	target.own_tokens -= found->second.call.prompt_tokens + generated;
-	target.own_residual -= found->second.residual;
+	if (generated == 0) this->NotePromptRead(target, found->second, now);
+	target.known_tokens -= found->second.call.prompt_tokens + generated;
+	target.known_residual -= found->second.residual;
 	target.in_flight.erase(found);
-	if (target.in_flight.empty()) target.own_tokens = target.own_residual = 0;
+	if (target.in_flight.empty()) target.known_tokens = target.known_residual = 0;
 	target.probing = false;
 	if (healthy) {
 		target.failures = target.ejections = 0;
@@ -224,10 +259,10 @@
 
 double TargetTable::OthersCommitted(const TargetState &target) const
 {
-	double used = std::max(0.0, static_cast<double>(target.report.used_tokens) - target.own_at_report);
+	double used = std::max(0.0, static_cast<double>(target.report.used_tokens) - target.known_at_report);
 	if (!target.engine) return used;
 	uint32_t reported = target.report.running + target.report.waiting;
-	uint32_t calls = reported > target.own_calls_at_report ? reported - target.own_calls_at_report : 0;
+	uint32_t calls = reported > target.known_calls_at_report ? reported - target.known_calls_at_report : 0;
 	return used + static_cast<double>(target.report.waiting_tokens) + target.growth * calls * this->mean_residual;
 }
 
@@ -241,7 +276,7 @@
 double TargetTable::Pressure(const TargetState &target) const
 {
 	double capacity = std::max<double>(1, static_cast<double>(target.report.capacity_tokens));
-	double own = target.own_tokens + target.growth * target.own_residual;
+	double own = target.known_tokens + target.growth * target.known_residual;
 	return (own + this->OthersCommitted(target)) / capacity;
 }
 
@@ -253,7 +288,7 @@
 double TargetTable::Allowance(const TargetState &target, const CallSpec &call, TimePoint now) const
 {
 	double capacity = static_cast<double>(target.report.capacity_tokens) * this->limits.fill[static_cast<size_t>(call.service_class)];
-	double own = target.own_tokens + target.growth * target.own_residual;
+	double own = target.known_tokens + target.growth * target.known_residual;
 	bool has_report = target.report.sequence != 0;
 	if (!has_report || now - target.report_at > this->limits.report_stale) {
 		if (!has_report) return capacity - static_cast<double>(target.in_flight.size());
@@ -261,9 +296,9 @@
 	}
 	double free = capacity - own - this->OthersCommitted(target);
 	if (!this->limits.use_shares || this->instances <= 1) return free;
-	double at_report = std::max(0.0, free + target.spent_since_report);
+	double at_report = std::max(0.0, free + target.sent_since_report);
 	double share = target.share_factor * ((1 - TURN_PART) / this->instances + (this->HasTurn(target) ? TURN_PART : 0));
-	return std::min(free, at_report * std::min(share, 1.0) - target.spent_since_report);
+	return std::min(free, at_report * std::min(share, 1.0) - target.sent_since_report);
 }
 
 void TargetTable::RefreshSlow()
--- a/src/decision/target_table.h
+++ b/src/decision/target_table.h
@@ -28,13 +28,14 @@
 	bool use_growth_feedback = true; ///< Adapt the reserved growth to preemptions.
 };
 
-/** One call that this instance has in flight at a target. */
+/** One call in flight at a target: of this instance, or of another that told it. */
 struct InFlightCall {
 	CallSpec call;          ///< The call.
 	uint32_t generated = 0; ///< Tokens seen so far.
 	double residual = 0;    ///< Expected tokens still to come, when last computed.
 	TimePoint sent;         ///< When it was sent.
 	TimePoint last_token;   ///< When the last token came.
+	bool reads_alone = false; ///< No other known prompt was unread when it was sent: its first token tells the rate.
 };
 
 /** One target as seen by this instance. */
@@ -48,13 +49,15 @@
 	bool leaving = false;                 ///< Gets nothing new; see TargetTable::MarkLeaving().
 	LoadReport report;                    ///< Last report.
 	TimePoint report_at;                  ///< When the last report came.
-	double own_at_report = 0;             ///< Own tokens that the last report already counts.
-	uint32_t own_calls_at_report = 0;     ///< Own calls that the last report already counts.
-	double spent_since_report = 0;        ///< Own need sent since the last report was made.
+	double known_at_report = 0;           ///< Tokens of known calls that the last report already counts.
+	uint32_t known_calls_at_report = 0;   ///< Known calls that the last report already counts.
+	double sent_since_report = 0;         ///< Need of known calls sent since the last report was made.
 	double growth = 0.7;                  ///< Part of the expected growth that is reserved.
 	double share_factor = 2;              ///< Times its equal share that this instance may take of reported headroom.
-	double own_tokens = 0;                ///< Tokens held by own calls.
-	double own_residual = 0;              ///< Expected further tokens of own calls.
+	double known_tokens = 0;              ///< Tokens held by known calls: own ones and those that peers told.
+	double known_residual = 0;            ///< Expected further tokens of known calls.
+	uint32_t unread_prompts = 0;          ///< Known calls whose prompt is not read yet.
+	TimePoint prompts_read_at;            ///< When all prompts sent so far are expected to be read.
 	bool slow = false;                    ///< Much slower than the median of its like; see RefreshSlow().
 	double median_interval = 0;           ///< Median time between tokens of its like, in seconds; 0 while unknown.
 	double interval = 0;                  ///< Smoothed time between tokens, in seconds; 0 while unknown.
@@ -64,7 +67,7 @@
 	bool probing = false;                 ///< One call is on its way to find out whether it is well again.
 	std::set<uint64_t> reported_prefixes; ///< Prefixes that the last report said to be cached.
 	std::deque<std::pair<uint64_t, TimePoint>> sent_prefixes; ///< Prefixes of own calls sent lately: soon cached, though not yet reported.
-	std::unordered_map<CallId, InFlightCall, StrongIdHash> in_flight; ///< Own calls.
+	std::unordered_map<CallId, InFlightCall, StrongIdHash> in_flight; ///< Known calls.
 };
 
 /** All targets of one instance. */
@@ -114,6 +117,12 @@
 	/** @return Whether \a prefix is believed to be cached at \a target. */
 	static bool HasPrefix(const TargetState &target, uint64_t prefix);
 
+	/** @return Expected time until \a call, sent to \a target now, has its first token: prompts are read one after another. */
+	Duration FirstTokenWait(const TargetState &target, const CallSpec &call, TimePoint now) const;
+
+	/** @return Prompt tokens that an engine reads in a second, as learned. */
+	double PromptRate() const { return this->prompt_rate; }
+
 	/** @return The part of the target's memory that is planned to be filled, 0 to above 1. */
 	double Pressure(const TargetState &target) const;
 
@@ -144,6 +153,8 @@
 	bool MayEject(const TargetState &target, TimePoint now) const;
 	void Eject(TargetState &target, TimePoint now);
 	double OthersCommitted(const TargetState &target) const;
+	void NotePromptSent(TargetState &target, InFlightCall &flight, TimePoint now) const;
+	void NotePromptRead(TargetState &target, const InFlightCall &flight, TimePoint now);
 
 	TargetLimits limits;                                              ///< Limits.
 	LengthEstimate &lengths;                                          ///< Expected lengths.
@@ -152,7 +163,8 @@
 	std::unordered_map<uint32_t, std::vector<TargetNumber>> by_model; ///< Targets of each model.
 	uint32_t rank = 0;                                                ///< Rank of this instance.
 	uint32_t instances = 1;                                           ///< Instances that share the targets.
-	double mean_residual = 128;                                       ///< Smoothed residual of own calls, for the calls of others.
+	double mean_residual = 128;                                       ///< Smoothed residual of known calls, for the calls of others.
+	double prompt_rate = 7000;                                        ///< Prompt tokens read in a second, between the tokens of others.
 };
 
 } // namespace cottonspool
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -165,6 +165,8 @@
 	spec.service_class = static_cast<ServiceClass>(std::clamp(request->rank, 0, static_cast<int>(SERVICE_CLASS_COUNT) - 1));
 	spec.repeatable = route.kind == RunKind::Repeatable;
 	spec.max_attempts = route.max_attempts;
+	spec.ends_at = request->ends_at;
+	spec.objective = route.objective;
 	spec.arrived = now;
 	spec.deadline = std::min(request->ends_at, now + FromSeconds(Seconds(route.objective) * this->limits.wait_part));
 	spec.press_from = now + FromSeconds(Seconds(route.objective) * this->limits.press_part);
--- a/src/gateway/relay_call.cpp
+++ b/src/gateway/relay_call.cpp
@@ -9,6 +9,8 @@
 
 namespace cottonspool {
 
+static constexpr int RANKS = 3;                                              ///< Ranks of routes told apart behind one rank of an account.
+static constexpr int LEAST_URGENT = 9;                                       ///< Largest number that stands for an urgency at engines.
 static constexpr Duration LEAST_RETRY_AFTER = std::chrono::milliseconds(50); ///< Least time told to come back after.
 
 RelayCall::RelayCall(Gateway &gateway, std::shared_ptr<FrontExchange> exchange, RelayRequest request)
@@ -59,7 +61,7 @@
 	info.remaining = this->request.ends_at - now;
 	info.target = state.name;
 	info.account = this->request.account;
-	if (state.engine) info.urgency = std::clamp(this->request.rank, 0, 9);
+	if (state.engine) info.urgency = this->Urgency();
 	info.resume = std::move(resume);
 	UpstreamCall call;
 	call.to = this->gateway.AddressOf(number);
@@ -86,6 +88,12 @@
 	return *call_number;
 }
 
+int RelayCall::Urgency() const
+{
+	// The account's rank goes first; among requests of equal rank the route's own decides.
+	return std::clamp(RANKS * this->request.rank + std::min(this->request.route.rank, RANKS - 1), 0, LEAST_URGENT);
+}
+
 bool RelayCall::IsMine(const HttpHead &head) const
 {
 	AnswerInfo info = ReadAnswer(head);
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -76,6 +76,9 @@
 	/** @return Whether \a head answers this request; an answer without an id is taken only when it tells a failure. */
 	bool IsMine(const HttpHead &head) const;
 
+	/** @return The urgency told to engines; 0 goes first. */
+	int Urgency() const;
+
 	/** @return When a refused caller should come back: at most a third of what is left to it. */
 	Duration RetryAfter(Duration wanted) const;
 
--- a/src/tests/dispatcher_test.cpp
+++ b/src/tests/dispatcher_test.cpp
@@ -19,7 +19,8 @@
 	std::optional<TargetNumber> holder; ///< Target that has it.
 	bool over = false;                  ///< Ended, given up or withdrawn.
 	bool in_doubt = false;              ///< A send ended in doubt.
-	int sends = 0;                      ///< Sends.
+	int sends = 0;                      ///< Sends that count as attempts.
+	std::set<uint32_t> failed_at;       ///< Targets at which a send ended badly.
 };
 
 /** A dispatcher under random events, with a shell that checks every decision. */
@@ -125,10 +126,13 @@
 	{
 		TrackedCall *call = this->InFlight();
 		if (call == nullptr) return;
-		SendEnd end = wanted.value_or(static_cast<SendEnd>(this->random() % 5));
+		SendEnd end = wanted.value_or(static_cast<SendEnd>(this->random() % 7));
+		if (end == SendEnd::NotSent) call->sends--;
+		if (end != SendEnd::Complete) call->failed_at.insert(call->holder->value);
 		call->holder.reset();
-		call->in_doubt = call->in_doubt || end == SendEnd::Lost;
-		bool again = end == SendEnd::NotRun || (end == SendEnd::Lost && call->spec.repeatable);
+		bool failed = end == SendEnd::Lost || end == SendEnd::Failed;
+		call->in_doubt = call->in_doubt || failed;
+		bool again = end == SendEnd::NotRun || end == SendEnd::NotSent || (failed && call->spec.repeatable);
 		call->over = !again;
 		this->Take(this->dispatcher.OnSendEnded(call->spec.id, end, this->now));
 	}
@@ -151,6 +155,7 @@
 			RC_ASSERT(!call.holder.has_value());
 			RC_ASSERT(call.spec.repeatable || !call.in_doubt);
 			RC_ASSERT(!this->dispatcher.Targets().Get(send.target).leaving);
+			RC_ASSERT(!call.failed_at.contains(send.target.value) || this->NoOtherThan(call));
 			RC_ASSERT(++call.sends <= 3);
 			call.holder = send.target;
 		}
@@ -164,6 +169,15 @@
 		}
 	}
 
+	/** @return Whether every target at which \a call has not failed is out of use. */
+	bool NoOtherThan(const TrackedCall &call) const
+	{
+		return std::all_of(this->targets.begin(), this->targets.end(), [&](TargetNumber target) {
+			const TargetState &state = this->dispatcher.Targets().Get(target);
+			return call.failed_at.contains(target.value) || !this->dispatcher.Targets().IsUsable(state, ModelNumber{0}, this->now);
+		});
+	}
+
 	pcg32 random;                              ///< Chance.
 	Dispatcher dispatcher;                     ///< Under test.
 	std::vector<TargetNumber> targets;         ///< Targets.
