--- a/src/decision/target_table.cpp
+++ b/src/decision/target_table.cpp
@@ -167,6 +167,20 @@
 		double interval = Seconds(now - flight.last_token) / tokens;
 		target.interval = target.interval == 0 ? interval : target.interval + INTERVAL_SMOOTHING * (interval - target.interval);
 	}
+	this->AddTokens(target, flight, now, tokens);
+}
+
+void TargetTable::OnForeignToken(TargetNumber number, CallId call, TimePoint now, uint32_t tokens)
+{
+	TargetState &target = this->targets[number.value];
+	auto found = target.in_flight.find(call);
+	if (found == target.in_flight.end()) return;
+	found->second.reads_alone = false;
+	this->AddTokens(target, found->second, now, tokens);
+}
+
+void TargetTable::AddTokens(TargetState &target, InFlightCall &flight, TimePoint now, uint32_t tokens)
+{
 	flight.last_token = now;
 	uint32_t before = flight.generated;
 	flight.generated += tokens;
@@ -202,9 +216,13 @@
 	target.in_flight.emplace(call, std::move(flight));
 }
 
-uint32_t TargetTable::OnEnded(TargetNumber number, CallId call, bool healthy, TimePoint now)
+void TargetTable::OnForeignEnded(TargetNumber number, CallId call, TimePoint now)
+{
+	this->TakeOut(this->targets[number.value], call, now);
+}
+
+uint32_t TargetTable::TakeOut(TargetState &target, CallId call, TimePoint now)
 {
-	TargetState &target = this->targets[number.value];
 	auto found = target.in_flight.find(call);
 	if (found == target.in_flight.end()) return 0;
 	uint32_t generated = found->second.generated;
@@ -213,6 +231,14 @@
 	target.known_residual -= found->second.residual;
 	target.in_flight.erase(found);
 	if (target.in_flight.empty()) target.known_tokens = target.known_residual = 0;
+	return generated;
+}
+
+uint32_t TargetTable::OnEnded(TargetNumber number, CallId call, bool healthy, TimePoint now)
+{
+	TargetState &target = this->targets[number.value];
+	if (!target.in_flight.contains(call)) return 0;
+	uint32_t generated = this->TakeOut(target, call, now);
 	target.probing = false;
 	if (healthy) {
 		target.failures = target.ejections = 0;
--- a/src/decision/target_table.h
+++ b/src/decision/target_table.h
@@ -105,6 +105,12 @@
 	/** \a call has ended at \a target; \a healthy tells whether the target behaved. @return Tokens generated. */
 	uint32_t OnEnded(TargetNumber target, CallId call, bool healthy, TimePoint now);
 
+	/** \a tokens of a call that a peer told came at \a target; their times say nothing of its speed. */
+	void OnForeignToken(TargetNumber target, CallId call, TimePoint now, uint32_t tokens);
+
+	/** A call that a peer told has ended at \a target; how it ended says nothing of its health. */
+	void OnForeignEnded(TargetNumber target, CallId call, TimePoint now);
+
 	/** @return Whether \a target may get anything new for \a model at \a now. */
 	bool IsUsable(const TargetState &target, ModelNumber model, TimePoint now) const;
 
@@ -153,6 +159,8 @@
 	bool MayEject(const TargetState &target, TimePoint now) const;
 	void Eject(TargetState &target, TimePoint now);
 	double OthersCommitted(const TargetState &target) const;
+	void AddTokens(TargetState &target, InFlightCall &flight, TimePoint now, uint32_t tokens);
+	uint32_t TakeOut(TargetState &target, CallId call, TimePoint now);
 	void NotePromptSent(TargetState &target, InFlightCall &flight, TimePoint now) const;
 	void NotePromptRead(TargetState &target, const InFlightCall &flight, TimePoint now);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -44,7 +44,10 @@
     : limits(limits), upstream(loop), metrics(ACCOUNT_SERIES), dispatcher(limits.dispatch, MakeRouter("headroom", 0)), loop(loop),
       settings(std::move(given)), settings_path(std::move(settings_path)), store(this->upstream, this->settings.store),
       configuration_watch(this->store, CONFIGURATION_TABLE, limits.watch), target_watch(this->store, TARGET_TABLE, limits.watch),
-      registry(limits.registry), front(loop, [this](const std::shared_ptr<FrontExchange> &exchange) { this->HandleRequest(exchange); }),
+      registry(limits.registry), peer_load(this->dispatcher.Targets(), this->pools, limits.exchange.silence),
+      peers(loop, this->store, this->peer_load, this->settings.name, limits.exchange,
+            [this](const ReportNews &news) { this->OnPeerReport(news); }),
+      front(loop, [this](const std::shared_ptr<FrontExchange> &exchange) { this->HandleRequest(exchange); }),
       readiness(loop, [this](const std::shared_ptr<FrontExchange> &exchange) { this->HandleReady(exchange); }),
       figures(loop, [this](const std::shared_ptr<FrontExchange> &exchange) { this->HandleMetrics(exchange); }), random(RandomSeed()),
       timer(std::make_unique<Timer>())
@@ -58,10 +61,15 @@
 	this->settings_text = ReadFile(this->settings_path);
 	BOOST_OUTCOME_TRYV(this->front.Listen(this->settings.front));
 	BOOST_OUTCOME_TRYV(this->readiness.Listen(this->settings.ready));
+	// The instances' own ports: metrics on the first one, peers on the next.
 	if (this->settings.first_port != 0) {
 		Endpoint at{this->settings.ip, this->settings.first_port};
 		BOOST_OUTCOME_TRYV(this->figures.Listen(at));
 	}
+	if (this->settings.first_port < this->settings.last_port) {
+		Endpoint at{this->settings.ip, static_cast<uint16_t>(this->settings.first_port + 1)};
+		BOOST_OUTCOME_TRYV(this->peers.Start(at, MonotonicNow()));
+	}
 	Log(LogLevel::Info, "started",
 	    {{"hall", this->settings.hall}, {"front", this->settings.front.Text()}, {"store", this->settings.store.Text()}});
 	this->WatchStore();
@@ -88,6 +96,8 @@
 {
 	this->metrics.Gauge("cottonspool_calls_in_flight", static_cast<double>(this->calls.size()));
 	this->metrics.Gauge("cottonspool_calls_waiting", static_cast<double>(this->dispatcher.Queue().Size()));
+	this->metrics.Gauge("cottonspool_peer_links", static_cast<double>(this->peers.Links()));
+	this->metrics.Gauge("cottonspool_peer_calls", static_cast<double>(this->peer_load.Calls()));
 	this->metrics.Gauge("cottonspool_connections", static_cast<double>(this->front.Connections()));
 	this->metrics.Gauge("cottonspool_configuration_version", static_cast<double>(this->routes.Configuration().version));
 	this->metrics.Gauge("cottonspool_store_calls", static_cast<double>(this->configuration_watch.Calls() + this->target_watch.Calls()));
@@ -233,8 +243,18 @@
 	this->carrying = false;
 }
 
+void Gateway::OnCallAt(const RelayRequest &request, TargetNumber target, bool at_once)
+{
+	if (!request.spec.generated) return;
+	const TargetState &state = this->dispatcher.Targets().Get(target);
+	auto flight = state.in_flight.find(request.spec.id);
+	uint32_t generated = flight == state.in_flight.end() ? 0 : flight->second.generated;
+	this->peers.TellAt(request.spec, request.pool, state.name, generated, at_once);
+}
+
 void Gateway::OnCallOver(CallId call)
 {
+	this->peers.TellEnded(call);
 	this->calls.erase(call);
 }
 
@@ -253,6 +273,7 @@
 	all.reserve(this->calls.size());
 	for (const auto &[id, call] : this->calls) all.push_back(call);
 	for (const auto &call : all) call->OnTick(now);
+	this->peers.OnTick(now);
 	if (now - this->settings_checked > SETTINGS_LOOK) {
 		this->settings_checked = now;
 		if (ReadFile(this->settings_path) != this->settings_text) this->Reload();
@@ -288,6 +309,7 @@
 	this->stopping = true;
 	this->stop_begun = MonotonicNow();
 	this->front.BeginClosing();
+	this->peers.Leave();
 	Log(LogLevel::Info, "stopping", {{"in_flight", std::to_string(this->calls.size())}});
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "core/name_table.h"
+#include "gateway/peer_exchange.h"
 #include "gateway/relay_call.h"
 #include "metrics/metrics.h"
 #include "platform/node_settings.h"
@@ -40,6 +41,12 @@
 	/** A target told its load with an answer. */
 	void OnLoadTold(TargetNumber target, const TargetLoad &load);
 
+	/** A generation of this instance is at \a target, or is further on there. */
+	void OnCallAt(const RelayRequest &request, TargetNumber target, bool at_once);
+
+	/** A generation of this instance is at no target for now. */
+	void OnCallAway(CallId call) { this->peers.TellEnded(call); }
+
 	/** @return Where \a target is. */
 	const Endpoint &AddressOf(TargetNumber target) const { return this->records[target.value].address; }
 
@@ -55,6 +62,8 @@
 	Dispatcher dispatcher;   ///< Decisions.
 
 private:
+	void OnPeerReport(const ReportNews &news);
+	void TakeReport(TargetNumber target, LoadReport report);
 	/** What the gateway keeps of one target beside what the dispatcher knows. */
 	struct TargetRecord {
 		Endpoint address;         ///< Where it is.
@@ -62,6 +71,7 @@
 		bool engine = false;      ///< It tells reports.
 		uint64_t reports = 0;     ///< Reports taken in.
 		TimePoint next_report;    ///< When the next one is asked for.
+		TimePoint reported_at;    ///< When the last one came, read here or by a peer.
 		TimePoint report_limit;   ///< When the one under way is given up.
 		uint64_t report_call = 0; ///< Call under way; 0 for none.
 	};
@@ -103,6 +113,8 @@
 	std::map<std::string, ListedTarget> usable;                                 ///< Targets in use by name.
 	NameTable<ModelNumber> pools;                                               ///< Numbers of pools.
 	NameTable<AccountNumber> accounts;                                          ///< Numbers of client accounts.
+	PeerLoad peer_load;                                                         ///< Calls of other instances.
+	PeerExchange peers;                                                         ///< Exchange with other instances.
 	HttpFront front;                                                            ///< Callers.
 	HttpFront readiness;                                                        ///< Platform's balancer.
 	HttpFront figures;                                                          ///< Metrics.
--- a/src/gateway/gateway_targets.cpp
+++ b/src/gateway/gateway_targets.cpp
@@ -168,7 +168,11 @@
 			this->upstream.Cancel(record.report_call);
 			record.report_call = 0;
 		}
-		if (record.report_call == 0 && now >= record.next_report) this->PollReport(*number, now);
+		if (record.report_call != 0 || now < record.next_report) continue;
+		// One instance reads a target's reports for all; the others read them only when they hear nothing.
+		Duration patience = FromSeconds(Seconds(this->limits.report_poll) * this->limits.report_patience);
+		if (now - record.reported_at < patience && !this->peers.ReadsReportsOf(id)) continue;
+		this->PollReport(*number, now);
 	}
 }
 
@@ -189,14 +193,28 @@
 	record.report_call = 0;
 	if (!told || told->memory_tokens == 0) return;
 	LoadReport report;
-	report.sequence = ++record.reports;
 	report.capacity_tokens = told->memory_tokens;
 	report.used_tokens = told->used_tokens;
 	report.running = told->running;
 	report.waiting = told->waiting;
 	report.waiting_tokens = told->waiting_tokens;
+	this->peers.TellReport(this->dispatcher.Targets().Get(number).name, report);
+	this->TakeReport(number, std::move(report));
+}
+
+void Gateway::OnPeerReport(const ReportNews &news)
+{
+	std::optional<TargetNumber> number = this->dispatcher.Targets().Find(news.target);
+	if (number && number->value < this->records.size()) this->TakeReport(*number, news.report);
+}
+
+void Gateway::TakeReport(TargetNumber number, LoadReport report)
+{
+	TargetRecord &record = this->records[number.value];
+	record.reported_at = MonotonicNow();
+	report.sequence = ++record.reports;
 	report.age = this->limits.report_age;
-	this->Carry(this->dispatcher.OnReport(number, report, MonotonicNow()));
+	this->Carry(this->dispatcher.OnReport(number, report, record.reported_at));
 }
 
 } // namespace cottonspool
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -7,6 +7,7 @@
 #include "decision/dispatcher.h"
 #include "decision/route_table.h"
 #include "decision/target_registry.h"
+#include "gateway/peer_exchange.h"
 #include "platform/wire_request.h"
 #include "store/table_watch.h"
 
@@ -29,6 +30,8 @@
 	Duration move_retry = std::chrono::milliseconds(60);       ///< Pause before a move that was refused is tried again.
 	Duration move_overlap = std::chrono::milliseconds(250);    ///< Longest time for which the old engine goes on once the new one was asked.
 	Duration least_move = std::chrono::milliseconds(300);      ///< Runs that are expected to end sooner stay where they are.
+	double report_patience = 2.2;                              ///< Times between reports after which one that a peer should have told is read here.
+	ExchangeLimits exchange;                                   ///< Exchange with other instances.
 	DispatchLimits dispatch;                                   ///< Decisions.
 	RegistryLimits registry;                                   ///< Targets.
 	WatchLimits watch;                                         ///< Store.
--- a/src/gateway/relay_call.cpp
+++ b/src/gateway/relay_call.cpp
@@ -35,6 +35,7 @@
 	this->attempts++;
 	this->sent_at = now;
 	this->LogSend(now);
+	this->gateway.OnCallAt(this->request, action.target, true);
 	this->link = this->StartUpstream(action.target, std::nullopt);
 }
 
@@ -175,6 +176,7 @@
 	if (end == SendEnd::Lost || end == SendEnd::Failed) this->doubtful = true;
 	bool ends_here = end != SendEnd::NotRun && end != SendEnd::NotSent && end != SendEnd::Lost && end != SendEnd::Failed;
 	if (!ends_here) this->target.reset();
+	if (!ends_here) this->gateway.OnCallAway(this->request.spec.id);
 	this->gateway.Carry(this->gateway.dispatcher.OnSendEnded(this->request.spec.id, end, MonotonicNow()));
 }
 
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -70,7 +70,9 @@
 	this->last_event = *event.id;
 	this->last_at = now;
 	this->events++;
+	bool first = this->events == 1;
 	this->gateway.dispatcher.OnToken(this->request.spec.id, now, this->request.tokens_per_event);
+	if (this->target) this->gateway.OnCallAt(this->request, *this->target, first);
 }
 
 void StreamRelay::SetFlow()
@@ -275,6 +277,7 @@
 	this->gateway.dispatcher.OnMoved(this->request.spec.id, to, MonotonicNow());
 	this->target = to;
 	this->move = Move{};
+	this->gateway.OnCallAt(this->request, to, true);
 	if (this->paused) this->gateway.upstream.SetReading(this->link, false);
 }
 
--- a/src/instance/instance.cpp
+++ b/src/instance/instance.cpp
@@ -74,7 +74,7 @@
 	    {{"hall", this->settings.hall},
 	     {"http", this->settings.ip + ":" + std::to_string(http_port)},
 	     {"peers", this->membership.self.address}});
-	this->peers.on_link_open = [this] { this->HeartbeatSoon(MonotonicNow()); };
+	this->peers.on_link_open = [this](const std::string &) { this->HeartbeatSoon(MonotonicNow()); };
 	this->configuration.Boot();
 	uv_timer_init(this->loop, &this->timer->timer);
 	this->timer->timer.data = this;
--- a/src/peer/peer_links.cpp
+++ b/src/peer/peer_links.cpp
@@ -47,10 +47,13 @@
 	WebsocketSession::Callbacks callbacks;
 	callbacks.on_open = [this, address] {
 		this->links[address].open = true;
-		if (this->on_link_open) this->on_link_open();
+		if (this->on_link_open) this->on_link_open(address);
 	};
 	callbacks.on_message = [this, weak](const std::string &bytes) { this->OnMessage(bytes, *weak); };
-	callbacks.on_close = [this, address] { this->links.erase(address); };
+	callbacks.on_close = [this, address] {
+		this->links.erase(address);
+		if (this->on_link_closed) this->on_link_closed(address);
+	};
 	auto session = WebsocketSession::Dial(this->loop, address.substr(0, colon), port, std::move(callbacks));
 	if (!session) return;
 	*weak = session;
@@ -91,6 +94,18 @@
 	return bytes.size();
 }
 
+void PeerLinks::SendTo(const std::string &address, const PeerMessage &message)
+{
+	auto found = this->links.find(address);
+	if (found != this->links.end() && found->second.open) this->SendOn(found->second.session, EncodePeerMessage(message));
+}
+
+bool PeerLinks::IsOpen(const std::string &address) const
+{
+	auto found = this->links.find(address);
+	return found != this->links.end() && found->second.open;
+}
+
 void PeerLinks::OnMessage(const std::string &bytes, const std::weak_ptr<WebsocketSession> &from)
 {
 	this->counters.messages_in++;
--- a/src/peer/peer_links.h
+++ b/src/peer/peer_links.h
@@ -47,7 +47,14 @@
 	/** @return Open links that this instance dialled. */
 	size_t OpenLinks() const;
 
-	std::function<void()> on_link_open; ///< Called when a link that this instance dialled can be used.
+	/** Send \a message on the link to \a address, if it is open. */
+	void SendTo(const std::string &address, const PeerMessage &message);
+
+	/** @return Whether a link to \a address is open. */
+	bool IsOpen(const std::string &address) const;
+
+	std::function<void(const std::string &)> on_link_open;   ///< Called with the address when a link that this instance dialled can be used.
+	std::function<void(const std::string &)> on_link_closed; ///< Called with the address when such a link has ended.
 
 	/** @return Counters since the start. */
 	const PeerCounters &Counters() const { return this->counters; }
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -13,6 +13,7 @@
 static constexpr int ENTRIES = 2;
 static constexpr int FETCH = 3;
 static constexpr int SNAPSHOT = 4;
+static constexpr int LOAD = 5;
 
 /** @return \a member as an array. */
 static Json WriteMember(const MemberInfo &member)
@@ -61,6 +62,51 @@
 	return Json::array({SNAPSHOT, message.snapshot});
 }
 
+static Json Write(const LoadMessage &message)
+{
+	Json calls = Json::array();
+	for (const CallNews &news : message.calls) {
+		calls.push_back(Json::array({static_cast<int>(news.kind), news.call, news.target, news.prompt_tokens, news.generated, news.max_tokens,
+		                             news.pool, static_cast<int>(news.service_class)}));
+	}
+	Json reports = Json::array();
+	for (const ReportNews &news : message.reports) {
+		reports.push_back(Json::array({news.target, news.report.capacity_tokens, news.report.used_tokens, news.report.running,
+		                               news.report.waiting, news.report.waiting_tokens}));
+	}
+	return Json::array({LOAD, message.instance, message.incarnation, message.whole, calls, reports});
+}
+
+/** @return The news of a call in \a item; throws what the library throws when it is none. */
+static CallNews ReadCallNews(const Json &item)
+{
+	CallNews news;
+	news.kind = static_cast<CallNews::Kind>(item.at(0).get<int>());
+	news.call = item.at(1).get<uint64_t>();
+	news.target = item.at(2).get<std::string>();
+	news.prompt_tokens = item.at(3).get<uint32_t>();
+	news.generated = item.at(4).get<uint32_t>();
+	news.max_tokens = item.at(5).get<uint32_t>();
+	news.pool = item.at(6).get<std::string>();
+	int service_class = item.at(7).get<int>();
+	if (service_class < 0 || service_class >= static_cast<int>(SERVICE_CLASS_COUNT)) throw std::out_of_range("unknown class");
+	news.service_class = static_cast<ServiceClass>(service_class);
+	return news;
+}
+
+/** @return The report in \a item; throws what the library throws when it is none. */
+static ReportNews ReadReportNews(const Json &item)
+{
+	ReportNews news;
+	news.target = item.at(0).get<std::string>();
+	news.report.capacity_tokens = item.at(1).get<uint64_t>();
+	news.report.used_tokens = item.at(2).get<uint64_t>();
+	news.report.running = item.at(3).get<uint32_t>();
+	news.report.waiting = item.at(4).get<uint32_t>();
+	news.report.waiting_tokens = item.at(5).get<uint64_t>();
+	return news;
+}
+
 std::string EncodePeerMessage(const PeerMessage &message)
 {
 	std::vector<uint8_t> bytes = Json::to_cbor(std::visit([](const auto &kind) { return Write(kind); }, message));
@@ -85,6 +131,15 @@
 		return FetchMessage{array.at(1).get<uint64_t>()};
 	case SNAPSHOT:
 		return SnapshotMessage{array.at(1).get<std::string>()};
+	case LOAD: {
+		LoadMessage message;
+		message.instance = array.at(1).get<std::string>();
+		message.incarnation = array.at(2).get<uint64_t>();
+		message.whole = array.at(3).get<bool>();
+		for (const Json &item : array.at(4)) message.calls.push_back(ReadCallNews(item));
+		for (const Json &item : array.at(5)) message.reports.push_back(ReadReportNews(item));
+		return message;
+	}
 	default:
 		throw std::out_of_range("unknown kind");
 	}
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -6,6 +6,7 @@
 
 #include "core/error_type.h"
 #include "decision/membership.h"
+#include "decision/peer_load.h"
 #include <variant>
 
 namespace cottonspool {
@@ -33,7 +34,7 @@
 	std::string snapshot; ///< As written by ConfigurationState::Snapshot().
 };
 
-using PeerMessage = std::variant<HeartbeatMessage, EntriesMessage, FetchMessage, SnapshotMessage>;
+using PeerMessage = std::variant<HeartbeatMessage, EntriesMessage, FetchMessage, SnapshotMessage, LoadMessage>;
 
 /** @return \a message in CBOR. */
 std::string EncodePeerMessage(const PeerMessage &message);
--- a/src/platform/wire_store.cpp
+++ b/src/platform/wire_store.cpp
@@ -24,6 +24,16 @@
 	return bytes;
 }
 
+/** Encode \a bytes as base64. */
+static std::string EncodeBase64(const std::string &bytes)
+{
+	std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+	int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()), reinterpret_cast<const unsigned char *>(bytes.data()),
+	                             static_cast<int>(bytes.size()));
+	text.resize(static_cast<size_t>(length));
+	return text;
+}
+
 /** @return \a text with everything but letters, digits and a few marks escaped. */
 static std::string EscapeQuery(std::string_view text)
 {
@@ -75,31 +85,64 @@
 	return {std::move(page), StoreFailure::NoAnswer, {}};
 }
 
-uint64_t WireStore::Get(std::string target, RowsDone done)
+uint64_t WireStore::Call(std::string method, std::string target, std::string body, AnswerDone done)
 {
+	/** Answer being received. */
 	struct Answer {
-		int status = 0;
-		std::string body;
+		int status = 0;   ///< Status.
+		std::string body; ///< Body.
 	};
 	auto answer = std::make_shared<Answer>();
 	UpstreamCall call;
 	call.to = this->address;
 	call.peer = PEER;
+	call.method = std::move(method);
 	call.target = std::move(target);
 	call.headers = {{"Host", this->address.Text()}};
+	if (!body.empty()) call.headers.push_back({"Content-Type", "application/json"});
+	call.body = std::move(body);
 	call.on_head = [answer](const HttpHead &head) {
 		answer->status = head.status;
 		return true;
 	};
 	call.on_body = [answer](std::string_view bytes) { answer->body.append(bytes); };
 	call.on_end = [answer, done = std::move(done)](UpstreamEnd end, const char *cause) {
-		RowsAnswer rows = DecodeRows(end == UpstreamEnd::Complete ? answer->status : 0, answer->body);
-		if (end != UpstreamEnd::Complete) rows.cause = cause;
-		done(std::move(rows));
+		done(end == UpstreamEnd::Complete ? answer->status : 0, answer->body, cause);
 	};
 	return this->upstream.Start(std::move(call));
 }
 
+uint64_t WireStore::Get(std::string target, RowsDone done)
+{
+	return this->Call("GET", std::move(target), {}, [done = std::move(done)](int status, const std::string &body, const char *cause) {
+		RowsAnswer rows = DecodeRows(status, body);
+		if (status == 0) rows.cause = cause;
+		done(std::move(rows));
+	});
+}
+
+uint64_t WireStore::Transact(std::string body, WriteDone done)
+{
+	return this->Call("POST", "/-/rows-tx", std::move(body), [done = std::move(done)](int status, const std::string &, const char *) {
+		bool refused = status == 412 || status == 429 || status == 503 || status == 403;
+		done(status == 200 ? StoreWrite::Done : refused ? StoreWrite::NotDone : StoreWrite::Unknown);
+	});
+}
+
+uint64_t WireStore::WriteRow(const std::string &table, const std::string &key, const std::string &value, WriteDone done)
+{
+	Json row{{"table", table}, {"part", ""}, {"tlsKey", key}, {"value", EncodeBase64(value)}};
+	Json body{{"expectedRev", Json::array()}, {"setKeys", Json::array({row})}, {"remove", Json::array()}};
+	return this->Transact(body.dump(), std::move(done));
+}
+
+uint64_t WireStore::RemoveRow(const std::string &table, const std::string &key, WriteDone done)
+{
+	Json row{{"table", table}, {"part", ""}, {"tlsKey", key}};
+	Json body{{"expectedRev", Json::array()}, {"setKeys", Json::array()}, {"remove", Json::array({row})}};
+	return this->Transact(body.dump(), std::move(done));
+}
+
 uint64_t WireStore::ReadRows(const std::string &table, const std::string &from, RowsDone done)
 {
 	// The system's own tables have one part, with an empty name.
--- a/src/platform/wire_store.h
+++ b/src/platform/wire_store.h
@@ -16,6 +16,8 @@
 
 	uint64_t ReadRows(const std::string &table, const std::string &from, RowsDone done) override;
 	uint64_t ReadChanges(const std::string &table, uint64_t version, Duration wait, RowsDone done) override;
+	uint64_t WriteRow(const std::string &table, const std::string &key, const std::string &value, WriteDone done) override;
+	uint64_t RemoveRow(const std::string &table, const std::string &key, WriteDone done) override;
 	void Cancel(uint64_t call) override { this->upstream.Cancel(call); }
 
 	/** The store is at \a moved_to from now on. */
@@ -24,13 +26,17 @@
 	static constexpr const char *PEER = "store"; ///< Name under which its connections are kept.
 
 private:
+	using AnswerDone = std::function<void(int status, const std::string &body, const char *cause)>;
+
+	uint64_t Call(std::string method, std::string target, std::string body, AnswerDone done);
 	uint64_t Get(std::string target, RowsDone done);
+	uint64_t Transact(std::string body, WriteDone done);
 
 	HttpUpstream &upstream; ///< HTTP.
 	Endpoint address;       ///< Where the store is.
 };
 
-/** Decode an answer of the store. */
+/** Decode an answer of the store to a read. */
 RowsAnswer DecodeRows(int status, const std::string &text);
 
 } // namespace cottonspool
--- a/src/store/table_store_base.h
+++ b/src/store/table_store_base.h
@@ -46,10 +46,18 @@
 	std::string cause;                               ///< What went wrong, for logs.
 };
 
+/** What became of a write. */
+enum class StoreWrite : uint8_t {
+	Done,    ///< It was done.
+	NotDone, ///< Certain: nothing was done.
+	Unknown, ///< It may have been done, or may be done yet.
+};
+
 /** A store of versioned rows. Each call ends with exactly one call of its \a done function unless it is cancelled. */
 class TableStore {
 public:
 	using RowsDone = std::function<void(RowsAnswer)>;
+	using WriteDone = std::function<void(StoreWrite)>;
 
 	virtual ~TableStore() = default;
 
@@ -59,6 +67,12 @@
 	/** Read what has changed in \a table after \a version; the store waits up to \a wait for a change. @return A number for Cancel(). */
 	virtual uint64_t ReadChanges(const std::string &table, uint64_t version, Duration wait, RowsDone done) = 0;
 
+	/** Write a row whatever was there. @return A number for Cancel(). */
+	virtual uint64_t WriteRow(const std::string &table, const std::string &key, const std::string &value, WriteDone done) = 0;
+
+	/** Remove a row whatever it holds. @return A number for Cancel(). */
+	virtual uint64_t RemoveRow(const std::string &table, const std::string &key, WriteDone done) = 0;
+
 	/** Give a call up; its connection is closed, since an answer may still come on it. */
 	virtual void Cancel(uint64_t call) = 0;
 };
--- a/src/tests/dispatcher_test.cpp
+++ b/src/tests/dispatcher_test.cpp
@@ -7,6 +7,7 @@
 #include <doctest/doctest.h>
 #include <pcg_random.hpp>
 #include <rapidcheck.h>
+#include <set>
 
 using namespace cottonspool;
 using std::chrono::milliseconds;
