--- a/src/decision/target_table.cpp
+++ b/src/decision/target_table.cpp
@@ -95,6 +95,7 @@
 	target.known_at_report = 0;
 	target.known_calls_at_report = 0;
 	target.sent_since_report = 0;
+	target.copied_since_report = 0;
 	TimePoint made_at = now - report.age;
 	for (const auto &[id, flight] : target.in_flight) {
 		if (flight.sent < made_at) {
@@ -303,7 +304,7 @@
 {
 	double capacity = std::max<double>(1, static_cast<double>(target.report.capacity_tokens));
 	double own = target.known_tokens + target.growth * target.known_residual;
-	return (own + this->OthersCommitted(target)) / capacity;
+	return (own + target.copied_since_report + this->OthersCommitted(target)) / capacity;
 }
 
 bool TargetTable::HasTurn(const TargetState &target) const
--- a/src/decision/target_table.h
+++ b/src/decision/target_table.h
@@ -52,6 +52,7 @@
 	double known_at_report = 0;           ///< Tokens of known calls that the last report already counts.
 	uint32_t known_calls_at_report = 0;   ///< Known calls that the last report already counts.
 	double sent_since_report = 0;         ///< Need of known calls sent since the last report was made.
+	double copied_since_report = 0;       ///< Tokens of copies kept there that no report tells yet.
 	double growth = 0.7;                  ///< Part of the expected growth that is reserved.
 	double share_factor = 2;              ///< Times its equal share that this instance may take of reported headroom.
 	double known_tokens = 0;              ///< Tokens held by known calls: own ones and those that peers told.
@@ -126,6 +127,12 @@
 	/** @return Expected time until \a call, sent to \a target now, has its first token: prompts are read one after another. */
 	Duration FirstTokenWait(const TargetState &target, const CallSpec &call, TimePoint now) const;
 
+	/** @return Expected output tokens of \a call from its start. */
+	double ExpectedRest(const CallSpec &call) const { return call.generated ? this->lengths.Residual(call, 0) : 0; }
+
+	/** A copy of a run, expected to grow to \a tokens, is kept at \a target from now on; its reports tell it from then on. */
+	void OnBackup(TargetNumber target, double tokens) { this->targets[target.value].copied_since_report += tokens; }
+
 	/** @return Prompt tokens that an engine reads in a second, as learned. */
 	double PromptRate() const { return this->prompt_rate; }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -152,6 +152,7 @@
 	if (const Pool *pool = this->routes.FindPool(request->pool); pool != nullptr && pool->engine) {
 		request->tokens_per_event = pool->engine->tokens_per_event;
 		request->can_move = pool->engine->can_move;
+		request->can_back_up = pool->engine->can_back_up && route->kind == RunKind::Stream;
 		request->spec.generated = true;
 	} else {
 		request->spec.generated = false;
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include "decision/backup_choice.h"
 #include "decision/dispatcher.h"
 #include "decision/route_table.h"
 #include "decision/target_registry.h"
@@ -32,6 +33,8 @@
 	Duration least_move = std::chrono::milliseconds(300);      ///< Runs that are expected to end sooner stay where they are.
 	double report_patience = 2.2;                              ///< Times between reports after which one that a peer should have told is read here.
 	ExchangeLimits exchange;                                   ///< Exchange with other instances.
+	double silence_part = 0.72;                                ///< Part of the longest good pause after which a silent engine is taken for lost, if there is a copy.
+	BackupRules backup;                                        ///< Copies of runs.
 	DispatchLimits dispatch;                                   ///< Decisions.
 	RegistryLimits registry;                                   ///< Targets.
 	WatchLimits watch;                                         ///< Store.
@@ -45,6 +48,7 @@
 	std::string account;            ///< Client account; empty for none.
 	uint32_t tokens_per_event = 1;  ///< Tokens that an event of a stream holds.
 	bool can_move = false;          ///< Its run can be moved to another engine.
+	bool can_back_up = false;       ///< A copy of its run can be kept at another engine.
 	int rank = 0;                   ///< Order; 0 goes first.
 	CallSpec spec;                  ///< For the dispatcher.
 	TimePoint ends_at;              ///< When the final answer is due at the latest.
--- a/src/gateway/relay_call.cpp
+++ b/src/gateway/relay_call.cpp
@@ -34,9 +34,10 @@
 	this->target = action.target;
 	this->attempts++;
 	this->sent_at = now;
+	this->backup = this->ChooseBackupFor(action.target, now);
 	this->LogSend(now);
 	this->gateway.OnCallAt(this->request, action.target, true);
-	this->link = this->StartUpstream(action.target, std::nullopt);
+	this->link = this->StartUpstream(action.target, std::nullopt, this->backup);
 }
 
 void RelayCall::LogSend(TimePoint now)
@@ -49,12 +50,22 @@
 	     {"hall", state.hall},
 	     {"attempt", std::to_string(this->attempts)},
 	     {"waited_ms", FormatMilliseconds(now - this->request.spec.arrived)},
+	     {"copy_at", this->backup ? this->gateway.dispatcher.Targets().Get(*this->backup).name : ""},
 	     {"pressure", FormatNumber(this->gateway.dispatcher.Targets().Pressure(state))},
 	     {"own_calls", std::to_string(state.in_flight.size())},
 	     {"report_age_ms", FormatMilliseconds(age)}});
 }
 
-uint64_t RelayCall::StartUpstream(TargetNumber number, std::optional<ResumePoint> resume)
+std::optional<TargetNumber> RelayCall::ChooseBackupFor(TargetNumber holder, TimePoint now)
+{
+	if (!this->request.can_back_up) return std::nullopt;
+	TargetTable &targets = this->gateway.dispatcher.Targets();
+	std::optional<TargetNumber> at = ChooseBackup(this->request.spec, holder, targets, this->gateway.limits.backup, now);
+	if (at) targets.OnBackup(*at, this->request.spec.prompt_tokens + targets.ExpectedRest(this->request.spec));
+	return at;
+}
+
+uint64_t RelayCall::StartUpstream(TargetNumber number, std::optional<ResumePoint> resume, std::optional<TargetNumber> backup_at)
 {
 	TimePoint now = MonotonicNow();
 	const TargetState &state = this->gateway.dispatcher.Targets().Get(number);
@@ -64,6 +75,7 @@
 	info.account = this->request.account;
 	if (state.engine) info.urgency = this->Urgency();
 	info.resume = std::move(resume);
+	if (backup_at) info.backup_address = this->gateway.AddressOf(*backup_at).Text();
 	UpstreamCall call;
 	call.to = this->gateway.AddressOf(number);
 	call.peer = state.name;
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -62,7 +62,10 @@
 	virtual void OnGone() {}
 
 	/** Start the call to \a target. @param resume Where the run goes on from, if it was moved. */
-	uint64_t StartUpstream(TargetNumber target, std::optional<ResumePoint> resume);
+	uint64_t StartUpstream(TargetNumber target, std::optional<ResumePoint> resume, std::optional<TargetNumber> backup_at);
+
+	/** @return Engine that is to keep a copy of the run at \a holder, if there is one to spare. */
+	std::optional<TargetNumber> ChooseBackupFor(TargetNumber holder, TimePoint now);
 
 	/** Answer with a status of our own, if no answer has begun; break the answer off otherwise. */
 	void Fail(int status, const char *reason, std::optional<Duration> retry_after = std::nullopt);
@@ -86,6 +89,7 @@
 	std::shared_ptr<FrontExchange> exchange; ///< Caller.
 	RelayRequest request;                    ///< What it asks for.
 	std::optional<TargetNumber> target;      ///< Target that has it; nothing while it waits.
+	std::optional<TargetNumber> backup;      ///< Engine that keeps a copy of the run; nothing for none.
 	uint64_t link = 0;                       ///< Call to the target; 0 for none.
 	uint32_t attempts = 0;                   ///< Sends so far.
 	TimePoint sent_at;                       ///< When it was last sent.
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -104,6 +104,7 @@
 	if (end == UpstreamEnd::Complete) return this->RelayRefusal();
 	// A run whose memory has been, or is being, copied goes on from the copy.
 	if (this->move.phase != MovePhase::None) return this->LogMove("source-lost", cause);
+	if (this->ResumeFromBackup(cause, MonotonicNow())) return;
 	this->LoseRun(cause);
 }
 
@@ -169,6 +170,7 @@
 		this->link = 0;
 	}
 	if (this->move.phase == MovePhase::None) this->TryMove(now);
+	if (this->move.phase == MovePhase::None && this->IsSilent(now)) this->ResumeFromBackup("silent", now);
 	if (!this->over) RelayCall::OnTick(now);
 }
 
@@ -188,6 +190,7 @@
 	// A run that has begun and ends soon is done before a copy of it would be.
 	double interval = source.interval > 0 ? source.interval : 0.01;
 	if (this->has_event && FromSeconds(flight->second.residual * interval) < this->gateway.limits.least_move) return;
+	if (this->ResumeFromBackup("leaving", now)) return;
 	std::optional<TargetNumber> to = this->gateway.dispatcher.ChooseMove(this->request.spec.id, this->move.refused, now);
 	if (!to) {
 		this->move.refused.clear();
@@ -218,7 +221,7 @@
 	case MoveAnswer::Kind::Copied:
 		this->move.handle = answer.handle;
 		this->LogMove("copy", "done");
-		return this->Resume();
+		return this->Resume({this->gateway.AddressOf(*this->target).Text(), answer.handle, this->last_event}, MonotonicNow());
 	case MoveAnswer::Kind::NoRoom:
 		this->move.refused.push_back(this->move.to);
 		return this->DropMove("no-room", Duration(0));
@@ -240,15 +243,35 @@
 	if (this->link == 0) this->LoseRun(why);
 }
 
-void StreamRelay::Resume()
+void StreamRelay::Resume(const ResumePoint &point, TimePoint now)
 {
-	ResumePoint point;
-	point.source = this->gateway.AddressOf(*this->target).Text();
-	point.handle = this->move.handle;
-	point.last_event = this->last_event;
 	this->move.phase = MovePhase::Resuming;
-	this->move.overlap_until = MonotonicNow() + this->gateway.limits.move_overlap;
-	this->move.resume_link = this->StartUpstream(this->move.to, point);
+	this->move.overlap_until = now + this->gateway.limits.move_overlap;
+	this->move.backup = this->ChooseBackupFor(this->move.to, now);
+	this->move.resume_link = this->StartUpstream(this->move.to, point, this->move.backup);
+}
+
+bool StreamRelay::ResumeFromBackup(const char *why, TimePoint now)
+{
+	if (!this->backup || !this->target) return false;
+	TargetNumber at = *this->backup;
+	// A copy serves once, and one that leaves with its engine is of no use.
+	this->backup.reset();
+	const TargetState &state = this->gateway.dispatcher.Targets().Get(at);
+	if (!this->gateway.dispatcher.Targets().IsUsable(state, this->request.spec.model, now)) return false;
+	this->move = Move{};
+	this->move.to = at;
+	this->move.begun = now;
+	this->Resume({this->gateway.AddressOf(at).Text(), this->request.info.attempt, this->last_event}, now);
+	this->LogMove("from-copy", why);
+	return true;
+}
+
+bool StreamRelay::IsSilent(TimePoint now) const
+{
+	if (!this->backup || !this->has_event || this->paused || this->link == 0) return false;
+	Duration good = this->request.route.gap_objective;
+	return good > Duration(0) && now - this->last_at > FromSeconds(Seconds(good) * this->gateway.limits.silence_part);
 }
 
 bool StreamRelay::OnResumeHead(const HttpHead &head)
@@ -276,6 +299,7 @@
 	TargetNumber to = this->move.to;
 	this->gateway.dispatcher.OnMoved(this->request.spec.id, to, MonotonicNow());
 	this->target = to;
+	this->backup = this->move.backup;
 	this->move = Move{};
 	this->gateway.OnCallAt(this->request, to, true);
 	if (this->paused) this->gateway.upstream.SetReading(this->link, false);
--- a/src/gateway/stream_relay.h
+++ b/src/gateway/stream_relay.h
@@ -47,6 +47,7 @@
 		TimePoint overlap_until;              ///< When the old run is given up, answered or not.
 		uint64_t call = 0;                    ///< Call under way that copies.
 		uint64_t resume_link = 0;             ///< Call under way that goes on.
+		std::optional<TargetNumber> backup;   ///< Engine that keeps a copy of the run once it goes on.
 		uint32_t tries = 0;                   ///< Copies asked for.
 	};
 
@@ -57,7 +58,9 @@
 	void RelayRefusal();
 	void TryMove(TimePoint now);
 	void OnCopied(const MoveAnswer &answer);
-	void Resume();
+	void Resume(const ResumePoint &point, TimePoint now);
+	bool ResumeFromBackup(const char *why, TimePoint now);
+	bool IsSilent(TimePoint now) const;
 	bool OnResumeHead(const HttpHead &head);
 	void OnResumeEnd(UpstreamEnd end, const char *cause);
 	void OnRunEnd(UpstreamEnd end, const char *cause);
--- a/src/store/table_watch.cpp
+++ b/src/store/table_watch.cpp
@@ -22,8 +22,8 @@
 	return "unknown";
 }
 
-TableWatch::TableWatch(TableStore &store, std::string table, WatchLimits limits)
-    : store(store), table(std::move(table)), limits(limits), read_time(limits.read_limit), alive(std::make_shared<bool>(true))
+TableWatch::TableWatch(TableStore &store, std::string table, WatchLimits limits, Clock clock)
+    : store(store), clock(std::move(clock)), table(std::move(table)), limits(limits), read_time(limits.read_limit), alive(std::make_shared<bool>(true))
 {
 }
 
@@ -87,7 +87,7 @@
 
 void TableWatch::OnPage(RowsAnswer answer)
 {
-	TimePoint now = MonotonicNow();
+	TimePoint now = this->clock();
 	this->call = 0;
 	if (!answer.page) return this->OnFailure(answer, now);
 	RowsPage &page = *answer.page;
@@ -115,7 +115,7 @@
 
 void TableWatch::OnChanges(RowsAnswer answer)
 {
-	TimePoint now = MonotonicNow();
+	TimePoint now = this->clock();
 	this->call = 0;
 	if (!answer.page && answer.failure == StoreFailure::HistoryGone) {
 		this->following = false;
--- a/src/store/table_watch.h
+++ b/src/store/table_watch.h
@@ -27,7 +27,9 @@
 	std::function<void(const RowsAnswer &, TimePoint)> on_lost;                ///< The store has stopped answering.
 	std::function<void(Duration, TimePoint)> on_regained;                      ///< It answers again after that time.
 
-	TableWatch(TableStore &store, std::string table, WatchLimits limits);
+	using Clock = std::function<TimePoint()>;
+
+	TableWatch(TableStore &store, std::string table, WatchLimits limits, Clock clock = MonotonicNow);
 	~TableWatch();
 	TableWatch(const TableWatch &) = delete;
 	TableWatch &operator=(const TableWatch &) = delete;
@@ -65,6 +67,7 @@
 	void OnAnswered(TimePoint now);
 
 	TableStore &store;             ///< Store.
+	Clock clock;                   ///< Tells the time at which an answer comes.
 	std::string table;             ///< Table.
 	WatchLimits limits;            ///< Times.
 	std::vector<StoredRow> pages;  ///< Rows of a read that is under way.
--- /dev/null
+++ b/src/tests/peer_load_test.cpp
@@ -0,0 +1,152 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file peer_load_test.cpp Calls that peers tell: counted once, and gone with their peer. */
+
+#include "decision/backup_choice.h"
+#include "decision/peer_load.h"
+#include "peer/peer_message.h"
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace cottonspool;
+using std::chrono::milliseconds;
+
+namespace {
+
+struct LoadWorld {
+	LoadWorld()
+	{
+		for (int i = 0; i < 3; i++) {
+			TargetNumber number = this->targets.Configure("t" + std::to_string(i), i == 0 ? "hall-a" : "hall-b", {this->pools.Intern("pool")});
+			this->targets.SetUnreported(number, 30000);
+		}
+	}
+
+	LoadMessage News(uint64_t incarnation, std::vector<CallNews> calls, bool whole = false)
+	{
+		LoadMessage message;
+		message.instance = "peer";
+		message.incarnation = incarnation;
+		message.calls = std::move(calls);
+		message.whole = whole;
+		return message;
+	}
+
+	static CallNews At(uint64_t call, const std::string &target, uint32_t generated = 0)
+	{
+		return {CallNews::Kind::At, call, target, 1000, generated, 500, "pool", ServiceClass::Stream};
+	}
+
+	double Known() const
+	{
+		double sum = 0;
+		for (uint32_t i = 0; i < this->targets.Size(); i++) sum += this->targets.Get(TargetNumber{i}).known_tokens;
+		return sum;
+	}
+
+	LengthEstimate lengths{LengthEstimateLimits{}};      ///< Lengths.
+	TargetTable targets{TargetLimits{}, this->lengths};  ///< Targets.
+	NameTable<ModelNumber> pools;                        ///< Pools.
+	TimePoint now{std::chrono::seconds(50)};             ///< Clock.
+};
+
+} // namespace
+
+TEST_CASE("Peer load - each call of a peer counts once, at its last target, until it ends or its peer falls silent")
+{
+	bool good = rc::check("once", [](const std::vector<std::pair<uint8_t, uint8_t>> &steps) {
+		LoadWorld world;
+		PeerLoad load(world.targets, world.pools, milliseconds(1800));
+		std::map<uint64_t, std::pair<std::string, uint32_t>> truth;
+		for (const auto &[what, which] : steps) {
+			world.now += milliseconds(10);
+			uint64_t call = which % 5;
+			std::string target = "t" + std::to_string(what % 3);
+			if (what % 4 == 0) {
+				truth.erase(call);
+				load.OnMessage(world.News(1, {{CallNews::Kind::Ended, call}}), world.now);
+			} else if (what % 4 == 1) {
+				std::vector<CallNews> all;
+				for (const auto &[id, entry] : truth) all.push_back(LoadWorld::At(id, entry.first, entry.second));
+				load.OnMessage(world.News(1, all, true), world.now);
+			} else {
+				bool moved = truth.contains(call) && truth[call].first != target;
+				uint32_t generated = truth.contains(call) && !moved ? truth[call].second + 4 : what % 7;
+				truth[call] = {target, generated};
+				load.OnMessage(world.News(1, {LoadWorld::At(call, target, generated)}), world.now);
+			}
+			double expected = 0;
+			for (const auto &[id, entry] : truth) expected += 1000 + entry.second;
+			RC_ASSERT(load.Calls() == truth.size());
+			RC_ASSERT(std::abs(world.Known() - expected) < 1e-6);
+		}
+		load.OnTick(world.now + milliseconds(2000));
+		RC_ASSERT(load.Calls() == 0U);
+		RC_ASSERT(std::abs(world.Known()) < 1e-6);
+	});
+	CHECK(good);
+}
+
+TEST_CASE("Peer load - a peer that starts anew has none of its former calls, and old news of it is dropped")
+{
+	LoadWorld world;
+	PeerLoad load(world.targets, world.pools, milliseconds(1800));
+	load.OnMessage(world.News(5, {LoadWorld::At(1, "t0")}), world.now);
+	load.OnMessage(world.News(6, {LoadWorld::At(2, "t1")}), world.now);
+	CHECK(load.Calls() == 1);
+	load.OnMessage(world.News(5, {LoadWorld::At(3, "t2")}), world.now);
+	CHECK(load.Calls() == 1);
+	CHECK(world.Known() == doctest::Approx(1000));
+}
+
+TEST_CASE("Peer load - a prompt that a peer sent holds up the next one for everybody")
+{
+	LoadWorld world;
+	PeerLoad load(world.targets, world.pools, milliseconds(1800));
+	CallSpec call;
+	call.model = world.pools.Intern("pool");
+	call.prompt_tokens = 100;
+	Duration before = world.targets.FirstTokenWait(world.targets.Get(TargetNumber{0}), call, world.now);
+	load.OnMessage(world.News(1, {LoadWorld::At(1, "t0")}), world.now);
+	CHECK(world.targets.FirstTokenWait(world.targets.Get(TargetNumber{0}), call, world.now) > before);
+	load.OnMessage(world.News(1, {LoadWorld::At(1, "t0", 4)}), world.now);
+	CHECK(world.targets.FirstTokenWait(world.targets.Get(TargetNumber{0}), call, world.now) == before);
+}
+
+TEST_CASE("Peer load - messages survive their encoding")
+{
+	LoadMessage message;
+	message.instance = "a";
+	message.incarnation = 7;
+	message.whole = true;
+	message.calls.push_back(LoadWorld::At(9, "t1", 12));
+	LoadReport report;
+	report.capacity_tokens = 100;
+	report.used_tokens = 40;
+	report.leaving = true;
+	message.reports.push_back({"t2", report});
+	Result<PeerMessage> read = DecodePeerMessage(EncodePeerMessage(message));
+	REQUIRE(read);
+	const LoadMessage &got = std::get<LoadMessage>(read.value());
+	CHECK(got.calls[0].generated == 12);
+	CHECK(got.calls[0].target == "t1");
+	CHECK(got.reports[0].report.used_tokens == 40);
+	CHECK(got.reports[0].report.leaving);
+	CHECK(got.whole);
+}
+
+TEST_CASE("Backup - a copy goes to another engine with memory to spare, to another hall if it can")
+{
+	LoadWorld world;
+	CallSpec call;
+	call.model = world.pools.Intern("pool");
+	call.prompt_tokens = 3000;
+	call.max_tokens = 800;
+	std::optional<TargetNumber> at = ChooseBackup(call, TargetNumber{1}, world.targets, {}, world.now);
+	REQUIRE(at);
+	CHECK(at->value == 0);
+	CHECK(ChooseBackup(call, TargetNumber{0}, world.targets, {}, world.now) != TargetNumber{0});
+	for (uint32_t i = 0; i < 3; i++) world.targets.OnBackup(TargetNumber{i}, 20000);
+	CHECK(!ChooseBackup(call, TargetNumber{1}, world.targets, {}, world.now));
+	CHECK(!ChooseBackup(call, TargetNumber{1}, world.targets, {.use = false}, world.now));
+}
--- /dev/null
+++ b/src/tests/platform_test.cpp
@@ -0,0 +1,209 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file platform_test.cpp The platform's names and formats, decoded and encoded. */
+
+#include "generation/event_splitter.h"
+#include "metrics/line_buffer.h"
+#include "platform/node_settings.h"
+#include "platform/wire_configuration.h"
+#include "platform/wire_engine.h"
+#include "platform/wire_request.h"
+#include "platform/wire_store.h"
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+#include <unistd.h>
+
+using namespace cottonspool;
+
+static const char *const SETTINGS = R"({"nodeName":"n1","zone":"hall-a","ip":"127.0.0.1","zones":{"hall-a":"r","hall-b":"r"},
+"listen":{"front":"127.0.0.1:80","ready":"127.0.0.1:81"},"internalPorts":[7200,7215],"heartbeatMs":900,"unknown":{"x":1},
+"limits":{"memoryMb":110},"bounds":{"drainMs":1500,"graceS":7,"retryBudgetRatio":0.3,"retrySlack":40},"platform":{"address":"127.0.0.1:90"}})";
+
+TEST_CASE("Platform settings - are read, and unknown fields are passed over")
+{
+	Result<NodeSettings> read = ParseNodeSettings(SETTINGS, "file");
+	REQUIRE(read);
+	CHECK(read.value().name == "n1");
+	CHECK(read.value().halls.size() == 2);
+	CHECK(read.value().store.port == 90);
+	CHECK(read.value().first_port == 7200);
+	CHECK(read.value().bounds.drain == std::chrono::milliseconds(1500));
+	CHECK(read.value().bounds.stop_grace == std::chrono::seconds(7));
+	CHECK(read.value().bounds.retry_ratio == doctest::Approx(0.3));
+}
+
+TEST_CASE("Platform settings - a fault is named with file and field")
+{
+	for (const char *bad : {"", "[]", "{}", R"({"nodeName":1})"}) CHECK(!ParseNodeSettings(bad, "file"));
+	std::string text = SETTINGS;
+	text.replace(text.find("127.0.0.1:90"), 12, "nowhere");
+	Result<NodeSettings> read = ParseNodeSettings(text, "file");
+	REQUIRE(!read);
+	CHECK(read.error().peer == "file");
+	CHECK(read.error().message.find("/platform/address") != std::string::npos);
+}
+
+TEST_CASE("Platform configuration - routes, pools, limits and accounts are decoded")
+{
+	Result<ServingConfiguration> read = DecodeConfiguration(R"({"version":7,"routes":[
+	{"name":"s","host":"h","pathPrefix":"/a/","routeType":"streaming","timeoutMs":39000,"targetLatencyMs":1800,"priority":1,
+	 "weightedServices":[{"service":"p","weight":90},{"service":"q","weight":10}],"maxAttempts":1,"public":false,"gapAimMs":180},
+	{"name":"o","host":"h","pathPrefix":"/b/","routeType":"something-new","service":"q","public":true}],
+	"services":[{"name":"p","engine":{"capacity":64,"kvTokenCapacity":34545,"stride":4,"moves":true,"backups":true}},{"name":"q"}],
+	"limits":{"maxBodyBytes":100,"idleTimeoutMs":15000},"tenants":[{"name":"t","apiKeys":["k"],"priority":2}]})");
+	REQUIRE(read);
+	const ServingConfiguration &configuration = read.value();
+	CHECK(configuration.version == 7);
+	CHECK(configuration.routes[0].kind == RunKind::Stream);
+	CHECK(configuration.routes[0].pools.size() == 2);
+	CHECK(configuration.routes[0].gap_objective == std::chrono::milliseconds(180));
+	CHECK(configuration.routes[1].kind == RunKind::Once);
+	CHECK(!configuration.routes[1].needs_key);
+	CHECK(configuration.pools[0].engine->tokens_per_event == 4);
+	CHECK(configuration.pools[0].engine->can_move);
+	CHECK(!configuration.pools[1].engine);
+	CHECK(configuration.limits.max_body_bytes == 100);
+	CHECK(configuration.accounts[0].rank == 2);
+	CHECK(!DecodeConfiguration("no json"));
+}
+
+TEST_CASE("Platform decoders - whatever bytes come, they end with a value or an error")
+{
+	bool good = rc::check("bytes", [](const std::string &text) {
+		(void)DecodeConfiguration(text);
+		(void)DecodeTargetRow({"key", text, 1, false});
+		(void)DecodeReport(text);
+		(void)DecodeMove(200, text);
+		(void)DecodeRows(200, text);
+		(void)ParseNodeSettings(text, "file");
+		HttpHead head;
+		for (const char *name : {"X-Token-Count", "X-Prompt-Prefix", "X-Server-Load", "X-Deadline-Ms", "Authorization"}) {
+			head.headers.push_back({name, text});
+		}
+		(void)ReadRequest(head);
+		(void)ReadAnswer(head);
+	});
+	CHECK(good);
+}
+
+TEST_CASE("Platform rows - are decoded from the store's answer")
+{
+	RowsAnswer answer = DecodeRows(200, R"({"rows":[{"table":"t","part":"","tlsKey":"a","value":"eyJ4IjoxfQ==","ver":5},
+	{"tlsKey":"b","deleted":true,"ver":6}],"hasMore":true,"ver":9,"nowMs":1})");
+	REQUIRE(answer.page);
+	CHECK(answer.page->rows[0].value == R"({"x":1})");
+	CHECK(answer.page->rows[1].deleted);
+	CHECK(answer.page->more);
+	CHECK(answer.page->version == 9);
+	CHECK(DecodeRows(410, "").failure == StoreFailure::HistoryGone);
+	CHECK(DecodeRows(429, "").failure == StoreFailure::Refused);
+	CHECK(DecodeRows(503, "").failure == StoreFailure::Refused);
+	CHECK(DecodeRows(0, "").failure == StoreFailure::NoAnswer);
+	CHECK(DecodeRows(200, "{").failure == StoreFailure::Malformed);
+}
+
+TEST_CASE("Platform requests - what only an instance may set is never passed on from a caller")
+{
+	HttpHeaders received{{"Host", "h"},           {"X-Attempt-Id", "AbC"},        {"x-tenant", "forged"},   {"X-Expect-Instance", "forged"},
+	                     {"Kv-From", "forged"},   {"X-KV-Backup", "forged"},      {"X-Hold", "forged"},     {"X-Pin-Ms", "1"},
+	                     {"X-Request-Urgency", "0"}, {"X-Deadline-Ms", "99999"},  {"Connection", "X-Extra"}, {"X-Extra", "one hop"},
+	                     {"Authorization", "Bearer k"}, {"Transfer-Encoding", "chunked"}, {"X-Model", "m"}};
+	SendInfo info;
+	info.remaining = std::chrono::milliseconds(1234);
+	info.target = "i-1";
+	info.account = "t";
+	HttpHeaders sent = HeadersForTarget(received, info);
+	std::string text;
+	AppendHeaders(text, sent);
+	CHECK(text.find("forged") == std::string::npos);
+	CHECK(text.find("Bearer") == std::string::npos);
+	CHECK(text.find("one hop") == std::string::npos);
+	CHECK(FindHeader(sent, "X-Attempt-Id") == "AbC");
+	CHECK(FindHeader(sent, "X-Model") == "m");
+	CHECK(FindHeader(sent, "X-Deadline-Ms") == "1234");
+	CHECK(FindHeader(sent, "X-Tenant") == "t");
+	CHECK(FindHeader(sent, "X-Expect-Instance") == "i-1");
+	CHECK(FindHeader(sent, "X-Request-Urgency").empty());
+	info.resume = ResumePoint{"1.2.3.4:5", "h7", 42};
+	sent = HeadersForTarget(received, info);
+	CHECK(FindHeader(sent, "Kv-From") == "1.2.3.4:5/h7");
+	CHECK(FindHeader(sent, "Last-Event-Id") == "42");
+}
+
+TEST_CASE("Platform answers - only the target's own word says that a request has not run")
+{
+	HttpHead head;
+	head.status = 503;
+	CHECK(!ReadAnswer(head).not_run);
+	head.headers.push_back({"X-Not-Executed", "1"});
+	CHECK(ReadAnswer(head).not_run);
+	HttpHead other;
+	other.status = 421;
+	CHECK(ReadAnswer(other).not_run);
+	other.headers.push_back({"X-Server-Load", "3,1,8"});
+	CHECK(ReadAnswer(other).load->waiting == 1);
+}
+
+TEST_CASE("Platform moves - each answer of an engine has its meaning")
+{
+	CHECK(DecodeMove(200, R"({"handle":"h","createdRev":12})").kind == MoveAnswer::Kind::Copied);
+	CHECK(DecodeMove(200, R"({"handle":"h","createdRev":12})").events == 12);
+	CHECK(DecodeMove(200, "{}").kind == MoveAnswer::Kind::NoAnswer);
+	CHECK(DecodeMove(404, "").kind == MoveAnswer::Kind::NoRun);
+	CHECK(DecodeMove(409, "").kind == MoveAnswer::Kind::Busy);
+	CHECK(DecodeMove(503, R"({"handle":"h"})").handle == "h");
+	CHECK(DecodeMove(0, "").kind == MoveAnswer::Kind::NoAnswer);
+}
+
+TEST_CASE("Event splitter - whole events come out byte for byte, however the stream is cut")
+{
+	bool good = rc::check("cuts", [](const std::vector<uint8_t> &sizes, bool crlf) {
+		const std::string end = crlf ? "\r\n" : "\n";
+		std::string stream;
+		for (int i = 1; i <= 6; i++) stream += "x-version: 3" + end + "id: " + std::to_string(i * 3) + end + "data: part" + end + end;
+		std::string rest = "id: 99" + end + "data: unfinished";
+		EventSplitter splitter;
+		std::string input = stream + rest, output;
+		std::vector<uint64_t> ids;
+		size_t at = 0;
+		for (size_t i = 0; at < input.size(); i++) {
+			size_t length = std::min<size_t>(sizes.empty() ? 7 : sizes[i % sizes.size()] % 40 + 1, input.size() - at);
+			RC_ASSERT(splitter.Add(std::string_view(input).substr(at, length)));
+			at += length;
+			while (auto event = splitter.Next()) {
+				output += event->bytes;
+				RC_ASSERT(event->id.has_value());
+				ids.push_back(*event->id);
+			}
+		}
+		RC_ASSERT(output == stream);
+		RC_ASSERT(ids == (std::vector<uint64_t>{3, 6, 9, 12, 15, 18}));
+		RC_ASSERT(splitter.TakeRest() == rest);
+	});
+	CHECK(good);
+}
+
+TEST_CASE("Log lines - a reader that stops reading costs lines, not time, and is told how many")
+{
+	int ends[2];
+	REQUIRE(pipe(ends) == 0);
+	LineBuffer buffer(ends[1], 4096);
+	std::string line(99, 'x');
+	for (int i = 0; i < 3000; i++) {
+		buffer.Add(line);
+		buffer.Flush();
+	}
+	CHECK(buffer.Dropped() > 0);
+	CHECK(buffer.Waiting() <= 4096);
+	std::string got;
+	char bytes[65536];
+	for (int i = 0; i < 3; i++) {
+		got.append(bytes, static_cast<size_t>(read(ends[0], bytes, sizeof(bytes))));
+		buffer.Flush();
+		buffer.Add(line);
+		buffer.Flush();
+	}
+	CHECK(got.find("log-lines-dropped") != std::string::npos);
+	close(ends[0]);
+	close(ends[1]);
+}
--- /dev/null
+++ b/src/tests/route_table_test.cpp
@@ -0,0 +1,80 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file route_table_test.cpp Routes, weights and keys of the configuration in force. */
+
+#include "decision/route_table.h"
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace cottonspool;
+
+namespace {
+
+ServingConfiguration Sample(uint64_t version)
+{
+	ServingConfiguration configuration;
+	configuration.version = version;
+	configuration.routes.push_back({.name = "all", .host = "a.example", .path_prefix = "/", .pools = {{"x", 1}}});
+	configuration.routes.push_back({.name = "deep", .host = "a.example", .path_prefix = "/p/q/", .pools = {{"x", 3}, {"y", 1}}});
+	configuration.routes.push_back({.name = "open", .host = "b.example", .path_prefix = "/p/", .pools = {{"x", 0}}, .needs_key = false});
+	configuration.pools.push_back({.name = "x"});
+	configuration.accounts.push_back({.name = "one", .keys = {"k1", "k2"}, .rank = 2});
+	configuration.has_accounts = true;
+	return configuration;
+}
+
+} // namespace
+
+TEST_CASE("Routes - the longest prefix of the host wins, and only whole parts of the path count")
+{
+	RouteTable table;
+	REQUIRE(table.Apply(Sample(1)));
+	CHECK(table.FindRoute("a.example", "/p/q/r")->name == "deep");
+	CHECK(table.FindRoute("a.example", "/p/q/")->name == "deep");
+	CHECK(table.FindRoute("a.example", "/p/q")->name == "all");
+	CHECK(table.FindRoute("a.example", "/p/qq/")->name == "all");
+	CHECK(table.FindRoute("b.example", "/other/") == nullptr);
+	CHECK(table.FindRoute("c.example", "/") == nullptr);
+	CHECK(table.FindRoute("a.example", "no-slash") == nullptr);
+}
+
+TEST_CASE("Routes - a configuration never goes back")
+{
+	bool good = rc::check("forward", [](const std::vector<uint8_t> &versions) {
+		RouteTable table;
+		uint64_t newest = 0;
+		for (uint8_t version : versions) {
+			bool applied = table.Apply(Sample(version));
+			RC_ASSERT(applied == (newest == 0 && !versions.empty() ? !table.IsKnown() || table.Configuration().version == version : version > newest) || !applied);
+			RC_ASSERT(table.Configuration().version >= newest);
+			newest = table.Configuration().version;
+		}
+		for (uint8_t version : versions) RC_ASSERT(newest >= version);
+	});
+	CHECK(good);
+}
+
+TEST_CASE("Routes - pools are drawn by weight, and one without weight gets nothing")
+{
+	RouteTable table;
+	table.Apply(Sample(1));
+	const Route &split = *table.FindRoute("a.example", "/p/q/r");
+	int x = 0;
+	for (int i = 0; i < 1000; i++) x += RouteTable::ChoosePool(split, i / 1000.0) == "x" ? 1 : 0;
+	CHECK(x == 750);
+	CHECK(RouteTable::ChoosePool(*table.FindRoute("b.example", "/p/"), 0.5).empty());
+}
+
+TEST_CASE("Routes - keys name their account, and an unknown key must not run")
+{
+	RouteTable table;
+	table.Apply(Sample(1));
+	const Route &route = *table.FindRoute("a.example", "/");
+	const ClientAccount *account = nullptr;
+	CHECK(table.CheckKey(route, "k2", &account) == KeyVerdict::Known);
+	CHECK(account->name == "one");
+	CHECK(table.CheckKey(route, "k3", &account) == KeyVerdict::Unknown);
+	CHECK(table.CheckKey(route, "", &account) == KeyVerdict::Unknown);
+	CHECK(table.CheckKey(*table.FindRoute("b.example", "/p/"), "k3", &account) == KeyVerdict::NotNeeded);
+	CHECK(account == nullptr);
+}
--- /dev/null
+++ b/src/tests/table_watch_test.cpp
@@ -0,0 +1,154 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file table_watch_test.cpp Following a table of a store that fails in every way. */
+
+#include "store/table_watch.h"
+#include <deque>
+#include <doctest/doctest.h>
+#include <map>
+
+using namespace cottonspool;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** A store whose answers the test gives by hand. */
+class HandStore : public TableStore {
+public:
+	/** One call that waits for its answer. */
+	struct Waiting {
+		bool changes = false; ///< Changes are asked for.
+		uint64_t version = 0; ///< Since this version.
+		std::string from;     ///< First key.
+		RowsDone done;        ///< Gets the answer.
+	};
+
+	uint64_t ReadRows(const std::string &, const std::string &from, RowsDone done) override
+	{
+		this->calls[++this->last] = {false, 0, from, std::move(done)};
+		return this->last;
+	}
+
+	uint64_t ReadChanges(const std::string &, uint64_t version, Duration, RowsDone done) override
+	{
+		this->calls[++this->last] = {true, version, "", std::move(done)};
+		return this->last;
+	}
+
+	uint64_t WriteRow(const std::string &, const std::string &, const std::string &, WriteDone) override { return 0; }
+	uint64_t RemoveRow(const std::string &, const std::string &, WriteDone) override { return 0; }
+	void Cancel(uint64_t call) override { this->calls.erase(call); }
+
+	/** Answer the newest call. */
+	void Answer(RowsAnswer answer)
+	{
+		REQUIRE(this->calls.contains(this->last));
+		RowsDone done = std::move(this->calls[this->last].done);
+		this->calls.erase(this->last);
+		done(std::move(answer));
+	}
+
+	Waiting &Newest() { return this->calls.at(this->last); }
+
+	std::map<uint64_t, Waiting> calls; ///< Calls that wait.
+	uint64_t last = 0;                 ///< Number of the newest call.
+};
+
+RowsAnswer Page(std::vector<std::string> keys, uint64_t version, bool more = false)
+{
+	RowsPage page;
+	for (const std::string &key : keys) page.rows.push_back({key, "v", version, false});
+	page.version = version;
+	page.more = more;
+	return {page, StoreFailure::NoAnswer, ""};
+}
+
+RowsAnswer Failed(StoreFailure failure)
+{
+	return {std::nullopt, failure, "test"};
+}
+
+struct WatchWorld {
+	WatchWorld()
+	{
+		this->watch.on_all = [this](const std::vector<StoredRow> &rows, TimePoint) { this->all.push_back(rows.size()); };
+		this->watch.on_changes = [this](const std::vector<StoredRow> &rows, TimePoint) { this->changes.push_back(rows.size()); };
+		this->watch.on_lost = [this](const RowsAnswer &, TimePoint) { this->lost++; };
+		this->watch.on_regained = [this](Duration, TimePoint) { this->regained++; };
+		this->watch.Start(this->now);
+	}
+
+	void Pass(Duration time)
+	{
+		this->now += time;
+		this->watch.OnTick(this->now);
+	}
+
+	HandStore store;                                            ///< Store.
+	TableWatch watch{this->store, "table", WatchLimits{}, [this] { return this->now; }}; ///< Under test.
+	TimePoint now = MonotonicNow();                             ///< Clock.
+	std::vector<size_t> all;                                    ///< Sizes of whole reads.
+	std::vector<size_t> changes;                                ///< Sizes of changes.
+	int lost = 0;                                               ///< Losses told.
+	int regained = 0;                                           ///< Returns told.
+};
+
+} // namespace
+
+TEST_CASE("Watch - a table of several pages is taken in whole, and followed from the version of its first page")
+{
+	WatchWorld world;
+	world.store.Answer(Page({"a", "b"}, 10, true));
+	CHECK(world.store.Newest().from > "b");
+	CHECK(world.all.empty());
+	world.store.Answer(Page({"c"}, 12));
+	CHECK(world.all == std::vector<size_t>{3});
+	CHECK(world.store.Newest().changes);
+	CHECK(world.store.Newest().version == 10);
+}
+
+TEST_CASE("Watch - history that is gone leads to a whole read, without a loss being told")
+{
+	WatchWorld world;
+	world.store.Answer(Page({"a"}, 10));
+	world.store.Answer(Failed(StoreFailure::HistoryGone));
+	CHECK(!world.store.Newest().changes);
+	world.store.Answer(Page({"a", "b"}, 20));
+	CHECK(world.all == std::vector<size_t>{1, 2});
+	CHECK(world.lost == 0);
+}
+
+TEST_CASE("Watch - a read that is older than what is known is not taken in")
+{
+	WatchWorld world;
+	world.store.Answer(Page({"a"}, 10));
+	world.store.Answer(Failed(StoreFailure::HistoryGone));
+	world.store.Answer(Page({}, 9));
+	CHECK(world.all == std::vector<size_t>{1});
+	world.Pass(std::chrono::seconds(1));
+	world.store.Answer(Page({"a", "b"}, 11));
+	CHECK(world.all == std::vector<size_t>{1, 2});
+}
+
+TEST_CASE("Watch - a store that says nothing is given up in time, asked again with pauses, and its return is told")
+{
+	WatchWorld world;
+	world.store.Answer(Page({"a"}, 10));
+	world.Pass(std::chrono::seconds(5));
+	CHECK(world.lost == 1);
+	CHECK(world.store.calls.empty());
+	uint64_t before = world.store.last;
+	for (int i = 0; i < 40; i++) {
+		world.Pass(milliseconds(100));
+		if (!world.store.calls.empty()) world.store.Answer(Failed(StoreFailure::Refused));
+	}
+	CHECK(world.store.last - before <= 12);
+	CHECK(world.store.last - before >= 4);
+	CHECK(world.lost == 1);
+	world.Pass(std::chrono::seconds(1));
+	CHECK(world.store.Newest().version == 10);
+	world.store.Answer(Page({"b"}, 15));
+	CHECK(world.regained == 1);
+	CHECK(world.changes == std::vector<size_t>{1});
+	CHECK(!world.watch.IsLost());
+}
--- /dev/null
+++ b/src/tests/target_registry_test.cpp
@@ -0,0 +1,127 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file target_registry_test.cpp Departures are final, and an outage of the list is not a departure. */
+
+#include "decision/target_registry.h"
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace cottonspool;
+using std::chrono::milliseconds;
+
+namespace {
+
+TargetRow Row(int i, bool leaving = false)
+{
+	ListedTarget target;
+	target.id = "target-" + std::to_string(i);
+	target.pool = "pool";
+	target.address = "127.0.0.1:" + std::to_string(8000 + i);
+	target.leaving = leaving;
+	return {target.id, target};
+}
+
+TargetRow Gone(int i)
+{
+	return {"target-" + std::to_string(i), std::nullopt};
+}
+
+std::vector<TargetRow> Rows(int count)
+{
+	std::vector<TargetRow> rows;
+	for (int i = 0; i < count; i++) rows.push_back(Row(i));
+	return rows;
+}
+
+} // namespace
+
+TEST_CASE("Registry - a target that said it leaves stays out, whatever the list says later")
+{
+	bool good = rc::check("final", [](const std::vector<uint8_t> &steps) {
+		TargetRegistry registry({});
+		TimePoint now{std::chrono::seconds(100)};
+		registry.OnAll(Rows(4), now);
+		bool departed = false;
+		for (uint8_t step : steps) {
+			now += milliseconds(step);
+			std::vector<TargetEvent> events;
+			switch (step % 6) {
+			case 0:
+				events = registry.OnChanges({Row(0)}, now);
+				break;
+			case 1:
+				events = registry.OnChanges({Row(0, true)}, now);
+				break;
+			case 2:
+				events = registry.OnChanges({Gone(0)}, now);
+				break;
+			case 3:
+				events = registry.OnAll(Rows(4), now);
+				break;
+			case 4:
+				registry.OnStoreRegained(now);
+				events = registry.OnOwnNotice("target-0", now);
+				break;
+			default:
+				events = registry.OnTick(now);
+			}
+			departed = departed || step % 6 == 1 || step % 6 == 4;
+			for (const TargetEvent &event : events) {
+				if (departed && event.target.id == "target-0") RC_ASSERT(event.change == TargetChange::Leaving);
+			}
+		}
+	});
+	CHECK(good);
+}
+
+TEST_CASE("Registry - a row removed in calm times means that the target is gone at once")
+{
+	TargetRegistry registry({});
+	TimePoint now{std::chrono::seconds(100)};
+	registry.OnAll(Rows(9), now);
+	std::vector<TargetEvent> events = registry.OnChanges({Gone(3)}, now + milliseconds(10));
+	REQUIRE(events.size() == 1);
+	CHECK(events[0].change == TargetChange::Leaving);
+	CHECK(events[0].target.id == "target-3");
+}
+
+TEST_CASE("Registry - rows that lapsed while the store was away keep their targets for the grace, and no longer")
+{
+	RegistryLimits limits;
+	TargetRegistry registry(limits);
+	TimePoint now{std::chrono::seconds(100)};
+	registry.OnAll(Rows(6), now);
+	now += std::chrono::seconds(5);
+	registry.OnStoreRegained(now);
+	CHECK(registry.OnAll({}, now).empty());
+	// Three of them write their rows again in time.
+	CHECK(registry.OnChanges({Row(0), Row(1), Row(2)}, now + milliseconds(900)).empty());
+	CHECK(registry.OnTick(now + limits.lapse_grace - milliseconds(1)).empty());
+	std::vector<TargetEvent> events = registry.OnTick(now + limits.lapse_grace);
+	CHECK(events.size() == 3);
+	for (const TargetEvent &event : events) CHECK(event.change == TargetChange::Leaving);
+}
+
+TEST_CASE("Registry - many rows that go at once without notice are taken for a lapse")
+{
+	TargetRegistry registry({});
+	TimePoint now{std::chrono::seconds(100)};
+	registry.OnAll(Rows(9), now);
+	std::vector<TargetRow> gone;
+	for (int i = 0; i < 9; i++) gone.push_back(Gone(i));
+	CHECK(registry.OnChanges(gone, now + milliseconds(10)).empty());
+	std::vector<TargetEvent> events = registry.OnTick(now + std::chrono::seconds(3));
+	CHECK(events.size() == 9);
+}
+
+TEST_CASE("Registry - a heartbeat that says nothing new is no event")
+{
+	TargetRegistry registry({});
+	TimePoint now{std::chrono::seconds(100)};
+	CHECK(registry.OnAll(Rows(2), now).size() == 2);
+	TargetRow again = Row(0);
+	again.target->sequence = 77;
+	CHECK(registry.OnChanges({again}, now).empty());
+	again.target->address = "127.0.0.1:9999";
+	CHECK(registry.OnChanges({again}, now).size() == 1);
+}
