--- a/src/decision/peer_load.h
+++ b/src/decision/peer_load.h
@@ -51,6 +51,9 @@
 	{
 	}
 
+	/** A peer is forgotten after \a longest of silence from now on. */
+	void SetSilence(Duration longest) { this->silence = longest; }
+
 	/** Take in what a peer tells. Reports are left to the caller. */
 	void OnMessage(const LoadMessage &message, TimePoint now);
 
--- a/src/decision/request_type.h
+++ b/src/decision/request_type.h
@@ -53,6 +53,7 @@
 	bool generated = true;                                  ///< A model generation; false for a plain service call.
 	TimePoint ends_at = TimePoint::max();                   ///< When its final answer is due at the latest.
 	Duration objective{0};                                  ///< Latency within which its (first) answer is in time; zero if there is none.
+	double other_hall_penalty = 0.10;                       ///< Pressure that the next preferred hall has to be better by.
 	uint32_t max_attempts = 0;                              ///< Most targets it may be sent to; 0 means the dispatcher's own bound.
 	TimePoint press_from = TimePoint::max();                ///< From then on it goes to a target without room, up to a bound.
 	std::vector<TargetNumber> avoid;                        ///< Targets that get it only if there is no other.
--- a/src/decision/router.cpp
+++ b/src/decision/router.cpp
@@ -14,7 +14,6 @@
 static constexpr double CALLS_WEIGHT = 0.02;       ///< Weight of one call at the target: more calls make each step longer.
 static constexpr double MOST_PRESSURE = 1.5;       ///< Pressure from which even an interactive call waits.
 static constexpr double FIRST_TOKEN_WEIGHT = 1.5;  ///< Weight of the wait for the first token, as a part of the objective.
-static constexpr double OTHER_HALL_PENALTY = 0.10; ///< Pressure that the next preferred hall has to be better by.
 
 /** @return Penalty of the hall of \a target for \a call, or nothing when the hall gets no new work. */
 static std::optional<double> HallPenalty(const CallSpec &call, const TargetState &target)
@@ -23,7 +22,7 @@
 	double penalty = 0;
 	for (const HallPreference &preference : call.halls) {
 		if (preference.hall == target.hall) return preference.weight > 0 ? std::optional<double>(penalty) : std::nullopt;
-		penalty += OTHER_HALL_PENALTY;
+		penalty += call.other_hall_penalty;
 	}
 	return std::nullopt;
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -44,8 +44,8 @@
     : limits(limits), upstream(loop), metrics(ACCOUNT_SERIES), dispatcher(limits.dispatch, MakeRouter("headroom", 0)), loop(loop),
       settings(std::move(given)), settings_path(std::move(settings_path)), store(this->upstream, this->settings.store),
       configuration_watch(this->store, CONFIGURATION_TABLE, limits.watch), target_watch(this->store, TARGET_TABLE, limits.watch),
-      registry(limits.registry), peer_load(this->dispatcher.Targets(), this->pools, limits.exchange.silence),
-      peers(loop, this->store, this->peer_load, this->settings.name, limits.exchange,
+      registry(limits.registry), peer_load(this->dispatcher.Targets(), this->pools, std::chrono::seconds(2)),
+      peers(loop, this->store, this->peer_load, this->settings.name, this->settings.hall, limits.exchange,
             [this](const ReportNews &news) { this->OnPeerReport(news); }),
       front(loop, [this](const std::shared_ptr<FrontExchange> &exchange) { this->HandleRequest(exchange); }),
       readiness(loop, [this](const std::shared_ptr<FrontExchange> &exchange) { this->HandleReady(exchange); }),
@@ -178,6 +178,7 @@
 	spec.max_attempts = route.max_attempts;
 	spec.ends_at = request->ends_at;
 	spec.objective = route.objective;
+	if (this->peers.IsHallOnly()) spec.other_hall_penalty = this->limits.other_hall_penalty;
 	spec.arrived = now;
 	spec.deadline = std::min(request->ends_at, now + FromSeconds(Seconds(route.objective) * this->limits.wait_part));
 	spec.press_from = now + FromSeconds(Seconds(route.objective) * this->limits.press_part);
@@ -265,8 +266,6 @@
 	this->upstream.OnTick(now);
 	this->front.OnTick(now);
 	this->readiness.OnTick(now);
-	this->configuration_watch.OnTick(now);
-	this->target_watch.OnTick(now);
 	this->OnTargetEvents(this->registry.OnTick(now), now);
 	this->PollReports(now);
 	this->Carry(this->dispatcher.OnTick(now));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -93,6 +93,7 @@
 	void UseTarget(const ListedTarget &target);
 	void LeaveTarget(const ListedTarget &target, const char *source, TimePoint now);
 	void RefreshTargets();
+	void RefreshScope();
 	void PollReports(TimePoint now);
 	void PollReport(TargetNumber target, TimePoint now);
 	void OnReport(TargetNumber target, const std::optional<EngineReport> &report);
--- a/src/gateway/gateway_targets.cpp
+++ b/src/gateway/gateway_targets.cpp
@@ -36,10 +36,25 @@
 	this->configuration_watch.on_changes = configuration;
 	this->target_watch.on_all = [this](const std::vector<StoredRow> &rows, TimePoint at) { this->OnTargetRows(rows, true, at); };
 	this->target_watch.on_changes = [this](const std::vector<StoredRow> &rows, TimePoint at) { this->OnTargetRows(rows, false, at); };
+	this->peers.Share(this->configuration_watch);
+	this->peers.Share(this->target_watch);
 	this->configuration_watch.Start(now);
 	this->target_watch.Start(now);
 }
 
+void Gateway::RefreshScope()
+{
+	size_t in_hall = 0;
+	for (const auto &[id, target] : this->usable) {
+		const Pool *pool = this->routes.FindPool(target.pool);
+		if (pool != nullptr && pool->engine && target.hall == this->settings.hall) in_hall++;
+	}
+	bool only = in_hall >= this->limits.hall_engines;
+	if (only == this->peers.IsHallOnly()) return;
+	this->peers.SetHallOnly(only);
+	Log(LogLevel::Info, "scope", {{"hall_only", only ? "yes" : "no"}, {"engines_in_hall", std::to_string(in_hall)}});
+}
+
 void Gateway::OnConfigurationRows(const std::vector<StoredRow> &rows, TimePoint)
 {
 	// Several versions may come at once: only the newest is worth reading.
@@ -105,7 +120,9 @@
 		Log(LogLevel::Info, "target-usable",
 		    {{"target", event.target.id}, {"pool", event.target.pool}, {"hall", event.target.hall}, {"source", event.source}});
 	}
-	if (!events.empty()) this->Carry(this->dispatcher.OnTick(now));
+	if (events.empty()) return;
+	this->RefreshScope();
+	this->Carry(this->dispatcher.OnTick(now));
 }
 
 void Gateway::UseTarget(const ListedTarget &listed)
@@ -163,6 +180,7 @@
 	for (const auto &[id, listed] : this->usable) {
 		std::optional<TargetNumber> number = this->dispatcher.Targets().Find(id);
 		if (!number || !this->records[number->value].engine) continue;
+		if (this->peers.IsHallOnly() && listed.hall != this->settings.hall) continue;
 		TargetRecord &record = this->records[number->value];
 		if (record.report_call != 0 && now >= record.report_limit) {
 			this->upstream.Cancel(record.report_call);
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -18,21 +18,43 @@
 	return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
-PeerExchange::PeerExchange(uv_loop_s *loop, TableStore &store, PeerLoad &load, std::string name, ExchangeLimits limits,
+PeerExchange::PeerExchange(uv_loop_s *loop, TableStore &store, PeerLoad &load, std::string name, std::string hall, ExchangeLimits limits,
                            ReportHandler on_report)
-    : store(store), load(load), name(std::move(name)), incarnation(StartNumber()), limits(limits), on_report(std::move(on_report)),
-      links(loop,
-            [this](const PeerMessage &message, const PeerLinks::Reply &) {
-	            auto news = std::get_if<LoadMessage>(&message);
-	            if (news == nullptr || news->instance == this->name) return;
-	            this->load.OnMessage(*news, MonotonicNow());
-	            for (const ReportNews &report : news->reports) this->on_report(report);
-            }),
+    : store(store), load(load), name(std::move(name)), hall(std::move(hall)), incarnation(StartNumber()), limits(limits),
+      on_report(std::move(on_report)), links(loop, [this](const PeerMessage &message, const PeerLinks::Reply &) { this->OnMessage(message); }),
       watch(store, INSTANCE_TABLE, limits.watch)
 {
 	this->waiting.instance = this->name;
 	this->waiting.incarnation = this->incarnation;
 	this->readers.push_back(this->name);
+	this->Share(this->watch);
+}
+
+void PeerExchange::Share(TableWatch &to_share)
+{
+	this->shared.push_back(&to_share);
+	to_share.on_read = [this](const TableNews &news) {
+		auto large = [this](const StoredRow &row) { return row.value.size() > this->limits.most_row_bytes; };
+		TablesMessage message{{news}};
+		// Too large to pass on: a sign of life that is ahead of the others makes each of them read the change itself.
+		if (std::any_of(news.rows.begin(), news.rows.end(), large)) message.tables[0] = {news.table, news.to, news.to, false, true, {}};
+		this->links.Broadcast(message);
+	};
+}
+
+void PeerExchange::OnMessage(const PeerMessage &message)
+{
+	TimePoint now = MonotonicNow();
+	if (auto load_news = std::get_if<LoadMessage>(&message)) {
+		if (load_news->instance == this->name) return;
+		this->load.OnMessage(*load_news, now);
+		for (const ReportNews &report : load_news->reports) this->on_report(report);
+	}
+	if (auto tables = std::get_if<TablesMessage>(&message)) {
+		for (const TableNews &news : tables->tables) {
+			for (TableWatch *each : this->shared) each->OnNews(news, now);
+		}
+	}
 }
 
 Result<void> PeerExchange::Start(const Endpoint &at, TimePoint now)
@@ -51,7 +73,7 @@
 void PeerExchange::Register(TimePoint now)
 {
 	this->register_at = now + this->limits.register_pause;
-	this->register_call = this->store.WriteRow(INSTANCE_TABLE, this->name, this->address, [this](StoreWrite result) {
+	this->register_call = this->store.WriteRow(INSTANCE_TABLE, this->name, this->address + " " + this->hall, [this](StoreWrite result) {
 		this->register_call = 0;
 		this->registered = result == StoreWrite::Done;
 	});
@@ -71,8 +93,11 @@
 			this->found.erase(row.key);
 			continue;
 		}
+		size_t space = std::min(row.value.find(' '), row.value.size());
+		std::string at = row.value.substr(0, space);
 		Found &peer = this->found[row.key];
-		if (peer.address != row.value) peer = Found{row.value, TimePoint{}, Duration(0)};
+		if (peer.address == at) continue;
+		peer = Found{.address = at, .hall = row.value.substr(std::min(space + 1, row.value.size()))};
 	}
 	this->Dial(MonotonicNow());
 }
@@ -81,16 +106,15 @@
 {
 	std::vector<std::string> wanted;
 	for (auto &[peer_name, peer] : this->found) {
-		bool open = this->links.IsOpen(peer.address);
-		if (open) peer.pause = Duration(0);
-		if (!open && now >= peer.next_dial) {
+		if (this->hall_only && peer.hall != this->hall) continue;
+		if (this->links.IsOpen(peer.address)) {
+			peer.pause = Duration(0);
+			wanted.push_back(peer.address);
+		} else if (now >= peer.next_dial) {
 			peer.pause = std::clamp(2 * peer.pause, this->limits.dial_least, this->limits.dial_most);
 			peer.next_dial = now + peer.pause;
-			open = true;
-		} else if (!open && peer.pause > Duration(0) && now < peer.next_dial) {
-			open = true; // Still being dialled, or at rest after a failure: SetWanted() dials only what has no link.
+			wanted.push_back(peer.address);
 		}
-		if (open) wanted.push_back(peer.address);
 	}
 	this->links.SetWanted(wanted);
 }
@@ -130,28 +154,50 @@
 
 void PeerExchange::Flush()
 {
-	if (!this->waiting.calls.empty() || !this->waiting.reports.empty()) {
-		this->links.Broadcast(this->waiting);
-		this->waiting.calls.clear();
-		this->waiting.reports.clear();
-	}
+	if (this->waiting.calls.empty() && this->waiting.reports.empty()) return;
+	this->links.Broadcast(this->waiting);
+	this->waiting.calls.clear();
+	this->waiting.reports.clear();
+	this->waiting_since = TimePoint{};
+}
+
+Duration PeerExchange::HeartbeatPeriod() const
+{
+	return std::max(this->limits.heartbeat, this->limits.heartbeat_each * static_cast<int>(this->readers.size()));
 }
 
 void PeerExchange::OnTick(TimePoint now)
 {
-	this->watch.OnTick(now);
+	for (TableWatch *each : this->shared) each->OnTick(now);
 	this->load.OnTick(now);
-	this->readers = this->load.Live();
-	this->readers.push_back(this->name);
 	if (!this->registered && this->register_call == 0 && now >= this->register_at) this->Register(now);
 	if (this->register_call != 0 && now >= this->register_at) {
 		this->store.Cancel(this->register_call);
 		this->register_call = 0;
 	}
-	this->Flush();
-	if (now - this->sent_at < this->limits.heartbeat) return;
+	bool any = !this->waiting.calls.empty() || !this->waiting.reports.empty();
+	if (any && this->waiting_since == TimePoint{}) this->waiting_since = now;
+	if (any && now - this->waiting_since >= this->limits.news_wait) this->Flush();
+	if (now - this->sent_at >= this->HeartbeatPeriod()) this->Heartbeat(now);
+}
+
+void PeerExchange::Heartbeat(TimePoint now)
+{
 	this->sent_at = now;
+	this->readers = this->load.Live();
+	this->readers.push_back(this->name);
+	this->load.SetSilence(FromSeconds(Seconds(this->HeartbeatPeriod()) * this->limits.silences));
 	this->links.Broadcast(this->Whole());
+	TablesMessage signs;
+	for (TableWatch *each : this->shared) {
+		// The first in the order reads for all; the others take over one after another when they hear nothing.
+		std::vector<std::string> order = RendezvousChoice(each->Table(), this->readers, this->readers.size());
+		auto rank = std::find(order.begin(), order.end(), this->name) - order.begin();
+		Duration patience = std::min<Duration>(this->limits.patience_most, this->limits.patience + this->limits.patience_step * rank);
+		each->SetPatience(rank == 0 ? Duration(0) : patience + this->HeartbeatPeriod() - this->limits.heartbeat);
+		if (each->ReadsItself(now)) signs.tables.push_back(each->SignOfLife());
+	}
+	if (!signs.tables.empty()) this->links.Broadcast(signs);
 	this->Dial(now);
 }
 
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -14,12 +14,18 @@
 
 /** Times of the exchange. */
 struct ExchangeLimits {
-	Duration heartbeat = std::chrono::milliseconds(500);  ///< Time between messages when there is no news.
-	Duration silence = std::chrono::milliseconds(1800);   ///< Silence after which a peer is forgotten: three heartbeats and a lost packet.
+	Duration heartbeat = std::chrono::milliseconds(500);  ///< Least time between heartbeats.
+	Duration heartbeat_each = std::chrono::milliseconds(40); ///< Time between heartbeats for each live peer: their number stays bounded.
+	double silences = 3.6;                                ///< Heartbeats missed after which a peer is forgotten: three and a lost packet.
+	Duration news_wait = std::chrono::milliseconds(120);  ///< Longest time for which news that is not urgent waits for company.
+	Duration patience = std::chrono::milliseconds(1300);  ///< Time without news of a table after which the first of the others reads it.
+	Duration patience_step = std::chrono::milliseconds(100); ///< Further time for each one that comes before in the order of readers.
+	Duration patience_most = std::chrono::milliseconds(2300); ///< Longest such time: news must be in force within the operators' bounds.
+	size_t most_row_bytes = 48U << 10;                    ///< Rows larger than this are not passed on: each one reads them itself.
 	Duration dial_least = std::chrono::seconds(1);        ///< Pause before a peer that cannot be reached is dialled again; doubles.
 	Duration dial_most = std::chrono::seconds(8);         ///< Longest such pause.
 	Duration register_pause = std::chrono::seconds(1);    ///< Pause before this instance's row is written again after a failure.
-	WatchLimits watch{.wait = std::chrono::seconds(20)};  ///< Following the instances: they change seldom, and each look is paid for.
+	WatchLimits watch{.wait = std::chrono::seconds(10)};  ///< Following the instances: they change seldom, and each look is paid for.
 };
 
 /** The exchange of one instance. */
@@ -28,7 +34,17 @@
 	/** Called with each report that a peer has read. */
 	using ReportHandler = std::function<void(const ReportNews &)>;
 
-	PeerExchange(uv_loop_s *loop, TableStore &store, PeerLoad &load, std::string name, ExchangeLimits limits, ReportHandler on_report);
+	PeerExchange(uv_loop_s *loop, TableStore &store, PeerLoad &load, std::string name, std::string hall, ExchangeLimits limits,
+	             ReportHandler on_report);
+
+	/** Share the reading of \a watch with the others. */
+	void Share(TableWatch &watch);
+
+	/** Exchange news with the instances of the own hall only, or with all. */
+	void SetHallOnly(bool only) { this->hall_only = only; }
+
+	/** @return Whether news are exchanged inside the own hall only. */
+	bool IsHallOnly() const { return this->hall_only; }
 
 	/** Listen on \a at and begin to look for the others. */
 	Result<void> Start(const Endpoint &at, TimePoint now);
@@ -61,10 +77,14 @@
 	/** An instance found in the store. */
 	struct Found {
 		std::string address;      ///< IP:PORT for peers.
+		std::string hall;         ///< Data hall.
 		TimePoint next_dial;      ///< When it is dialled next.
 		Duration pause{0};        ///< Pause after the last dial.
 	};
 
+	void OnMessage(const PeerMessage &message);
+	void Heartbeat(TimePoint now);
+	Duration HeartbeatPeriod() const;
 	void Register(TimePoint now);
 	void OnRows(const std::vector<StoredRow> &rows, bool all);
 	void Dial(TimePoint now);
@@ -73,6 +93,9 @@
 	TableStore &store;                        ///< Store.
 	PeerLoad &load;                           ///< Calls of others.
 	std::string name;                         ///< Name of this instance.
+	std::string hall;                         ///< Data hall it stands in.
+	bool hall_only = false;                   ///< News go to the own hall only.
+	std::vector<TableWatch *> shared;         ///< Tables whose reading is shared.
 	uint64_t incarnation;                     ///< Its start.
 	ExchangeLimits limits;                    ///< Times.
 	ReportHandler on_report;                  ///< Gets reports that others read.
@@ -82,6 +105,7 @@
 	std::map<std::string, Found> found;       ///< Other instances by name.
 	std::map<uint64_t, CallNews> own;         ///< Own calls at targets.
 	LoadMessage waiting;                      ///< News not yet sent.
+	TimePoint waiting_since;                  ///< When the first of them came up.
 	TimePoint sent_at;                        ///< When news was last sent.
 	TimePoint register_at;                    ///< When the own row is written next.
 	bool registered = false;                  ///< The own row is in the store.
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -14,6 +14,7 @@
 static constexpr int FETCH = 3;
 static constexpr int SNAPSHOT = 4;
 static constexpr int LOAD = 5;
+static constexpr int TABLES = 6;
 
 /** @return \a member as an array. */
 static Json WriteMember(const MemberInfo &member)
@@ -77,6 +78,33 @@
 	return Json::array({LOAD, message.instance, message.incarnation, message.whole, calls, reports});
 }
 
+static Json Write(const TablesMessage &message)
+{
+	Json tables = Json::array();
+	for (const TableNews &news : message.tables) {
+		Json rows = Json::array();
+		for (const StoredRow &row : news.rows) rows.push_back(Json::array({row.key, Json::binary({row.value.begin(), row.value.end()}), row.version, row.deleted}));
+		tables.push_back(Json::array({news.table, news.from, news.to, news.whole, news.healthy, rows}));
+	}
+	return Json::array({TABLES, tables});
+}
+
+/** @return The news of a table in \a item; throws what the library throws when it is none. */
+static TableNews ReadTableNews(const Json &item)
+{
+	TableNews news;
+	news.table = item.at(0).get<std::string>();
+	news.from = item.at(1).get<uint64_t>();
+	news.to = item.at(2).get<uint64_t>();
+	news.whole = item.at(3).get<bool>();
+	news.healthy = item.at(4).get<bool>();
+	for (const Json &row : item.at(5)) {
+		const Json::binary_t &value = row.at(1).get_binary();
+		news.rows.push_back({row.at(0).get<std::string>(), std::string(value.begin(), value.end()), row.at(2).get<uint64_t>(), row.at(3).get<bool>()});
+	}
+	return news;
+}
+
 /** @return The news of a call in \a item; throws what the library throws when it is none. */
 static CallNews ReadCallNews(const Json &item)
 {
@@ -141,6 +169,11 @@
 		for (const Json &item : array.at(5)) message.reports.push_back(ReadReportNews(item));
 		return message;
 	}
+	case TABLES: {
+		TablesMessage message;
+		for (const Json &item : array.at(1)) message.tables.push_back(ReadTableNews(item));
+		return message;
+	}
 	default:
 		throw std::out_of_range("unknown kind");
 	}
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -7,6 +7,7 @@
 #include "core/error_type.h"
 #include "decision/membership.h"
 #include "decision/peer_load.h"
+#include "store/table_store_base.h"
 #include <variant>
 
 namespace cottonspool {
@@ -34,7 +35,12 @@
 	std::string snapshot; ///< As written by ConfigurationState::Snapshot().
 };
 
-using PeerMessage = std::variant<HeartbeatMessage, EntriesMessage, FetchMessage, SnapshotMessage, LoadMessage>;
+/** What an instance has read of the store's tables, or that it still does. */
+struct TablesMessage {
+	std::vector<TableNews> tables; ///< News by table.
+};
+
+using PeerMessage = std::variant<HeartbeatMessage, EntriesMessage, FetchMessage, SnapshotMessage, LoadMessage, TablesMessage>;
 
 /** @return \a message in CBOR. */
 std::string EncodePeerMessage(const PeerMessage &message);
--- a/src/store/table_store_base.h
+++ b/src/store/table_store_base.h
@@ -28,6 +28,16 @@
 	bool more = false;           ///< Further rows follow behind the last one.
 };
 
+/** What an instance that reads a table itself tells the others of it. */
+struct TableNews {
+	std::string table;           ///< Table.
+	uint64_t from = 0;           ///< Version after which the rows are.
+	uint64_t to = 0;             ///< Version up to which they are.
+	bool whole = false;          ///< The rows are the whole table.
+	bool healthy = false;        ///< The store answers the teller.
+	std::vector<StoredRow> rows; ///< Rows; none in a sign of life.
+};
+
 /** Why the store gave no rows. */
 enum class StoreFailure : uint8_t {
 	NoAnswer,    ///< No connection, or it broke.
--- a/src/store/table_watch.cpp
+++ b/src/store/table_watch.cpp
@@ -38,14 +38,43 @@
 	this->ReadPage(now);
 }
 
-void TableWatch::ReadAgain(TimePoint now)
+bool TableWatch::ReadsItself(TimePoint now) const
 {
-	if (this->call != 0) this->store.Cancel(this->call);
-	this->call = 0;
-	this->following = false;
-	this->next_key.clear();
-	this->pages.clear();
-	this->ReadPage(now);
+	return this->patience == Duration(0) || !this->known || this->behind || now - this->news_at > this->patience;
+}
+
+TableNews TableWatch::SignOfLife() const
+{
+	return {this->table, this->version, this->version, false, this->known && !this->lost, {}};
+}
+
+void TableWatch::TellRead(uint64_t from, bool whole, const std::vector<StoredRow> &rows)
+{
+	if (this->on_read) this->on_read({this->table, from, this->version, whole, true, rows});
+}
+
+void TableWatch::OnNews(const TableNews &news, TimePoint now)
+{
+	if (news.table != this->table || !this->known) return;
+	if (news.healthy) {
+		// For one that has given the store up, its return is news by itself: rows may have lapsed meanwhile.
+		bool returns = this->lost && this->call == 0;
+		this->news_at = now;
+		if (returns) this->OnAnswered(now);
+	}
+	if (news.to <= this->version) return;
+	bool fits = news.whole || (news.from <= this->version && !news.rows.empty());
+	this->behind = !fits;
+	if (!fits) return;
+	this->version = news.to;
+	this->confirmed = now;
+	if (news.whole && this->on_all) this->on_all(news.rows, now);
+	if (!news.whole && this->on_changes) this->on_changes(news.rows, now);
+}
+
+void TableWatch::GoOn(TimePoint now)
+{
+	if (this->call == 0 && this->following && this->ReadsItself(now)) this->ReadChanges(now);
 }
 
 void TableWatch::OnTick(TimePoint now)
@@ -56,7 +85,7 @@
 		if (!this->following) this->read_time = std::min(this->limits.read_most, 2 * this->read_time);
 		this->OnFailure({std::nullopt, StoreFailure::NoAnswer, "no answer in time"}, now);
 	}
-	if (this->call != 0 || now < this->not_before) return;
+	if (this->call != 0 || now < this->not_before || !this->ReadsItself(now)) return;
 	if (this->following) {
 		this->ReadChanges(now);
 	} else {
@@ -78,8 +107,9 @@
 	this->calls++;
 	this->call_limit = now + this->limits.wait + this->limits.slack;
 	// After a failure the next answer is wanted soon: it tells that the store is back.
-	Duration wait = this->lost ? Duration(0) : this->limits.wait;
-	if (this->lost) this->call_limit = now + this->read_time;
+	bool at_once = this->lost || this->behind;
+	Duration wait = at_once ? Duration(0) : this->limits.wait;
+	if (at_once) this->call_limit = now + this->read_time;
 	this->call = this->store.ReadChanges(this->table, this->version, wait, [this, held = this->alive](RowsAnswer answer) {
 		if (*held) this->OnChanges(std::move(answer));
 	});
@@ -109,8 +139,10 @@
 	this->OnAnswered(now);
 	std::vector<StoredRow> rows = std::move(this->pages);
 	this->pages.clear();
+	this->behind = false;
+	this->TellRead(0, true, rows);
 	if (this->on_all) this->on_all(rows, now);
-	if (this->call == 0 && this->following) this->ReadChanges(now);
+	this->GoOn(now);
 }
 
 void TableWatch::OnChanges(RowsAnswer answer)
@@ -122,10 +154,13 @@
 		return this->ReadPage(now);
 	}
 	if (!answer.page) return this->OnFailure(answer, now);
+	uint64_t before = this->version;
 	this->version = std::max(this->version, answer.page->version);
+	this->behind = false;
 	this->OnAnswered(now);
+	if (!answer.page->rows.empty()) this->TellRead(before, false, answer.page->rows);
 	if (!answer.page->rows.empty() && this->on_changes) this->on_changes(answer.page->rows, now);
-	if (this->call == 0 && this->following) this->ReadChanges(now);
+	this->GoOn(now);
 }
 
 void TableWatch::OnFailure(const RowsAnswer &answer, TimePoint now)
--- a/src/store/table_watch.h
+++ b/src/store/table_watch.h
@@ -26,6 +26,7 @@
 	std::function<void(const std::vector<StoredRow> &, TimePoint)> on_changes; ///< Rows changed.
 	std::function<void(const RowsAnswer &, TimePoint)> on_lost;                ///< The store has stopped answering.
 	std::function<void(Duration, TimePoint)> on_regained;                      ///< It answers again after that time.
+	std::function<void(const TableNews &)> on_read;                            ///< This instance has read something itself.
 
 	using Clock = std::function<TimePoint()>;
 
@@ -40,8 +41,20 @@
 	/** Time has passed; to be called some ten times a second. */
 	void OnTick(TimePoint now);
 
-	/** Forget what was read and read the whole table again. */
-	void ReadAgain(TimePoint now);
+	/**
+	 * Leave the reading to another instance as long as its news come at least this often; zero to read all the time. Until
+	 * the table was read whole once, it is always read here.
+	 */
+	void SetPatience(Duration news_within) { this->patience = news_within; }
+
+	/** Take in what another instance tells of this table. */
+	void OnNews(const TableNews &news, TimePoint now);
+
+	/** @return A sign of life for the others: how far this instance has read, and whether the store answers it. */
+	TableNews SignOfLife() const;
+
+	/** @return Whether this instance reads the table itself now. */
+	bool ReadsItself(TimePoint now) const;
 
 	/** @return Whether the table was read whole at least once. */
 	bool IsKnown() const { return this->known; }
@@ -55,6 +68,9 @@
 	/** @return Version of the store up to which the table is known. */
 	uint64_t Version() const { return this->version; }
 
+	/** @return Name of the table. */
+	const std::string &Table() const { return this->table; }
+
 	/** @return Calls made since the start. */
 	uint64_t Calls() const { return this->calls; }
 
@@ -65,6 +81,8 @@
 	void OnChanges(RowsAnswer answer);
 	void OnFailure(const RowsAnswer &answer, TimePoint now);
 	void OnAnswered(TimePoint now);
+	void TellRead(uint64_t from, bool whole, const std::vector<StoredRow> &rows);
+	void GoOn(TimePoint now);
 
 	TableStore &store;             ///< Store.
 	Clock clock;                   ///< Tells the time at which an answer comes.
@@ -82,6 +100,9 @@
 	TimePoint lost_since;          ///< When the first call failed.
 	Duration pause{0};             ///< Pause after the last failure.
 	Duration read_time{0};         ///< Time that a page may take now.
+	Duration patience{0};          ///< Time without news after which it is read here; zero for always.
+	TimePoint news_at;             ///< When another instance last told that the store answers it.
+	bool behind = false;           ///< Another instance knows more than was told: the rest is read here.
 	bool known = false;            ///< Read whole once.
 	bool following = false;        ///< Changes are followed; otherwise the table is read whole.
 	bool lost = false;             ///< The last call failed.
