--- a/src/gateway/gateway_limits.cpp
+++ b/src/gateway/gateway_limits.cpp
@@ -7,6 +7,8 @@
 
 namespace cottonspool {
 
+static constexpr double BYTES_PER_MBIT = 125000;  ///< Bytes in a megabit.
+static constexpr double PASS_ON_PART = 0.2;       ///< Part of the link that rows passed on to other instances may take.
 static constexpr double SHARED_BY = 20; ///< Instances among which the slack of the retry budget is divided; none talks to the others about it.
 
 GatewayLimits GatewayLimitsFor(const NodeSettings &settings)
@@ -16,6 +18,7 @@
 	pool.ratio = settings.bounds.retry_ratio * 0.9;
 	pool.burst = std::max(1.0, settings.bounds.retry_slack / SHARED_BY);
 	limits.dispatch.pool_retry = pool;
+	if (settings.link_mbps > 0) limits.exchange.pass_on_bytes = settings.link_mbps * BYTES_PER_MBIT * PASS_ON_PART;
 	limits.dispatch.retry.backoff_base = std::chrono::milliseconds(5);
 	limits.dispatch.retry.backoff_max = std::chrono::milliseconds(40);
 	limits.dispatch.retry_after_min = std::chrono::milliseconds(100);
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -34,14 +34,26 @@
 {
 	this->shared.push_back(&to_share);
 	to_share.on_read = [this](const TableNews &news) {
-		auto large = [this](const StoredRow &row) { return row.value.size() > this->limits.most_row_bytes; };
 		TablesMessage message{{news}};
-		// Too large to pass on: a sign of life that is ahead of the others makes each of them read the change itself.
-		if (std::any_of(news.rows.begin(), news.rows.end(), large)) message.tables[0] = {news.table, news.to, news.to, false, true, {}};
+		// Too much to pass on: a sign of life that is ahead of the others makes each of them read the change itself.
+		if (!this->MayPassOn(news, MonotonicNow())) message.tables[0] = {news.table, news.to, news.to, false, true, {}};
 		this->links.Broadcast(message);
 	};
 }
 
+bool PeerExchange::MayPassOn(const TableNews &news, TimePoint now)
+{
+	double bytes = 0;
+	for (const StoredRow &row : news.rows) bytes += static_cast<double>(row.key.size() + row.value.size());
+	bytes *= static_cast<double>(this->links.OpenLinks());
+	double gained = this->limits.pass_on_bytes * Seconds(now - this->passed_on_at);
+	this->passed_on_at = now;
+	this->pass_on_left = std::min(this->limits.pass_on_bytes, this->pass_on_left + gained);
+	if (bytes > this->pass_on_left) return false;
+	this->pass_on_left -= bytes;
+	return true;
+}
+
 void PeerExchange::OnMessage(const PeerMessage &message)
 {
 	TimePoint now = MonotonicNow();
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -21,7 +21,7 @@
 	Duration patience = std::chrono::milliseconds(1300);  ///< Time without news of a table after which the first of the others reads it.
 	Duration patience_step = std::chrono::milliseconds(100); ///< Further time for each one that comes before in the order of readers.
 	Duration patience_most = std::chrono::milliseconds(2300); ///< Longest such time: news must be in force within the operators' bounds.
-	size_t most_row_bytes = 48U << 10;                    ///< Rows larger than this are not passed on: each one reads them itself.
+	double pass_on_bytes = 256e3;                         ///< Bytes of rows that may be passed on in a second; beyond, each one reads them itself.
 	Duration dial_least = std::chrono::seconds(1);        ///< Pause before a peer that cannot be reached is dialled again; doubles.
 	Duration dial_most = std::chrono::seconds(8);         ///< Longest such pause.
 	Duration register_pause = std::chrono::seconds(1);    ///< Pause before this instance's row is written again after a failure.
@@ -84,6 +84,7 @@
 
 	void OnMessage(const PeerMessage &message);
 	void Heartbeat(TimePoint now);
+	bool MayPassOn(const TableNews &news, TimePoint now);
 	Duration HeartbeatPeriod() const;
 	void Register(TimePoint now);
 	void OnRows(const std::vector<StoredRow> &rows, bool all);
@@ -105,6 +106,8 @@
 	std::map<std::string, Found> found;       ///< Other instances by name.
 	std::map<uint64_t, CallNews> own;         ///< Own calls at targets.
 	LoadMessage waiting;                      ///< News not yet sent.
+	double pass_on_left = 0;                  ///< Bytes of rows that may be passed on now.
+	TimePoint passed_on_at;                   ///< When that was last worked out.
 	TimePoint waiting_since;                  ///< When the first of them came up.
 	TimePoint sent_at;                        ///< When news was last sent.
 	TimePoint register_at;                    ///< When the own row is written next.
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -89,6 +89,7 @@
 	settings.first_port = static_cast<uint16_t>(fields.Number("/internalPorts/0", 0, 0, UINT16_MAX));
 	settings.last_port = static_cast<uint16_t>(fields.Number("/internalPorts/1", 0, 0, UINT16_MAX));
 	settings.memory_mb = static_cast<uint64_t>(fields.Number("/limits/memoryMb", 0, 0, 1e9));
+	settings.link_mbps = fields.Number("/limits/linkMbps", 0, 0, 1e9);
 	settings.heartbeat = milliseconds("/heartbeatMs", 1200);
 	settings.bounds.drain = milliseconds("/bounds/drainMs", 2000);
 	settings.bounds.stop_grace = seconds("/bounds/graceS", 8);
--- a/src/platform/node_settings.h
+++ b/src/platform/node_settings.h
@@ -31,6 +31,7 @@
 	uint16_t last_port = 0;               ///< Last one.
 	Endpoint store;                       ///< The platform's store.
 	Duration heartbeat{std::chrono::milliseconds(1200)}; ///< Time between a target's heartbeats.
+	double link_mbps = 0;                 ///< Speed of its link, in Mbit/s; 0 if unknown.
 	uint64_t memory_mb = 0;               ///< Memory that the process may use, in MB; 0 if unknown.
 	PlatformBounds bounds;                ///< Bounds.
 };
--- a/src/tests/peer_load_test.cpp
+++ b/src/tests/peer_load_test.cpp
@@ -142,11 +142,11 @@
 	call.model = world.pools.Intern("pool");
 	call.prompt_tokens = 3000;
 	call.max_tokens = 800;
-	std::optional<TargetNumber> at = ChooseBackup(call, TargetNumber{1}, world.targets, {}, world.now);
+	std::optional<TargetNumber> at = ChooseBackup(call, TargetNumber{1}, world.targets, {.use = true}, world.now);
 	REQUIRE(at);
 	CHECK(at->value == 0);
-	CHECK(ChooseBackup(call, TargetNumber{0}, world.targets, {}, world.now) != TargetNumber{0});
+	CHECK(ChooseBackup(call, TargetNumber{0}, world.targets, {.use = true}, world.now) != TargetNumber{0});
 	for (uint32_t i = 0; i < 3; i++) world.targets.OnBackup(TargetNumber{i}, 20000);
-	CHECK(!ChooseBackup(call, TargetNumber{1}, world.targets, {}, world.now));
+	CHECK(!ChooseBackup(call, TargetNumber{1}, world.targets, {.use = true}, world.now));
 	CHECK(!ChooseBackup(call, TargetNumber{1}, world.targets, {.use = false}, world.now));
 }
