--- a/src/gateway/gateway_targets.cpp
+++ b/src/gateway/gateway_targets.cpp
@@ -49,7 +49,7 @@
 		const Pool *pool = this->routes.FindPool(target.pool);
 		if (pool != nullptr && pool->engine && target.hall == this->settings.hall) in_hall++;
 	}
-	bool only = in_hall >= this->limits.hall_engines;
+	bool only = in_hall >= (this->peers.IsHallOnly() ? this->limits.hall_engines_least : this->limits.hall_engines);
 	if (only == this->peers.IsHallOnly()) return;
 	this->peers.SetHallOnly(only);
 	Log(LogLevel::Info, "scope", {{"hall_only", only ? "yes" : "no"}, {"engines_in_hall", std::to_string(in_hall)}});
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -32,9 +32,9 @@
 
 void PeerExchange::Share(TableWatch &to_share)
 {
-	this->shared.push_back(&to_share);
+	this->shared.push_back({&to_share, {}});
 	to_share.on_read = [this](const TableNews &news) {
-		TablesMessage message{{news}};
+		TablesMessage message{this->name, {news}};
 		// Too much to pass on: a sign of life that is ahead of the others makes each of them read the change itself.
 		if (!this->MayPassOn(news, MonotonicNow())) message.tables[0] = {news.table, news.to, news.to, false, true, {}};
 		this->links.Broadcast(message);
@@ -62,9 +62,23 @@
 		this->load.OnMessage(*load_news, now);
 		for (const ReportNews &report : load_news->reports) this->on_report(report);
 	}
-	if (auto tables = std::get_if<TablesMessage>(&message)) {
-		for (const TableNews &news : tables->tables) {
-			for (TableWatch *each : this->shared) each->OnNews(news, now);
+	if (auto tables = std::get_if<TablesMessage>(&message)) this->OnTables(*tables, now);
+}
+
+/** @return The place of \a name in \a order; its end if it is not there. */
+static size_t PlaceOf(const std::vector<std::string> &order, const std::string &name)
+{
+	return static_cast<size_t>(std::find(order.begin(), order.end(), name) - order.begin());
+}
+
+void PeerExchange::OnTables(const TablesMessage &message, TimePoint now)
+{
+	for (TableNews news : message.tables) {
+		for (SharedTable &each : this->shared) {
+			// One that reads goes on until one before it in the order does: otherwise those that took over would stop each other.
+			bool after = PlaceOf(each.order, message.instance) > PlaceOf(each.order, this->name);
+			news.healthy = news.healthy && !(after && each.watch->ReadsItself(now));
+			each.watch->OnNews(news, now);
 		}
 	}
 }
@@ -180,7 +194,7 @@
 
 void PeerExchange::OnTick(TimePoint now)
 {
-	for (TableWatch *each : this->shared) each->OnTick(now);
+	for (SharedTable &each : this->shared) each.watch->OnTick(now);
 	this->load.OnTick(now);
 	if (!this->registered && this->register_call == 0 && now >= this->register_at) this->Register(now);
 	if (this->register_call != 0 && now >= this->register_at) {
@@ -200,14 +214,14 @@
 	this->readers.push_back(this->name);
 	this->load.SetSilence(FromSeconds(Seconds(this->HeartbeatPeriod()) * this->limits.silences));
 	this->links.Broadcast(this->Whole());
-	TablesMessage signs;
-	for (TableWatch *each : this->shared) {
+	TablesMessage signs{this->name, {}};
+	for (SharedTable &each : this->shared) {
 		// The first in the order reads for all; the others take over one after another when they hear nothing.
-		std::vector<std::string> order = RendezvousChoice(each->Table(), this->readers, this->readers.size());
-		auto rank = std::find(order.begin(), order.end(), this->name) - order.begin();
+		each.order = RendezvousChoice(each.watch->Table(), this->readers, this->readers.size());
+		auto rank = static_cast<int>(PlaceOf(each.order, this->name));
 		Duration patience = std::min<Duration>(this->limits.patience_most, this->limits.patience + this->limits.patience_step * rank);
-		each->SetPatience(rank == 0 ? Duration(0) : patience + this->HeartbeatPeriod() - this->limits.heartbeat);
-		if (each->ReadsItself(now)) signs.tables.push_back(each->SignOfLife());
+		each.watch->SetPatience(rank == 0 ? Duration(0) : patience);
+		if (each.watch->ReadsItself(now)) signs.tables.push_back(each.watch->SignOfLife());
 	}
 	if (!signs.tables.empty()) this->links.Broadcast(signs);
 	this->Dial(now);
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -84,6 +84,7 @@
 
 	void OnMessage(const PeerMessage &message);
 	void Heartbeat(TimePoint now);
+	void OnTables(const TablesMessage &message, TimePoint now);
 	bool MayPassOn(const TableNews &news, TimePoint now);
 	Duration HeartbeatPeriod() const;
 	void Register(TimePoint now);
@@ -96,7 +97,13 @@
 	std::string name;                         ///< Name of this instance.
 	std::string hall;                         ///< Data hall it stands in.
 	bool hall_only = false;                   ///< News go to the own hall only.
-	std::vector<TableWatch *> shared;         ///< Tables whose reading is shared.
+	/** A table whose reading is shared. */
+	struct SharedTable {
+		TableWatch *watch;              ///< Follows it.
+		std::vector<std::string> order; ///< Instances in the order in which they read it for the others.
+	};
+
+	std::vector<SharedTable> shared;          ///< Tables whose reading is shared.
 	uint64_t incarnation;                     ///< Its start.
 	ExchangeLimits limits;                    ///< Times.
 	ReportHandler on_report;                  ///< Gets reports that others read.
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -86,7 +86,7 @@
 		for (const StoredRow &row : news.rows) rows.push_back(Json::array({row.key, Json::binary({row.value.begin(), row.value.end()}), row.version, row.deleted}));
 		tables.push_back(Json::array({news.table, news.from, news.to, news.whole, news.healthy, rows}));
 	}
-	return Json::array({TABLES, tables});
+	return Json::array({TABLES, message.instance, tables});
 }
 
 /** @return The news of a table in \a item; throws what the library throws when it is none. */
@@ -171,7 +171,8 @@
 	}
 	case TABLES: {
 		TablesMessage message;
-		for (const Json &item : array.at(1)) message.tables.push_back(ReadTableNews(item));
+		message.instance = array.at(1).get<std::string>();
+		for (const Json &item : array.at(2)) message.tables.push_back(ReadTableNews(item));
 		return message;
 	}
 	default:
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -37,6 +37,7 @@
 
 /** What an instance has read of the store's tables, or that it still does. */
 struct TablesMessage {
+	std::string instance;          ///< Who tells it.
 	std::vector<TableNews> tables; ///< News by table.
 };
 
--- a/src/store/table_watch.cpp
+++ b/src/store/table_watch.cpp
@@ -62,6 +62,7 @@
 		this->news_at = now;
 		if (returns) this->OnAnswered(now);
 	}
+	if (news.healthy && news.to == this->version) this->confirmed = now;
 	if (news.to <= this->version) return;
 	bool fits = news.whole || (news.from <= this->version && !news.rows.empty());
 	this->behind = !fits;
@@ -107,7 +108,9 @@
 	this->calls++;
 	this->call_limit = now + this->limits.wait + this->limits.slack;
 	// After a failure the next answer is wanted soon: it tells that the store is back.
-	bool at_once = this->lost || this->behind;
+	// One that takes the reading over asks for an answer at once: the others are to hear that it does.
+	bool takes_over = this->patience > Duration(0) && now - this->confirmed > this->patience;
+	bool at_once = this->lost || this->behind || takes_over;
 	Duration wait = at_once ? Duration(0) : this->limits.wait;
 	if (at_once) this->call_limit = now + this->read_time;
 	this->call = this->store.ReadChanges(this->table, this->version, wait, [this, held = this->alive](RowsAnswer answer) {
@@ -158,7 +161,8 @@
 	this->version = std::max(this->version, answer.page->version);
 	this->behind = false;
 	this->OnAnswered(now);
-	if (!answer.page->rows.empty()) this->TellRead(before, false, answer.page->rows);
+	bool stands_in = this->patience > Duration(0);
+	if (stands_in || !answer.page->rows.empty()) this->TellRead(before, false, answer.page->rows);
 	if (!answer.page->rows.empty() && this->on_changes) this->on_changes(answer.page->rows, now);
 	this->GoOn(now);
 }
--- a/src/tests/table_watch_test.cpp
+++ b/src/tests/table_watch_test.cpp
@@ -130,6 +130,33 @@
 	CHECK(world.all == std::vector<size_t>{1, 2});
 }
 
+TEST_CASE("Watch - one that hears of the table leaves the reading to others, and reads when it hears nothing or is behind")
+{
+	WatchWorld world;
+	world.watch.SetPatience(milliseconds(1300));
+	world.store.Answer(Page({"a"}, 10));
+	CHECK(world.store.calls.size() == 1);
+	TableNews news{"table", 10, 12, false, true, {{"b", "v", 12, false}}};
+	world.watch.OnNews(news, world.now);
+	CHECK(world.changes == std::vector<size_t>{1});
+	CHECK(world.watch.Version() == 12);
+	world.store.Answer(Page({}, 12));
+	CHECK(world.store.calls.empty());
+	// News that were lost on the way: a later one does not fit, so the rest is read here.
+	world.watch.OnNews({"table", 14, 15, false, true, {{"d", "v", 15, false}}}, world.now);
+	CHECK(world.changes == std::vector<size_t>{1});
+	world.Pass(milliseconds(20));
+	REQUIRE(world.store.calls.size() == 1);
+	CHECK(world.store.Newest().version == 12);
+	world.store.Answer(Page({"c", "d"}, 15));
+	CHECK(world.watch.Version() == 15);
+	CHECK(world.store.calls.empty());
+	world.Pass(milliseconds(1200));
+	CHECK(world.store.calls.empty());
+	world.Pass(milliseconds(200));
+	CHECK(world.store.calls.size() == 1);
+}
+
 TEST_CASE("Watch - a store that says nothing is given up in time, asked again with pauses, and its return is told")
 {
 	WatchWorld world;
