--- a/src/decision/peer_load.h
+++ b/src/decision/peer_load.h
@@ -46,10 +46,7 @@
  */
 class PeerLoad {
 public:
-	PeerLoad(TargetTable &targets, NameTable<ModelNumber> &pools, Duration silence)
-	    : targets(targets), pools(pools), silence(silence)
-	{
-	}
+	PeerLoad(TargetTable &targets, NameTable<ModelNumber> &pools, Duration silence) : targets(targets), pools(pools), silence(silence) {}
 
 	/** A peer is forgotten after \a longest of silence from now on. */
 	void SetSilence(Duration longest) { this->silence = longest; }
@@ -76,8 +73,8 @@
 
 	/** One peer. */
 	struct Peer {
-		uint64_t incarnation = 0;          ///< Its start.
-		TimePoint heard;                   ///< When it was last heard.
+		uint64_t incarnation = 0;           ///< Its start.
+		TimePoint heard;                    ///< When it was last heard.
 		std::map<uint64_t, PeerCall> calls; ///< Its calls in flight.
 	};
 
--- a/src/decision/route_table.cpp
+++ b/src/decision/route_table.cpp
@@ -30,7 +30,8 @@
 	auto routes = this->hosts.find(std::string(host));
 	if (routes == this->hosts.end()) return nullptr;
 	// Prefixes end in a slash: only the beginnings of the path up to a slash can match, the longest first.
-	for (size_t slash = path.rfind('/'); slash != std::string_view::npos; slash = slash == 0 ? std::string_view::npos : path.rfind('/', slash - 1)) {
+	for (size_t slash = path.rfind('/'); slash != std::string_view::npos;
+	     slash = slash == 0 ? std::string_view::npos : path.rfind('/', slash - 1)) {
 		auto found = routes->second.find(path.substr(0, slash + 1));
 		if (found != routes->second.end()) return &this->configuration.routes[found->second];
 	}
--- a/src/decision/route_table.h
+++ b/src/decision/route_table.h
@@ -43,11 +43,11 @@
 	const Pool *FindPool(std::string_view name) const;
 
 private:
-	ServingConfiguration configuration;                                               ///< In force.
-	bool known = false;                                                               ///< One is in force.
+	ServingConfiguration configuration;                                                ///< In force.
+	bool known = false;                                                                ///< One is in force.
 	std::unordered_map<std::string, std::map<std::string, size_t, std::less<>>> hosts; ///< Route numbers by host and prefix.
-	std::unordered_map<std::string, size_t> keys;                                     ///< Account numbers by key.
-	std::unordered_map<std::string, size_t> pools;                                    ///< Pool numbers by name.
+	std::unordered_map<std::string, size_t> keys;                                      ///< Account numbers by key.
+	std::unordered_map<std::string, size_t> pools;                                     ///< Pool numbers by name.
 };
 
 } // namespace cottonspool
--- a/src/decision/router.cpp
+++ b/src/decision/router.cpp
@@ -9,11 +9,11 @@
 
 namespace cottonspool {
 
-static constexpr double PREFIX_BONUS = 0.40;       ///< Pressure that a cached prefix outweighs, among targets that have room.
-static constexpr double INTERVAL_WEIGHT = 0.4;     ///< Weight of the time between tokens against its median.
-static constexpr double CALLS_WEIGHT = 0.02;       ///< Weight of one call at the target: more calls make each step longer.
-static constexpr double MOST_PRESSURE = 1.5;       ///< Pressure from which even an interactive call waits.
-static constexpr double FIRST_TOKEN_WEIGHT = 1.5;  ///< Weight of the wait for the first token, as a part of the objective.
+static constexpr double PREFIX_BONUS = 0.40;      ///< Pressure that a cached prefix outweighs, among targets that have room.
+static constexpr double INTERVAL_WEIGHT = 0.4;    ///< Weight of the time between tokens against its median.
+static constexpr double CALLS_WEIGHT = 0.02;      ///< Weight of one call at the target: more calls make each step longer.
+static constexpr double MOST_PRESSURE = 1.5;      ///< Pressure from which even an interactive call waits.
+static constexpr double FIRST_TOKEN_WEIGHT = 1.5; ///< Weight of the wait for the first token, as a part of the objective.
 
 /** @return Penalty of the hall of \a target for \a call, or nothing when the hall gets no new work. */
 static std::optional<double> HallPenalty(const CallSpec &call, const TargetState &target)
--- a/src/decision/serving_type.h
+++ b/src/decision/serving_type.h
@@ -27,28 +27,28 @@
 
 /** One route. */
 struct Route {
-	std::string name;                     ///< Name, for logs and metrics.
-	std::string host;                     ///< Host it is for.
-	std::string path_prefix;              ///< Beginning of the paths it is for; ends in a slash.
-	RunKind kind = RunKind::Repeatable;   ///< What may be repeated.
-	std::vector<WeightedPool> pools;      ///< Where its requests go.
-	uint32_t max_attempts = 1;            ///< Most targets that one request may be sent to.
-	Duration timeout{0};                  ///< Longest time a request may be held.
-	Duration objective{0};                ///< Latency within which an answer (its first event) is in time.
-	Duration gap_objective{0};            ///< Longest pause between events that is in time; zero if there is none.
-	int rank = 0;                         ///< Order among requests; 0 goes first.
-	bool needs_key = true;                ///< Requests must carry a client account's key.
+	std::string name;                   ///< Name, for logs and metrics.
+	std::string host;                   ///< Host it is for.
+	std::string path_prefix;            ///< Beginning of the paths it is for; ends in a slash.
+	RunKind kind = RunKind::Repeatable; ///< What may be repeated.
+	std::vector<WeightedPool> pools;    ///< Where its requests go.
+	uint32_t max_attempts = 1;          ///< Most targets that one request may be sent to.
+	Duration timeout{0};                ///< Longest time a request may be held.
+	Duration objective{0};              ///< Latency within which an answer (its first event) is in time.
+	Duration gap_objective{0};          ///< Longest pause between events that is in time; zero if there is none.
+	int rank = 0;                       ///< Order among requests; 0 goes first.
+	bool needs_key = true;              ///< Requests must carry a client account's key.
 };
 
 /** What is known of the engines of a pool. */
 struct EnginePool {
-	uint32_t slots = 1;               ///< Generations run at once.
-	uint64_t memory_tokens = 0;       ///< Memory, in tokens.
-	double bytes_per_token = 0;       ///< Size of a token's part of the memory.
-	double link_mbps = 0;             ///< Speed of the link on which memory is moved, in Mbit/s.
-	uint32_t tokens_per_event = 1;    ///< Tokens that one event holds.
-	bool can_move = false;            ///< Runs can be moved to another engine.
-	bool can_back_up = false;         ///< Runs can be backed up on another engine.
+	uint32_t slots = 1;            ///< Generations run at once.
+	uint64_t memory_tokens = 0;    ///< Memory, in tokens.
+	double bytes_per_token = 0;    ///< Size of a token's part of the memory.
+	double link_mbps = 0;          ///< Speed of the link on which memory is moved, in Mbit/s.
+	uint32_t tokens_per_event = 1; ///< Tokens that one event holds.
+	bool can_move = false;         ///< Runs can be moved to another engine.
+	bool can_back_up = false;      ///< Runs can be backed up on another engine.
 };
 
 /** One pool of targets. */
@@ -86,14 +86,14 @@
 
 /** A target as its own heartbeat shows it. */
 struct ListedTarget {
-	std::string id;          ///< Name of this incarnation; never used again.
-	std::string pool;        ///< Pool it belongs to.
-	std::string address;     ///< IP:PORT.
-	std::string hall;        ///< Data hall.
-	uint32_t slots = 1;      ///< Requests it works on at once.
-	bool leaving = false;    ///< Gets nothing new.
-	uint64_t sequence = 0;   ///< Rises with each heartbeat.
-	Duration cold_left{0};   ///< How much longer it is slow from its start.
+	std::string id;        ///< Name of this incarnation; never used again.
+	std::string pool;      ///< Pool it belongs to.
+	std::string address;   ///< IP:PORT.
+	std::string hall;      ///< Data hall.
+	uint32_t slots = 1;    ///< Requests it works on at once.
+	bool leaving = false;  ///< Gets nothing new.
+	uint64_t sequence = 0; ///< Rises with each heartbeat.
+	Duration cold_left{0}; ///< How much longer it is slow from its start.
 
 	/** @return Whether \a other says the same but for the heartbeat's number. */
 	bool SaysSameAs(const ListedTarget &other) const
--- a/src/decision/target_registry.h
+++ b/src/decision/target_registry.h
@@ -65,12 +65,12 @@
 private:
 	/** One target. */
 	struct Entry {
-		ListedTarget target;          ///< As last seen.
-		bool departed = false;        ///< Said that it leaves: final.
-		bool missing = false;         ///< Its row is gone.
-		bool usable = true;           ///< As last told.
-		TimePoint missing_since;      ///< When its row went.
-		TimePoint usable_until;       ///< While its row is missing after an outage: used until then.
+		ListedTarget target;     ///< As last seen.
+		bool departed = false;   ///< Said that it leaves: final.
+		bool missing = false;    ///< Its row is gone.
+		bool usable = true;      ///< As last told.
+		TimePoint missing_since; ///< When its row went.
+		TimePoint usable_until;  ///< While its row is missing after an outage: used until then.
 	};
 
 	void Judge(Entry &entry, const char *source, bool changed, TimePoint now, std::vector<TargetEvent> &events);
--- a/src/decision/target_table.h
+++ b/src/decision/target_table.h
@@ -30,11 +30,11 @@
 
 /** One call in flight at a target: of this instance, or of another that told it. */
 struct InFlightCall {
-	CallSpec call;          ///< The call.
-	uint32_t generated = 0; ///< Tokens seen so far.
-	double residual = 0;    ///< Expected tokens still to come, when last computed.
-	TimePoint sent;         ///< When it was sent.
-	TimePoint last_token;   ///< When the last token came.
+	CallSpec call;            ///< The call.
+	uint32_t generated = 0;   ///< Tokens seen so far.
+	double residual = 0;      ///< Expected tokens still to come, when last computed.
+	TimePoint sent;           ///< When it was sent.
+	TimePoint last_token;     ///< When the last token came.
 	bool reads_alone = false; ///< No other known prompt was unread when it was sent: its first token tells the rate.
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,8 +2,8 @@
 
 /** @file gateway.cpp One instance on the platform: its life, its requests. */
 
-#include "core/hash_func.h"
 #include "gateway/gateway.h"
+#include "core/hash_func.h"
 #include "gateway/stream_relay.h"
 #include "metrics/log.h"
 #include "platform/wire_configuration.h"
@@ -14,11 +14,13 @@
 
 namespace cottonspool {
 
-static constexpr Duration SETTINGS_LOOK = std::chrono::seconds(1);                 ///< Time between looks at the settings file.
-static constexpr Duration NOT_READY_RETRY_AFTER = std::chrono::milliseconds(400);  ///< When to come back while no configuration is known.
-static constexpr Duration STOPPING_RETRY_AFTER = std::chrono::milliseconds(50);    ///< When to come back, to another instance, while this one stops.
-static constexpr Duration LATEST_WHILE_STOPPING = std::chrono::milliseconds(5000); ///< Time limit above which a new request is not begun while stopping.
-static constexpr size_t ACCOUNT_SERIES = 64;                                       ///< Client accounts with metrics of their own.
+static constexpr Duration SETTINGS_LOOK = std::chrono::seconds(1);                ///< Time between looks at the settings file.
+static constexpr Duration NOT_READY_RETRY_AFTER = std::chrono::milliseconds(400); ///< When to come back while no configuration is known.
+static constexpr Duration STOPPING_RETRY_AFTER =
+        std::chrono::milliseconds(50); ///< When to come back, to another instance, while this one stops.
+static constexpr Duration LATEST_WHILE_STOPPING =
+        std::chrono::milliseconds(5000);     ///< Time limit above which a new request is not begun while stopping.
+static constexpr size_t ACCOUNT_SERIES = 64; ///< Client accounts with metrics of their own.
 
 /** The tick's timer. */
 struct Gateway::Timer {
@@ -49,8 +51,8 @@
             [this](const ReportNews &news) { this->OnPeerReport(news); }),
       front(loop, [this](const std::shared_ptr<FrontExchange> &exchange) { this->HandleRequest(exchange); }),
       readiness(loop, [this](const std::shared_ptr<FrontExchange> &exchange) { this->HandleReady(exchange); }),
-      figures(loop, [this](const std::shared_ptr<FrontExchange> &exchange) { this->HandleMetrics(exchange); }), random(RandomSeed(this->settings.name)),
-      timer(std::make_unique<Timer>())
+      figures(loop, [this](const std::shared_ptr<FrontExchange> &exchange) { this->HandleMetrics(exchange); }),
+      random(RandomSeed(this->settings.name)), timer(std::make_unique<Timer>())
 {
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -56,10 +56,10 @@
 	/** @return Requests cut by the end of the process. */
 	size_t CutCalls() const { return this->cut_calls; }
 
-	GatewayLimits limits;    ///< Times and bounds.
-	HttpUpstream upstream;   ///< Calls to targets and to the store.
-	Metrics metrics;         ///< Figures.
-	Dispatcher dispatcher;   ///< Decisions.
+	GatewayLimits limits;  ///< Times and bounds.
+	HttpUpstream upstream; ///< Calls to targets and to the store.
+	Metrics metrics;       ///< Figures.
+	Dispatcher dispatcher; ///< Decisions.
 
 private:
 	void OnPeerReport(const ReportNews &news);
--- a/src/gateway/gateway_targets.cpp
+++ b/src/gateway/gateway_targets.cpp
@@ -11,7 +11,8 @@
 
 namespace cottonspool {
 
-static constexpr double REPORT_JITTER = 0.3; ///< Part of the time between reports by which each is moved, so that instances don't ask together.
+static constexpr double REPORT_JITTER =
+        0.3; ///< Part of the time between reports by which each is moved, so that instances don't ask together.
 
 void Gateway::WatchStore()
 {
@@ -137,6 +138,8 @@
 	targets.SetUnreported(number, engine ? pool->engine->memory_tokens : listed.slots);
 	if (this->records.size() <= number.value) this->records.resize(number.value + 1);
 	TargetRecord &record = this->records[number.value];
+	// The reader of a new target's reports gets the time to tell its first one.
+	if (record.reported_at == TimePoint{}) record.reported_at = MonotonicNow();
 	record.address = address.value();
 	record.pool = listed.pool;
 	record.engine = engine;
@@ -201,8 +204,8 @@
 	double jitter = std::uniform_real_distribution<double>(1 - REPORT_JITTER, 1 + REPORT_JITTER)(this->random);
 	record.next_report = now + FromSeconds(Seconds(this->limits.report_poll) * jitter);
 	record.report_limit = now + this->limits.report_limit;
-	record.report_call = this->upstream.Start(
-	        MakeReportCall(record.address, name, [this, number](const std::optional<EngineReport> &report) { this->OnReport(number, report); }));
+	record.report_call = this->upstream.Start(MakeReportCall(
+	        record.address, name, [this, number](const std::optional<EngineReport> &report) { this->OnReport(number, report); }));
 }
 
 void Gateway::OnReport(TargetNumber number, const std::optional<EngineReport> &told)
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -16,45 +16,46 @@
 
 /** Times and bounds of a gateway. */
 struct GatewayLimits {
-	Duration tick = std::chrono::milliseconds(25);             ///< Time between ticks; bounds how late a time limit is acted on.
-	Duration report_poll = std::chrono::milliseconds(600);     ///< Time between reports asked of an engine, by one instance for all.
-	Duration report_age = std::chrono::milliseconds(400);      ///< Age of a report when it arrives, as the engines' operators state it.
-	Duration report_limit = std::chrono::milliseconds(800);    ///< Time after which a report is not waited for.
-	Duration connect = std::chrono::milliseconds(400);         ///< Longest time to connect to a target: several round trips and one lost packet.
-	double wait_part = 0.22;                                   ///< Part of the objective that a request may wait here before it is refused.
-	double press_part = 0.08;                                  ///< Part of the objective after which a request goes to a target without room.
-	Duration answer_slack = std::chrono::milliseconds(30);     ///< Time before a limit at which the final answer is given.
-	Duration reuse_once = std::chrono::milliseconds(1500);     ///< Longest rest of a connection for a request that may run once: a stale one would cost it.
-	size_t max_answer_bytes = 8U << 20;                        ///< Answers of plain services up to this size are held until whole.
-	Duration stop_notice = std::chrono::milliseconds(2600);    ///< Time between failing readiness and ending while nothing is left to do.
-	Duration stop_margin = std::chrono::milliseconds(250);     ///< Time before the platform's kill at which what is left is cut.
-	Duration move_retry = std::chrono::milliseconds(60);       ///< Pause before a move that was refused is tried again.
-	Duration move_overlap = std::chrono::milliseconds(250);    ///< Longest time for which the old engine goes on once the new one was asked.
-	Duration least_move = std::chrono::milliseconds(300);      ///< Runs that are expected to end sooner stay where they are.
-	double report_patience = 2.2;                              ///< Times between reports after which one that a peer should have told is read here.
-	ExchangeLimits exchange;                                   ///< Exchange with other instances.
-	double silence_part = 0.72;                                ///< Part of the longest good pause after which a silent engine is taken for lost, if there is a copy.
-	size_t hall_engines = 8;                                   ///< Engines in the own hall from which its instances keep to them and to each other.
-	size_t hall_engines_least = 4;                             ///< Engines below which they no longer do; lower, so that a few departures change nothing.
-	double other_hall_penalty = 0.6;                           ///< Pressure by which another hall's engine must then be better.
-	BackupRules backup;                                        ///< Copies of runs.
-	DispatchLimits dispatch;                                   ///< Decisions.
-	RegistryLimits registry;                                   ///< Targets.
-	WatchLimits watch;                                         ///< Store.
+	Duration tick = std::chrono::milliseconds(25);          ///< Time between ticks; bounds how late a time limit is acted on.
+	Duration report_poll = std::chrono::milliseconds(600);  ///< Time between reports asked of an engine, by one instance for all.
+	Duration report_age = std::chrono::milliseconds(400);   ///< Age of a report when it arrives, as the engines' operators state it.
+	Duration report_limit = std::chrono::milliseconds(800); ///< Time after which a report is not waited for.
+	Duration connect = std::chrono::milliseconds(400); ///< Longest time to connect to a target: several round trips and one lost packet.
+	double wait_part = 0.22;                           ///< Part of the objective that a request may wait here before it is refused.
+	double press_part = 0.08;                          ///< Part of the objective after which a request goes to a target without room.
+	Duration answer_slack = std::chrono::milliseconds(30); ///< Time before a limit at which the final answer is given.
+	Duration reuse_once =
+	        std::chrono::milliseconds(1500); ///< Longest rest of a connection for a request that may run once: a stale one would cost it.
+	size_t max_answer_bytes = 8U << 20;      ///< Answers of plain services up to this size are held until whole.
+	Duration stop_notice = std::chrono::milliseconds(2600); ///< Time between failing readiness and ending while nothing is left to do.
+	Duration stop_margin = std::chrono::milliseconds(250);  ///< Time before the platform's kill at which what is left is cut.
+	Duration move_retry = std::chrono::milliseconds(60);    ///< Pause before a move that was refused is tried again.
+	Duration move_overlap = std::chrono::milliseconds(250); ///< Longest time for which the old engine goes on once the new one was asked.
+	Duration least_move = std::chrono::milliseconds(300);   ///< Runs that are expected to end sooner stay where they are.
+	double report_patience = 2.2;    ///< Times between reports after which one that a peer should have told is read here.
+	ExchangeLimits exchange;         ///< Exchange with other instances.
+	double silence_part = 0.72;      ///< Part of the longest good pause after which a silent engine is taken for lost, if there is a copy.
+	size_t hall_engines = 8;         ///< Engines in the own hall from which its instances keep to them and to each other.
+	size_t hall_engines_least = 4;   ///< Engines below which they no longer do; lower, so that a few departures change nothing.
+	double other_hall_penalty = 0.6; ///< Pressure by which another hall's engine must then be better.
+	BackupRules backup;              ///< Copies of runs.
+	DispatchLimits dispatch;         ///< Decisions.
+	RegistryLimits registry;         ///< Targets.
+	WatchLimits watch;               ///< Store.
 };
 
 /** One request as it is served. */
 struct RelayRequest {
-	RequestInfo info;               ///< What the caller's fields say.
-	Route route;                    ///< Route, as it was in force when the request came.
-	std::string pool;               ///< Pool that was drawn.
-	std::string account;            ///< Client account; empty for none.
-	uint32_t tokens_per_event = 1;  ///< Tokens that an event of a stream holds.
-	bool can_move = false;          ///< Its run can be moved to another engine.
-	bool can_back_up = false;       ///< A copy of its run can be kept at another engine.
-	int rank = 0;                   ///< Order; 0 goes first.
-	CallSpec spec;                  ///< For the dispatcher.
-	TimePoint ends_at;              ///< When the final answer is due at the latest.
+	RequestInfo info;              ///< What the caller's fields say.
+	Route route;                   ///< Route, as it was in force when the request came.
+	std::string pool;              ///< Pool that was drawn.
+	std::string account;           ///< Client account; empty for none.
+	uint32_t tokens_per_event = 1; ///< Tokens that an event of a stream holds.
+	bool can_move = false;         ///< Its run can be moved to another engine.
+	bool can_back_up = false;      ///< A copy of its run can be kept at another engine.
+	int rank = 0;                  ///< Order; 0 goes first.
+	CallSpec spec;                 ///< For the dispatcher.
+	TimePoint ends_at;             ///< When the final answer is due at the latest.
 };
 
 struct NodeSettings;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -21,7 +21,8 @@
 PeerExchange::PeerExchange(uv_loop_s *loop, TableStore &store, PeerLoad &load, std::string name, std::string hall, ExchangeLimits limits,
                            ReportHandler on_report)
     : store(store), load(load), name(std::move(name)), hall(std::move(hall)), incarnation(StartNumber()), limits(limits),
-      on_report(std::move(on_report)), links(loop, [this](const PeerMessage &message, const PeerLinks::Reply &) { this->OnMessage(message); }),
+      on_report(std::move(on_report)),
+      links(loop, [this](const PeerMessage &message, const PeerLinks::Reply &) { this->OnMessage(message); }),
       watch(store, INSTANCE_TABLE, limits.watch)
 {
 	this->waiting.instance = this->name;
@@ -77,7 +78,8 @@
 		for (SharedTable &each : this->shared) {
 			// One that reads goes on until one before it in the order does: otherwise those that took over would stop each other.
 			bool after = PlaceOf(each.order, message.instance) > PlaceOf(each.order, this->name);
-			news.healthy = news.healthy && !(after && each.watch->ReadsItself(now));
+			bool reads = each.watch->ReadsItself(now) && !each.watch->IsLost();
+			news.healthy = news.healthy && !(after && reads);
 			each.watch->OnNews(news, now);
 		}
 	}
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -14,18 +14,19 @@
 
 /** Times of the exchange. */
 struct ExchangeLimits {
-	Duration heartbeat = std::chrono::milliseconds(500);  ///< Least time between heartbeats.
+	Duration heartbeat = std::chrono::milliseconds(500);     ///< Least time between heartbeats.
 	Duration heartbeat_each = std::chrono::milliseconds(40); ///< Time between heartbeats for each live peer: their number stays bounded.
-	double silences = 3.6;                                ///< Heartbeats missed after which a peer is forgotten: three and a lost packet.
-	Duration news_wait = std::chrono::milliseconds(120);  ///< Longest time for which news that is not urgent waits for company.
-	Duration patience = std::chrono::milliseconds(1300);  ///< Time without news of a table after which the first of the others reads it.
-	Duration patience_step = std::chrono::milliseconds(100); ///< Further time for each one that comes before in the order of readers.
+	double silences = 3.6;                               ///< Heartbeats missed after which a peer is forgotten: three and a lost packet.
+	Duration news_wait = std::chrono::milliseconds(120); ///< Longest time for which news that is not urgent waits for company.
+	Duration patience = std::chrono::milliseconds(1300); ///< Time without news of a table after which the first of the others reads it.
+	Duration patience_step = std::chrono::milliseconds(100);  ///< Further time for each one that comes before in the order of readers.
 	Duration patience_most = std::chrono::milliseconds(2300); ///< Longest such time: news must be in force within the operators' bounds.
-	double pass_on_bytes = 256e3;                         ///< Bytes of rows that may be passed on in a second; beyond, each one reads them itself.
-	Duration dial_least = std::chrono::seconds(1);        ///< Pause before a peer that cannot be reached is dialled again; doubles.
-	Duration dial_most = std::chrono::seconds(8);         ///< Longest such pause.
-	Duration register_pause = std::chrono::seconds(1);    ///< Pause before this instance's row is written again after a failure.
-	WatchLimits watch{.wait = std::chrono::seconds(10)};  ///< Following the instances: they change seldom, and each look is paid for.
+	double pass_on_bytes = 256e3;                  ///< Bytes of rows that may be passed on in a second; beyond, each one reads them itself.
+	Duration dial_least = std::chrono::seconds(1); ///< Pause before a peer that cannot be reached is dialled again; doubles.
+	Duration dial_most = std::chrono::seconds(8);  ///< Longest such pause.
+	Duration register_pause = std::chrono::seconds(1); ///< Pause before this instance's row is written again after a failure.
+	WatchLimits watch{.wait = std::chrono::seconds(10),
+	                  .pause_most = std::chrono::seconds(4)}; ///< Following the instances: they change seldom.
 };
 
 /** The exchange of one instance. */
@@ -76,10 +77,10 @@
 private:
 	/** An instance found in the store. */
 	struct Found {
-		std::string address;      ///< IP:PORT for peers.
-		std::string hall;         ///< Data hall.
-		TimePoint next_dial;      ///< When it is dialled next.
-		Duration pause{0};        ///< Pause after the last dial.
+		std::string address; ///< IP:PORT for peers.
+		std::string hall;    ///< Data hall.
+		TimePoint next_dial; ///< When it is dialled next.
+		Duration pause{0};   ///< Pause after the last dial.
 	};
 
 	void OnMessage(const PeerMessage &message);
@@ -92,35 +93,35 @@
 	void Dial(TimePoint now);
 	LoadMessage Whole() const;
 
-	TableStore &store;                        ///< Store.
-	PeerLoad &load;                           ///< Calls of others.
-	std::string name;                         ///< Name of this instance.
-	std::string hall;                         ///< Data hall it stands in.
-	bool hall_only = false;                   ///< News go to the own hall only.
+	TableStore &store;      ///< Store.
+	PeerLoad &load;         ///< Calls of others.
+	std::string name;       ///< Name of this instance.
+	std::string hall;       ///< Data hall it stands in.
+	bool hall_only = false; ///< News go to the own hall only.
 	/** A table whose reading is shared. */
 	struct SharedTable {
 		TableWatch *watch;              ///< Follows it.
 		std::vector<std::string> order; ///< Instances in the order in which they read it for the others.
 	};
 
-	std::vector<SharedTable> shared;          ///< Tables whose reading is shared.
-	uint64_t incarnation;                     ///< Its start.
-	ExchangeLimits limits;                    ///< Times.
-	ReportHandler on_report;                  ///< Gets reports that others read.
-	PeerLinks links;                          ///< Links.
-	TableWatch watch;                         ///< Follows the instances.
-	std::string address;                      ///< Own address for peers.
-	std::map<std::string, Found> found;       ///< Other instances by name.
-	std::map<uint64_t, CallNews> own;         ///< Own calls at targets.
-	LoadMessage waiting;                      ///< News not yet sent.
-	double pass_on_left = 0;                  ///< Bytes of rows that may be passed on now.
-	TimePoint passed_on_at;                   ///< When that was last worked out.
-	TimePoint waiting_since;                  ///< When the first of them came up.
-	TimePoint sent_at;                        ///< When news was last sent.
-	TimePoint register_at;                    ///< When the own row is written next.
-	bool registered = false;                  ///< The own row is in the store.
-	uint64_t register_call = 0;               ///< Call under way that writes it.
-	std::vector<std::string> readers;         ///< This instance and its live peers.
+	std::vector<SharedTable> shared;    ///< Tables whose reading is shared.
+	uint64_t incarnation;               ///< Its start.
+	ExchangeLimits limits;              ///< Times.
+	ReportHandler on_report;            ///< Gets reports that others read.
+	PeerLinks links;                    ///< Links.
+	TableWatch watch;                   ///< Follows the instances.
+	std::string address;                ///< Own address for peers.
+	std::map<std::string, Found> found; ///< Other instances by name.
+	std::map<uint64_t, CallNews> own;   ///< Own calls at targets.
+	LoadMessage waiting;                ///< News not yet sent.
+	double pass_on_left = 0;            ///< Bytes of rows that may be passed on now.
+	TimePoint passed_on_at;             ///< When that was last worked out.
+	TimePoint waiting_since;            ///< When the first of them came up.
+	TimePoint sent_at;                  ///< When news was last sent.
+	TimePoint register_at;              ///< When the own row is written next.
+	bool registered = false;            ///< The own row is in the store.
+	uint64_t register_call = 0;         ///< Call under way that writes it.
+	std::vector<std::string> readers;   ///< This instance and its live peers.
 };
 
 } // namespace cottonspool
--- a/src/gateway/relay_call.cpp
+++ b/src/gateway/relay_call.cpp
@@ -223,7 +223,8 @@
 	bool success = this->answer.head.status / 100 == 2 && this->answer.info.stamped;
 	if (this->answer.body.size() <= this->gateway.limits.max_answer_bytes || !success) return;
 	this->passing = true;
-	this->exchange->Start(this->answer.head.status, HeadersForCaller(this->answer.head.headers), this->answer.head.length, this->answer.head.reason);
+	this->exchange->Start(this->answer.head.status, HeadersForCaller(this->answer.head.headers), this->answer.head.length,
+	                      this->answer.head.reason);
 	this->exchange->Write(this->answer.body);
 	this->answer.body.clear();
 }
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -115,9 +115,9 @@
 private:
 	/** A whole answer of a target. */
 	struct Answer {
-		HttpHead head;      ///< Head.
-		AnswerInfo info;    ///< What its fields say.
-		std::string body;   ///< Body.
+		HttpHead head;    ///< Head.
+		AnswerInfo info;  ///< What its fields say.
+		std::string body; ///< Body.
 	};
 
 	void OnWhole();
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -208,8 +208,9 @@
 		self->move.call = 0;
 		self->OnCopied(answer);
 	};
-	this->move.call = this->gateway.upstream.Start(MakeMoveCall(this->gateway.AddressOf(*this->target), source.name, this->request.info.attempt,
-	                                                            this->gateway.AddressOf(*to).Text(), false, done));
+	this->move.call =
+	        this->gateway.upstream.Start(MakeMoveCall(this->gateway.AddressOf(*this->target), source.name, this->request.info.attempt,
+	                                                  this->gateway.AddressOf(*to).Text(), false, done));
 	this->LogMove("copy", "asked");
 }
 
--- a/src/gateway/stream_relay.h
+++ b/src/gateway/stream_relay.h
@@ -38,17 +38,17 @@
 
 	/** A move to another engine. */
 	struct Move {
-		MovePhase phase = MovePhase::None;    ///< How far it is.
-		TargetNumber to;                      ///< Engine that it goes to.
-		std::string handle;                   ///< Name of the copy, at the old engine; empty while there is none.
-		std::vector<TargetNumber> refused;    ///< Engines without room.
-		TimePoint begun;                      ///< When the copy was asked for.
-		TimePoint not_before;                 ///< Earliest next try.
-		TimePoint overlap_until;              ///< When the old run is given up, answered or not.
-		uint64_t call = 0;                    ///< Call under way that copies.
-		uint64_t resume_link = 0;             ///< Call under way that goes on.
-		std::optional<TargetNumber> backup;   ///< Engine that keeps a copy of the run once it goes on.
-		uint32_t tries = 0;                   ///< Copies asked for.
+		MovePhase phase = MovePhase::None;  ///< How far it is.
+		TargetNumber to;                    ///< Engine that it goes to.
+		std::string handle;                 ///< Name of the copy, at the old engine; empty while there is none.
+		std::vector<TargetNumber> refused;  ///< Engines without room.
+		TimePoint begun;                    ///< When the copy was asked for.
+		TimePoint not_before;               ///< Earliest next try.
+		TimePoint overlap_until;            ///< When the old run is given up, answered or not.
+		uint64_t call = 0;                  ///< Call under way that copies.
+		uint64_t resume_link = 0;           ///< Call under way that goes on.
+		std::optional<TargetNumber> backup; ///< Engine that keeps a copy of the run once it goes on.
+		uint32_t tries = 0;                 ///< Copies asked for.
 	};
 
 	void PassEvents();
@@ -70,18 +70,18 @@
 	void SetFlow();
 	void LogMove(const char *step, const char *result);
 
-	EventSplitter splitter;            ///< Events of the engine that is being followed.
-	HttpHead answer_head;              ///< Head of an answer that is no stream.
-	std::string answer_body;           ///< Its body.
-	bool streaming = false;            ///< The engine is sending events.
-	bool has_event = false;            ///< An event was passed on.
-	uint64_t last_event = 0;           ///< Number of the last one.
-	uint64_t events = 0;               ///< Events passed on.
-	TimePoint last_at;                 ///< When it was passed on.
-	Duration longest_gap{0};           ///< Longest pause between events.
-	bool paused = false;               ///< The engine is not being read, since the caller reads slowly.
-	Move move;                         ///< Move under way.
-	uint32_t moves = 0;                ///< Moves done.
+	EventSplitter splitter;  ///< Events of the engine that is being followed.
+	HttpHead answer_head;    ///< Head of an answer that is no stream.
+	std::string answer_body; ///< Its body.
+	bool streaming = false;  ///< The engine is sending events.
+	bool has_event = false;  ///< An event was passed on.
+	uint64_t last_event = 0; ///< Number of the last one.
+	uint64_t events = 0;     ///< Events passed on.
+	TimePoint last_at;       ///< When it was passed on.
+	Duration longest_gap{0}; ///< Longest pause between events.
+	bool paused = false;     ///< The engine is not being read, since the caller reads slowly.
+	Move move;               ///< Move under way.
+	uint32_t moves = 0;      ///< Moves done.
 };
 
 } // namespace cottonspool
--- a/src/metrics/log.cpp
+++ b/src/metrics/log.cpp
@@ -23,9 +23,9 @@
 static constexpr size_t MOST_WAITING_BYTES = 256U << 10; ///< Lines that may wait for a slow reader: a few seconds of a busy instance.
 static constexpr size_t FLUSH_BYTES = 32U << 10;         ///< Waiting bytes from which a line is flushed at once.
 
-static bool json_form = false;                                      ///< Lines are JSON objects.
-static std::string instance_name;                                   ///< Name on each line.
-static LineBuffer lines(STDOUT_FILENO, MOST_WAITING_BYTES);         ///< Lines on their way.
+static bool json_form = false;                              ///< Lines are JSON objects.
+static std::string instance_name;                           ///< Name on each line.
+static LineBuffer lines(STDOUT_FILENO, MOST_WAITING_BYTES); ///< Lines on their way.
 
 /** Boost.Log's way into the buffer; only the loop's thread writes lines. */
 class BufferBackend : public boost::log::sinks::basic_formatted_sink_backend<char, boost::log::sinks::concurrent_feeding> {
@@ -67,7 +67,8 @@
 		sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
 	} else {
 		auto stamp = boost::log::expressions::format_date_time<boost::posix_time::ptime>("TimeStamp", "%Y-%m-%d %H:%M:%S.%f");
-		sink->set_formatter(boost::log::expressions::stream << stamp << " " << trivial::severity << " " << boost::log::expressions::smessage);
+		sink->set_formatter(boost::log::expressions::stream << stamp << " " << trivial::severity << " "
+		                                                    << boost::log::expressions::smessage);
 	}
 	boost::log::core::get()->add_sink(sink);
 	boost::log::core::get()->set_filter(trivial::severity >= least);
--- a/src/net/http_front.cpp
+++ b/src/net/http_front.cpp
@@ -32,8 +32,8 @@
 	/** Close it so that the caller sees that the answer is not whole. */
 	void Break();
 
-	HttpFront &front;                                           ///< Server.
-	std::shared_ptr<TcpStream> stream;                          ///< Connection.
+	HttpFront &front;                                            ///< Server.
+	std::shared_ptr<TcpStream> stream;                           ///< Connection.
 	std::list<std::shared_ptr<FrontConnection>>::iterator place; ///< Place in the server's list.
 
 private:
@@ -139,7 +139,8 @@
 {
 	if (this->refused) return;
 	this->refused = true;
-	std::string text = "HTTP/1.1 " + std::to_string(status) + " " + ReasonPhrase(status) + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+	std::string text =
+	        "HTTP/1.1 " + std::to_string(status) + " " + ReasonPhrase(status) + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 	if (this->exchange) this->exchange->connection = nullptr;
 	this->exchange.reset();
 	this->stream->Write(std::move(text));
@@ -279,7 +280,8 @@
 }
 
 HttpFront::HttpFront(uv_loop_s *loop, Handler handler)
-    : loop(loop), handler(std::move(handler)), listener(loop, [this](std::shared_ptr<TcpStream> stream) { this->OnStream(std::move(stream)); })
+    : loop(loop), handler(std::move(handler)),
+      listener(loop, [this](std::shared_ptr<TcpStream> stream) { this->OnStream(std::move(stream)); })
 {
 }
 
--- a/src/net/http_front.h
+++ b/src/net/http_front.h
@@ -14,12 +14,12 @@
 
 /** Limits on what callers may send and how long they may take. */
 struct FrontLimits {
-	size_t max_head_bytes = 16U << 10;                    ///< Longest head; a longer one is answered 431.
-	size_t max_body_bytes = 4U << 20;                     ///< Longest body; a longer one is answered 413.
-	Duration head_timeout = std::chrono::seconds(3);      ///< Longest time for a head to come in; then 408.
-	Duration idle_timeout = std::chrono::seconds(15);     ///< Longest rest of a connection between requests.
-	Duration body_timeout = std::chrono::seconds(10);     ///< Longest pause while a body comes in; then 408.
-	size_t max_backlog_bytes = 256U << 10;                ///< Unsent answer bytes from which a stream is to be paused.
+	size_t max_head_bytes = 16U << 10;                ///< Longest head; a longer one is answered 431.
+	size_t max_body_bytes = 4U << 20;                 ///< Longest body; a longer one is answered 413.
+	Duration head_timeout = std::chrono::seconds(3);  ///< Longest time for a head to come in; then 408.
+	Duration idle_timeout = std::chrono::seconds(15); ///< Longest rest of a connection between requests.
+	Duration body_timeout = std::chrono::seconds(10); ///< Longest pause while a body comes in; then 408.
+	size_t max_backlog_bytes = 256U << 10;            ///< Unsent answer bytes from which a stream is to be paused.
 };
 
 /** One request with its answer. */
@@ -103,11 +103,11 @@
 private:
 	void OnStream(std::shared_ptr<TcpStream> stream);
 
-	uv_loop_s *loop;                                           ///< Loop.
-	Handler handler;                                           ///< Gets each request.
-	bool closing = false;                                      ///< Connections end after their next answer.
-	std::list<std::shared_ptr<FrontConnection>> connections;   ///< Open connections.
-	TcpListener listener;                                      ///< Listener.
+	uv_loop_s *loop;                                         ///< Loop.
+	Handler handler;                                         ///< Gets each request.
+	bool closing = false;                                    ///< Connections end after their next answer.
+	std::list<std::shared_ptr<FrontConnection>> connections; ///< Open connections.
+	TcpListener listener;                                    ///< Listener.
 
 	friend class FrontConnection;
 };
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -12,10 +12,10 @@
 
 /** http-parser's state with the head being collected. */
 struct HttpReader::Parser {
-	http_parser state{};               ///< http-parser's state.
-	http_parser_settings callbacks{};  ///< Its callbacks.
-	HttpHead head;                     ///< Head being collected.
-	bool in_value = false;             ///< The last piece was of a field's value.
+	http_parser state{};              ///< http-parser's state.
+	http_parser_settings callbacks{}; ///< Its callbacks.
+	HttpHead head;                    ///< Head being collected.
+	bool in_value = false;            ///< The last piece was of a field's value.
 
 	static HttpReader *Of(http_parser *parser) { return static_cast<HttpReader *>(parser->data); }
 	void AddName(std::string_view piece);
@@ -171,8 +171,8 @@
 const char *ReasonPhrase(int status)
 {
 	switch (status) {
-#define COTTONSPOOL_STATUS(number, name, text) \
-	case number: \
+#define COTTONSPOOL_STATUS(number, name, text)                                                                                             \
+	case number:                                                                                                                           \
 		return #text;
 		HTTP_STATUS_MAP(COTTONSPOOL_STATUS)
 #undef COTTONSPOOL_STATUS
@@ -194,8 +194,8 @@
 bool IsConnectionField(std::string_view name)
 {
 	static constexpr std::array<std::string_view, 10> FIELDS{
-	        "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization",
-	        "te",         "trailer",    "transfer-encoding", "upgrade",           "content-length"};
+	        "connection", "keep-alive",        "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
+	        "trailer",    "transfer-encoding", "upgrade",          "content-length"};
 	return std::any_of(FIELDS.begin(), FIELDS.end(), [&](std::string_view field) {
 		return field.size() == name.size() && strncasecmp(field.data(), name.data(), name.size()) == 0;
 	});
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -13,14 +13,14 @@
 
 /** Head of a request or of an answer, as received. */
 struct HttpHead {
-	std::string method;                   ///< Method (requests).
-	std::string target;                   ///< Path with the query, unaltered (requests).
-	int status = 0;                       ///< Status (answers).
-	std::string reason;                   ///< Text behind the status (answers).
-	HttpHeaders headers;                  ///< Header fields in order, as spelt.
-	std::optional<uint64_t> length;       ///< Content-Length, if there is one.
-	bool keep_alive = false;              ///< The connection may be used again after this message.
-	bool chunked = false;                 ///< The body comes in chunks.
+	std::string method;             ///< Method (requests).
+	std::string target;             ///< Path with the query, unaltered (requests).
+	int status = 0;                 ///< Status (answers).
+	std::string reason;             ///< Text behind the status (answers).
+	HttpHeaders headers;            ///< Header fields in order, as spelt.
+	std::optional<uint64_t> length; ///< Content-Length, if there is one.
+	bool keep_alive = false;        ///< The connection may be used again after this message.
+	bool chunked = false;           ///< The body comes in chunks.
 };
 
 /** What went wrong with a message. */
@@ -41,9 +41,9 @@
 	HttpReader(const HttpReader &) = delete;
 	HttpReader &operator=(const HttpReader &) = delete;
 
-	std::function<void(HttpHead &&)> on_head;        ///< The head of a message came.
-	std::function<void(std::string_view)> on_body;   ///< A part of the body, without transfer coding.
-	std::function<void()> on_complete;               ///< The message is whole.
+	std::function<void(HttpHead &&)> on_head;      ///< The head of a message came.
+	std::function<void(std::string_view)> on_body; ///< A part of the body, without transfer coding.
+	std::function<void()> on_complete;             ///< The message is whole.
 
 	size_t max_head_bytes = 64U << 10; ///< Longest head.
 	bool answers_head_request = false; ///< The answer has no body, whatever its fields say.
--- a/src/net/http_upstream.cpp
+++ b/src/net/http_upstream.cpp
@@ -7,9 +7,9 @@
 
 namespace cottonspool {
 
-static constexpr size_t MAX_IDLE_PER_PEER = 16;                           ///< Connections kept to one peer.
-static constexpr Duration IDLE_DEFAULT = std::chrono::seconds(5);         ///< Rest after which a connection is closed if the peer names none.
-static constexpr Duration IDLE_MARGIN = std::chrono::milliseconds(800);   ///< Time before the peer's own limit at which we close.
+static constexpr size_t MAX_IDLE_PER_PEER = 16;                         ///< Connections kept to one peer.
+static constexpr Duration IDLE_DEFAULT = std::chrono::seconds(5);       ///< Rest after which a connection is closed if the peer names none.
+static constexpr Duration IDLE_MARGIN = std::chrono::milliseconds(800); ///< Time before the peer's own limit at which we close.
 
 /** One connection to a peer, with at most one call. */
 class UpstreamLink : public std::enable_shared_from_this<UpstreamLink> {
@@ -42,11 +42,11 @@
 	void EndCall(UpstreamEnd end, const char *cause);
 	void Rest();
 
-	HttpUpstream &owner;                                           ///< Owner.
-	HttpReader reader{HttpReader::Kind::Answers};                  ///< Reads answers.
-	bool mine = false;                                             ///< The answer being read is this call's.
-	bool reusable = false;                                         ///< The connection may be kept.
-	bool stray_seen = false;                                       ///< An answer of an earlier request came in.
+	HttpUpstream &owner;                          ///< Owner.
+	HttpReader reader{HttpReader::Kind::Answers}; ///< Reads answers.
+	bool mine = false;                            ///< The answer being read is this call's.
+	bool reusable = false;                        ///< The connection may be kept.
+	bool stray_seen = false;                      ///< An answer of an earlier request came in.
 };
 
 UpstreamLink::UpstreamLink(HttpUpstream &owner, std::shared_ptr<TcpStream> stream, std::string peer, const Endpoint &to)
--- a/src/net/http_upstream.h
+++ b/src/net/http_upstream.h
@@ -22,16 +22,16 @@
 
 /** One call to make. Its functions are called from the loop, never from inside Start(). */
 struct UpstreamCall {
-	Endpoint to;                                          ///< Where to.
-	std::string peer;                                     ///< Name of the other process: a connection is kept for the same one only.
-	std::string method = "GET";                           ///< Method.
-	std::string target = "/";                             ///< Path with the query.
-	HttpHeaders headers;                                  ///< Header fields; the length is added.
-	std::string body;                                     ///< Body.
+	Endpoint to;                                             ///< Where to.
+	std::string peer;                                        ///< Name of the other process: a connection is kept for the same one only.
+	std::string method = "GET";                              ///< Method.
+	std::string target = "/";                                ///< Path with the query.
+	HttpHeaders headers;                                     ///< Header fields; the length is added.
+	std::string body;                                        ///< Body.
 	Duration connect_limit = std::chrono::milliseconds(500); ///< Longest time to connect.
-	Duration reuse_rest = std::chrono::seconds(4);        ///< Longest rest of a connection that may be used; zero asks for a fresh one.
-	std::function<bool(const HttpHead &)> on_head;        ///< Head of an answer; false if it belongs to an earlier request: it is dropped.
-	std::function<void(std::string_view)> on_body;        ///< A part of the body.
+	Duration reuse_rest = std::chrono::seconds(4);           ///< Longest rest of a connection that may be used; zero asks for a fresh one.
+	std::function<bool(const HttpHead &)> on_head;         ///< Head of an answer; false if it belongs to an earlier request: it is dropped.
+	std::function<void(std::string_view)> on_body;         ///< A part of the body.
 	std::function<void(UpstreamEnd, const char *)> on_end; ///< It is over; the text is the cause.
 };
 
@@ -74,11 +74,11 @@
 private:
 	std::shared_ptr<UpstreamLink> TakeIdle(const UpstreamCall &call, TimePoint now);
 
-	uv_loop_s *loop;                                                       ///< Loop.
-	std::map<uint64_t, std::shared_ptr<UpstreamLink>> active;              ///< Connections with a call.
-	std::map<std::string, std::list<std::shared_ptr<UpstreamLink>>> idle;  ///< Kept connections by peer.
-	uint64_t next = 1;                                                     ///< Number of the next call.
-	UpstreamCounters counters;                                             ///< Counters.
+	uv_loop_s *loop;                                                      ///< Loop.
+	std::map<uint64_t, std::shared_ptr<UpstreamLink>> active;             ///< Connections with a call.
+	std::map<std::string, std::list<std::shared_ptr<UpstreamLink>>> idle; ///< Kept connections by peer.
+	uint64_t next = 1;                                                    ///< Number of the next call.
+	UpstreamCounters counters;                                            ///< Counters.
 
 	friend class UpstreamLink;
 };
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -11,12 +11,12 @@
 
 namespace cottonspool {
 
-static constexpr size_t READ_BUFFER = 64U << 10;           ///< Bytes read at once.
-static constexpr int LISTEN_BACKLOG = 1024;                ///< Connections that may wait to be accepted.
-static constexpr unsigned int UNANSWERED_BYTES_MS = 4000;  ///< Time without an acknowledgement after which a connection is dead.
-static constexpr unsigned int KEEPALIVE_IDLE_S = 3;        ///< Silence after which the other side is probed; finds paths cut without notice.
-static constexpr int KEEPALIVE_INTERVAL_S = 1;             ///< Time between such probes.
-static constexpr int KEEPALIVE_PROBES = 3;                 ///< Unanswered probes after which a connection is dead.
+static constexpr size_t READ_BUFFER = 64U << 10;          ///< Bytes read at once.
+static constexpr int LISTEN_BACKLOG = 1024;               ///< Connections that may wait to be accepted.
+static constexpr unsigned int UNANSWERED_BYTES_MS = 4000; ///< Time without an acknowledgement after which a connection is dead.
+static constexpr unsigned int KEEPALIVE_IDLE_S = 3;       ///< Silence after which the other side is probed; finds paths cut without notice.
+static constexpr int KEEPALIVE_INTERVAL_S = 1;            ///< Time between such probes.
+static constexpr int KEEPALIVE_PROBES = 3;                ///< Unanswered probes after which a connection is dead.
 
 Result<Endpoint> ParseEndpoint(std::string_view text)
 {
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -41,10 +41,10 @@
 /** One TCP connection. It keeps itself alive until it is closed; after Close() or Abort() no function is called any more. */
 class TcpStream : public std::enable_shared_from_this<TcpStream> {
 public:
-	std::function<void()> on_open;                   ///< The connection is open (outgoing ones only).
-	std::function<void(std::string_view)> on_data;   ///< Bytes came.
+	std::function<void()> on_open;                    ///< The connection is open (outgoing ones only).
+	std::function<void(std::string_view)> on_data;    ///< Bytes came.
 	std::function<void(TcpEnd, const char *)> on_end; ///< The other side ended it; the text is the cause.
-	std::function<void()> on_drained;                ///< Everything written has been handed to the kernel after having waited.
+	std::function<void()> on_drained;                 ///< Everything written has been handed to the kernel after having waited.
 
 	TcpStream();
 	~TcpStream();
--- a/src/peer/peer_links.h
+++ b/src/peer/peer_links.h
@@ -53,7 +53,7 @@
 	/** @return Whether a link to \a address is open. */
 	bool IsOpen(const std::string &address) const;
 
-	std::function<void(const std::string &)> on_link_open;   ///< Called with the address when a link that this instance dialled can be used.
+	std::function<void(const std::string &)> on_link_open; ///< Called with the address when a link that this instance dialled can be used.
 	std::function<void(const std::string &)> on_link_closed; ///< Called with the address when such a link has ended.
 
 	/** @return Counters since the start. */
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -67,8 +67,8 @@
 {
 	Json calls = Json::array();
 	for (const CallNews &news : message.calls) {
-		calls.push_back(Json::array({static_cast<int>(news.kind), news.call, news.target, news.prompt_tokens, news.generated, news.max_tokens,
-		                             news.pool, static_cast<int>(news.service_class)}));
+		calls.push_back(Json::array({static_cast<int>(news.kind), news.call, news.target, news.prompt_tokens, news.generated,
+		                             news.max_tokens, news.pool, static_cast<int>(news.service_class)}));
 	}
 	Json reports = Json::array();
 	for (const ReportNews &news : message.reports) {
@@ -83,7 +83,8 @@
 	Json tables = Json::array();
 	for (const TableNews &news : message.tables) {
 		Json rows = Json::array();
-		for (const StoredRow &row : news.rows) rows.push_back(Json::array({row.key, Json::binary({row.value.begin(), row.value.end()}), row.version, row.deleted}));
+		for (const StoredRow &row : news.rows)
+			rows.push_back(Json::array({row.key, Json::binary({row.value.begin(), row.value.end()}), row.version, row.deleted}));
 		tables.push_back(Json::array({news.table, news.from, news.to, news.whole, news.healthy, rows}));
 	}
 	return Json::array({TABLES, message.instance, tables});
@@ -100,7 +101,8 @@
 	news.healthy = item.at(4).get<bool>();
 	for (const Json &row : item.at(5)) {
 		const Json::binary_t &value = row.at(1).get_binary();
-		news.rows.push_back({row.at(0).get<std::string>(), std::string(value.begin(), value.end()), row.at(2).get<uint64_t>(), row.at(3).get<bool>()});
+		news.rows.push_back(
+		        {row.at(0).get<std::string>(), std::string(value.begin(), value.end()), row.at(2).get<uint64_t>(), row.at(3).get<bool>()});
 	}
 	return news;
 }
--- a/src/platform/wire_engine.cpp
+++ b/src/platform/wire_engine.cpp
@@ -79,9 +79,8 @@
 	call.peer = peer;
 	call.target = "/-/report";
 	call.headers = {{"Host", to.Text()}};
-	Collect(call, [done = std::move(done)](const WholeAnswer &answer) {
-		done(answer.status == 200 ? DecodeReport(answer.body) : std::nullopt);
-	});
+	Collect(call,
+	        [done = std::move(done)](const WholeAnswer &answer) { done(answer.status == 200 ? DecodeReport(answer.body) : std::nullopt); });
 	return call;
 }
 
--- a/src/platform/wire_engine.h
+++ b/src/platform/wire_engine.h
@@ -10,13 +10,13 @@
 
 /** An engine's own report of its state; some hundred milliseconds old when it arrives. */
 struct EngineReport {
-	uint32_t running = 0;                  ///< Generations being decoded.
-	uint32_t waiting = 0;                  ///< Generations accepted and not yet decoded.
-	uint64_t used_tokens = 0;              ///< Memory that cannot give way.
-	uint64_t memory_tokens = 0;            ///< Memory in all.
-	uint64_t waiting_tokens = 0;           ///< Prompt tokens of the first that waits.
-	bool leaving = false;                  ///< It leaves.
-	std::optional<Duration> leaves_in;     ///< How soon, if it knows.
+	uint32_t running = 0;              ///< Generations being decoded.
+	uint32_t waiting = 0;              ///< Generations accepted and not yet decoded.
+	uint64_t used_tokens = 0;          ///< Memory that cannot give way.
+	uint64_t memory_tokens = 0;        ///< Memory in all.
+	uint64_t waiting_tokens = 0;       ///< Prompt tokens of the first that waits.
+	bool leaving = false;              ///< It leaves.
+	std::optional<Duration> leaves_in; ///< How soon, if it knows.
 };
 
 /** Result of asking an engine to copy a run's memory to another one. */
--- a/src/platform/wire_request.cpp
+++ b/src/platform/wire_request.cpp
@@ -56,8 +56,8 @@
 static bool IsInstanceField(std::string_view name)
 {
 	static constexpr std::array<std::string_view, 12> FIELDS{
-	        "X-Deadline-Ms",    "X-Expect-Instance", "X-Tenant", "X-Request-Urgency", "X-Expect-Version", "X-Hold",
-	        "X-Pin-Ms",         "X-Kv-Backup",       "Kv-From",  "Kv-Fetch",          "Authorization",    "Expect"};
+	        "X-Deadline-Ms", "X-Expect-Instance", "X-Tenant", "X-Request-Urgency", "X-Expect-Version", "X-Hold",
+	        "X-Pin-Ms",      "X-Kv-Backup",       "Kv-From",  "Kv-Fetch",          "Authorization",    "Expect"};
 	return std::any_of(FIELDS.begin(), FIELDS.end(), [&](std::string_view field) {
 		return field.size() == name.size() && strncasecmp(field.data(), name.data(), name.size()) == 0;
 	});
--- a/src/platform/wire_request.h
+++ b/src/platform/wire_request.h
@@ -11,14 +11,14 @@
 
 /** What a caller's header fields say. */
 struct RequestInfo {
-	std::string attempt;               ///< Id of this try, spelt as the caller spelt it.
-	std::optional<Duration> deadline;  ///< How long the caller waits, from when it sent the request.
-	std::string key;                   ///< Client account's key; empty if there is none.
-	std::string model;                 ///< Model asked for; empty for plain requests.
-	uint32_t prompt_tokens = 0;        ///< Length of the prompt.
-	uint32_t most_output_tokens = 0;   ///< Most output tokens.
-	uint32_t hinted_tokens = 0;        ///< Caller's estimate of the output; 0 if there is none.
-	std::string shared_prefix;         ///< Id of the prompt's last shared part; empty if there is none.
+	std::string attempt;              ///< Id of this try, spelt as the caller spelt it.
+	std::optional<Duration> deadline; ///< How long the caller waits, from when it sent the request.
+	std::string key;                  ///< Client account's key; empty if there is none.
+	std::string model;                ///< Model asked for; empty for plain requests.
+	uint32_t prompt_tokens = 0;       ///< Length of the prompt.
+	uint32_t most_output_tokens = 0;  ///< Most output tokens.
+	uint32_t hinted_tokens = 0;       ///< Caller's estimate of the output; 0 if there is none.
+	std::string shared_prefix;        ///< Id of the prompt's last shared part; empty if there is none.
 };
 
 /** Decode the fields of a request. Fields that cannot be read count as absent. */
@@ -33,12 +33,12 @@
 
 /** What an instance tells a target beyond the caller's own fields. */
 struct SendInfo {
-	Duration remaining{0};                ///< Time left.
-	std::string target;                   ///< Name of the only target that may run it.
-	std::string account;                  ///< Client account; empty for none.
-	std::optional<int> urgency;           ///< 0 goes first, 9 last; engines only.
-	std::optional<ResumePoint> resume;    ///< Goes on with a run that was moved.
-	std::string backup_address;           ///< Engine that keeps a copy of the run; empty for none.
+	Duration remaining{0};             ///< Time left.
+	std::string target;                ///< Name of the only target that may run it.
+	std::string account;               ///< Client account; empty for none.
+	std::optional<int> urgency;        ///< 0 goes first, 9 last; engines only.
+	std::optional<ResumePoint> resume; ///< Goes on with a run that was moved.
+	std::string backup_address;        ///< Engine that keeps a copy of the run; empty for none.
 };
 
 /** @return Fields for a target: the caller's without those of one connection or of the instance's own, and the instance's. */
--- a/src/store/table_store_base.h
+++ b/src/store/table_store_base.h
@@ -51,9 +51,9 @@
 
 /** Rows, or why there are none. */
 struct RowsAnswer {
-	std::optional<RowsPage> page;                    ///< Rows, if they came.
-	StoreFailure failure = StoreFailure::NoAnswer;   ///< Why not, otherwise.
-	std::string cause;                               ///< What went wrong, for logs.
+	std::optional<RowsPage> page;                  ///< Rows, if they came.
+	StoreFailure failure = StoreFailure::NoAnswer; ///< Why not, otherwise.
+	std::string cause;                             ///< What went wrong, for logs.
 };
 
 /** What became of a write. */
--- a/src/store/table_watch.cpp
+++ b/src/store/table_watch.cpp
@@ -23,7 +23,8 @@
 }
 
 TableWatch::TableWatch(TableStore &store, std::string table, WatchLimits limits, Clock clock)
-    : store(store), clock(std::move(clock)), table(std::move(table)), limits(limits), read_time(limits.read_limit), alive(std::make_shared<bool>(true))
+    : store(store), clock(std::move(clock)), table(std::move(table)), limits(limits), read_time(limits.read_limit),
+      alive(std::make_shared<bool>(true))
 {
 }
 
@@ -45,12 +46,20 @@
 
 TableNews TableWatch::SignOfLife() const
 {
-	return {this->table, this->version, this->version, false, this->known && !this->lost, {}};
+	return {this->table, this->rows_version, this->rows_version, false, this->known && !this->lost, {}};
 }
 
 void TableWatch::TellRead(uint64_t from, bool whole, const std::vector<StoredRow> &rows)
 {
-	if (this->on_read) this->on_read({this->table, from, this->version, whole, true, rows});
+	if (this->on_read) this->on_read({this->table, from, this->rows_version, whole, true, rows});
+}
+
+void TableWatch::NoteRows(const std::vector<StoredRow> &rows)
+{
+	for (const StoredRow &row : rows) this->rows_version = std::max(this->rows_version, row.version);
+	// What was told of is known now, even if its last change was a removal that a whole read does not show.
+	if (this->wanted <= this->version) this->rows_version = std::max(this->rows_version, this->wanted);
+	this->behind = this->wanted > this->rows_version;
 }
 
 void TableWatch::OnNews(const TableNews &news, TimePoint now)
@@ -61,13 +70,17 @@
 		bool returns = this->lost && this->call == 0;
 		this->news_at = now;
 		if (returns) this->OnAnswered(now);
+		if (news.to == this->rows_version) this->confirmed = now;
+	}
+	if (news.to <= this->rows_version) return;
+	bool fits = !news.rows.empty() && (news.whole || news.from <= this->rows_version);
+	if (!fits) {
+		this->wanted = std::max(this->wanted, news.to);
+		return this->NoteRows({});
 	}
-	if (news.healthy && news.to == this->version) this->confirmed = now;
-	if (news.to <= this->version) return;
-	bool fits = news.whole || (news.from <= this->version && !news.rows.empty());
-	this->behind = !fits;
-	if (!fits) return;
-	this->version = news.to;
+	this->version = std::max(this->version, news.to);
+	this->rows_version = news.to;
+	this->NoteRows({});
 	this->confirmed = now;
 	if (news.whole && this->on_all) this->on_all(news.rows, now);
 	if (!news.whole && this->on_changes) this->on_changes(news.rows, now);
@@ -142,7 +155,7 @@
 	this->OnAnswered(now);
 	std::vector<StoredRow> rows = std::move(this->pages);
 	this->pages.clear();
-	this->behind = false;
+	this->NoteRows(rows);
 	this->TellRead(0, true, rows);
 	if (this->on_all) this->on_all(rows, now);
 	this->GoOn(now);
@@ -157,9 +170,9 @@
 		return this->ReadPage(now);
 	}
 	if (!answer.page) return this->OnFailure(answer, now);
-	uint64_t before = this->version;
+	uint64_t before = this->rows_version;
 	this->version = std::max(this->version, answer.page->version);
-	this->behind = false;
+	this->NoteRows(answer.page->rows);
 	this->OnAnswered(now);
 	bool stands_in = this->patience > Duration(0);
 	if (stands_in || !answer.page->rows.empty()) this->TellRead(before, false, answer.page->rows);
--- a/src/store/table_watch.h
+++ b/src/store/table_watch.h
@@ -11,12 +11,13 @@
 
 /** Times of a table watch. */
 struct WatchLimits {
-	Duration wait = std::chrono::seconds(3);            ///< Time the store may wait for a change; bounds how long a dead connection goes unnoticed.
-	Duration slack = std::chrono::milliseconds(700);    ///< Time beyond it after which a call is given up.
-	Duration read_limit = std::chrono::milliseconds(1000); ///< Time after which reading a page is given up, at first; doubles with each try.
-	Duration read_most = std::chrono::seconds(4);       ///< Longest such time: a slow store must not be asked in vain for ever.
+	Duration wait = std::chrono::seconds(3); ///< Time the store may wait for a change; bounds how long a dead connection goes unnoticed.
+	Duration slack = std::chrono::milliseconds(700); ///< Time beyond it after which a call is given up.
+	Duration read_limit =
+	        std::chrono::milliseconds(1000);      ///< Time after which reading a page is given up, at first; doubles with each try.
+	Duration read_most = std::chrono::seconds(4); ///< Longest such time: a slow store must not be asked in vain for ever.
 	Duration pause_least = std::chrono::milliseconds(150); ///< Pause after a first failure; doubles.
-	Duration pause_most = std::chrono::milliseconds(800);  ///< Longest pause: recovery must be seen within the bounds on entries that lapsed.
+	Duration pause_most = std::chrono::milliseconds(1200); ///< Longest pause: with it a return is seen well inside the operators' bounds.
 };
 
 /** Follows one table. Versions only go forward: an older answer than one taken in before is dropped. */
@@ -83,30 +84,33 @@
 	void OnAnswered(TimePoint now);
 	void TellRead(uint64_t from, bool whole, const std::vector<StoredRow> &rows);
 	void GoOn(TimePoint now);
-
-	TableStore &store;             ///< Store.
-	Clock clock;                   ///< Tells the time at which an answer comes.
-	std::string table;             ///< Table.
-	WatchLimits limits;            ///< Times.
-	std::vector<StoredRow> pages;  ///< Rows of a read that is under way.
-	std::string next_key;          ///< Where its next page begins.
-	uint64_t pages_version = 0;    ///< Version of its first page: changes are read from there.
-	uint64_t version = 0;          ///< Version up to which the table is known.
-	uint64_t call = 0;             ///< Call under way; 0 for none.
-	uint64_t calls = 0;            ///< Calls made.
-	TimePoint call_limit;          ///< When it is given up.
-	TimePoint not_before;          ///< Earliest next call.
-	TimePoint confirmed;           ///< When the store last confirmed what is known.
-	TimePoint lost_since;          ///< When the first call failed.
-	Duration pause{0};             ///< Pause after the last failure.
-	Duration read_time{0};         ///< Time that a page may take now.
-	Duration patience{0};          ///< Time without news after which it is read here; zero for always.
-	TimePoint news_at;             ///< When another instance last told that the store answers it.
-	bool behind = false;           ///< Another instance knows more than was told: the rest is read here.
-	bool known = false;            ///< Read whole once.
-	bool following = false;        ///< Changes are followed; otherwise the table is read whole.
-	bool lost = false;             ///< The last call failed.
-	std::shared_ptr<bool> alive;   ///< False once this is gone; calls hold it.
+	void NoteRows(const std::vector<StoredRow> &rows);
+
+	TableStore &store;            ///< Store.
+	Clock clock;                  ///< Tells the time at which an answer comes.
+	std::string table;            ///< Table.
+	WatchLimits limits;           ///< Times.
+	std::vector<StoredRow> pages; ///< Rows of a read that is under way.
+	std::string next_key;         ///< Where its next page begins.
+	uint64_t pages_version = 0;   ///< Version of its first page: changes are read from there.
+	uint64_t version = 0;         ///< Version up to which the table is known: the store's, which rises with every table's writes.
+	uint64_t rows_version = 0;    ///< Version of the table's last change that is known; the same at all who know it.
+	uint64_t wanted = 0;          ///< Version that another instance told of, up to which the rest is read here.
+	uint64_t call = 0;            ///< Call under way; 0 for none.
+	uint64_t calls = 0;           ///< Calls made.
+	TimePoint call_limit;         ///< When it is given up.
+	TimePoint not_before;         ///< Earliest next call.
+	TimePoint confirmed;          ///< When the store last confirmed what is known.
+	TimePoint lost_since;         ///< When the first call failed.
+	Duration pause{0};            ///< Pause after the last failure.
+	Duration read_time{0};        ///< Time that a page may take now.
+	Duration patience{0};         ///< Time without news after which it is read here; zero for always.
+	TimePoint news_at;            ///< When another instance last told that the store answers it.
+	bool behind = false;          ///< Another instance knows more than was told: the rest is read here.
+	bool known = false;           ///< Read whole once.
+	bool following = false;       ///< Changes are followed; otherwise the table is read whole.
+	bool lost = false;            ///< The last call failed.
+	std::shared_ptr<bool> alive;  ///< False once this is gone; calls hold it.
 };
 
 } // namespace cottonspool
--- a/src/tests/net_test.cpp
+++ b/src/tests/net_test.cpp
@@ -34,7 +34,10 @@
 		return fd;
 	}
 
-	void Send(const std::string &bytes) const { REQUIRE(send(this->fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size())); }
+	void Send(const std::string &bytes) const
+	{
+		REQUIRE(send(this->fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+	}
 
 	std::string Receive() const
 	{
--- a/src/tests/peer_load_test.cpp
+++ b/src/tests/peer_load_test.cpp
@@ -17,7 +17,8 @@
 	LoadWorld()
 	{
 		for (int i = 0; i < 3; i++) {
-			TargetNumber number = this->targets.Configure("t" + std::to_string(i), i == 0 ? "hall-a" : "hall-b", {this->pools.Intern("pool")});
+			TargetNumber number =
+			        this->targets.Configure("t" + std::to_string(i), i == 0 ? "hall-a" : "hall-b", {this->pools.Intern("pool")});
 			this->targets.SetUnreported(number, 30000);
 		}
 	}
@@ -44,10 +45,10 @@
 		return sum;
 	}
 
-	LengthEstimate lengths{LengthEstimateLimits{}};      ///< Lengths.
-	TargetTable targets{TargetLimits{}, this->lengths};  ///< Targets.
-	NameTable<ModelNumber> pools;                        ///< Pools.
-	TimePoint now{std::chrono::seconds(50)};             ///< Clock.
+	LengthEstimate lengths{LengthEstimateLimits{}};     ///< Lengths.
+	TargetTable targets{TargetLimits{}, this->lengths}; ///< Targets.
+	NameTable<ModelNumber> pools;                       ///< Pools.
+	TimePoint now{std::chrono::seconds(50)};            ///< Clock.
 };
 
 } // namespace
--- a/src/tests/platform_test.cpp
+++ b/src/tests/platform_test.cpp
@@ -104,10 +104,21 @@
 
 TEST_CASE("Platform requests - what only an instance may set is never passed on from a caller")
 {
-	HttpHeaders received{{"Host", "h"},           {"X-Attempt-Id", "AbC"},        {"x-tenant", "forged"},   {"X-Expect-Instance", "forged"},
-	                     {"Kv-From", "forged"},   {"X-KV-Backup", "forged"},      {"X-Hold", "forged"},     {"X-Pin-Ms", "1"},
-	                     {"X-Request-Urgency", "0"}, {"X-Deadline-Ms", "99999"},  {"Connection", "X-Extra"}, {"X-Extra", "one hop"},
-	                     {"Authorization", "Bearer k"}, {"Transfer-Encoding", "chunked"}, {"X-Model", "m"}};
+	HttpHeaders received{{"Host", "h"},
+	                     {"X-Attempt-Id", "AbC"},
+	                     {"x-tenant", "forged"},
+	                     {"X-Expect-Instance", "forged"},
+	                     {"Kv-From", "forged"},
+	                     {"X-KV-Backup", "forged"},
+	                     {"X-Hold", "forged"},
+	                     {"X-Pin-Ms", "1"},
+	                     {"X-Request-Urgency", "0"},
+	                     {"X-Deadline-Ms", "99999"},
+	                     {"Connection", "X-Extra"},
+	                     {"X-Extra", "one hop"},
+	                     {"Authorization", "Bearer k"},
+	                     {"Transfer-Encoding", "chunked"},
+	                     {"X-Model", "m"}};
 	SendInfo info;
 	info.remaining = std::chrono::milliseconds(1234);
 	info.target = "i-1";
--- a/src/tests/route_table_test.cpp
+++ b/src/tests/route_table_test.cpp
@@ -45,7 +45,9 @@
 		uint64_t newest = 0;
 		for (uint8_t version : versions) {
 			bool applied = table.Apply(Sample(version));
-			RC_ASSERT(applied == (newest == 0 && !versions.empty() ? !table.IsKnown() || table.Configuration().version == version : version > newest) || !applied);
+			RC_ASSERT(applied == (newest == 0 && !versions.empty() ? !table.IsKnown() || table.Configuration().version == version
+			                                                       : version > newest) ||
+			          !applied);
 			RC_ASSERT(table.Configuration().version >= newest);
 			newest = table.Configuration().version;
 		}
--- a/src/tests/table_watch_test.cpp
+++ b/src/tests/table_watch_test.cpp
@@ -84,13 +84,13 @@
 		this->watch.OnTick(this->now);
 	}
 
-	HandStore store;                                            ///< Store.
+	HandStore store;                                                                     ///< Store.
 	TableWatch watch{this->store, "table", WatchLimits{}, [this] { return this->now; }}; ///< Under test.
-	TimePoint now = MonotonicNow();                             ///< Clock.
-	std::vector<size_t> all;                                    ///< Sizes of whole reads.
-	std::vector<size_t> changes;                                ///< Sizes of changes.
-	int lost = 0;                                               ///< Losses told.
-	int regained = 0;                                           ///< Returns told.
+	TimePoint now = MonotonicNow();                                                      ///< Clock.
+	std::vector<size_t> all;                                                             ///< Sizes of whole reads.
+	std::vector<size_t> changes;                                                         ///< Sizes of changes.
+	int lost = 0;                                                                        ///< Losses told.
+	int regained = 0;                                                                    ///< Returns told.
 };
 
 } // namespace
@@ -157,6 +157,31 @@
 	CHECK(world.store.calls.size() == 1);
 }
 
+TEST_CASE("Watch - writes to other tables, which the store counts too, make nobody read again")
+{
+	WatchWorld world;
+	world.watch.SetPatience(milliseconds(1300));
+	world.store.Answer(Page({"a"}, 10));
+	world.watch.OnNews({"table", 10, 10, false, true, {}}, world.now);
+	world.store.Answer(Page({}, 11));
+	// Another instance has read the same last change, at another version of the store.
+	for (int i = 0; i < 10; i++) {
+		world.watch.OnNews({"table", 10, 10, false, true, {}}, world.now);
+		world.Pass(milliseconds(300));
+		CHECK(world.store.calls.empty());
+	}
+	// A removal that a whole read cannot show is looked for once.
+	world.watch.OnNews({"table", 14, 14, false, true, {}}, world.now);
+	world.Pass(milliseconds(20));
+	REQUIRE(world.store.calls.size() == 1);
+	world.store.Answer(Page({}, 15));
+	for (int i = 0; i < 5; i++) {
+		world.watch.OnNews({"table", 14, 14, false, true, {}}, world.now);
+		world.Pass(milliseconds(300));
+		CHECK(world.store.calls.empty());
+	}
+}
+
 TEST_CASE("Watch - a store that says nothing is given up in time, asked again with pauses, and its return is told")
 {
 	WatchWorld world;
