--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -61,19 +61,24 @@
 Result<void> Gateway::Start()
 {
 	this->settings_text = ReadFile(this->settings_path);
-	BOOST_OUTCOME_TRYV(this->front.Listen(this->settings.front));
-	BOOST_OUTCOME_TRYV(this->readiness.Listen(this->settings.ready));
-	// The instances' own ports: metrics on the first one, peers on the next.
-	if (this->settings.first_port != 0) {
-		Endpoint at{this->settings.ip, this->settings.first_port};
-		BOOST_OUTCOME_TRYV(this->figures.Listen(at));
-	}
+	BOOST_OUTCOME_TRY(front_port, this->front.Listen(this->settings.front));
+	BOOST_OUTCOME_TRY(ready_port, this->readiness.Listen(this->settings.ready));
+	std::string metrics_at;
+	// The instances' own ports: metrics on the first one, peers on the next; 0 takes any free one.
 	if (this->settings.first_port < this->settings.last_port) {
-		Endpoint at{this->settings.ip, static_cast<uint16_t>(this->settings.first_port + 1)};
-		BOOST_OUTCOME_TRYV(this->peers.Start(at, MonotonicNow()));
+		bool any = this->settings.first_port == 0;
+		Endpoint metrics_endpoint{this->settings.ip, this->settings.first_port};
+		BOOST_OUTCOME_TRY(metrics_port, this->figures.Listen(metrics_endpoint));
+		metrics_at = Endpoint{this->settings.ip, metrics_port}.Text();
+		Endpoint peers_endpoint{this->settings.ip, any ? uint16_t{0} : static_cast<uint16_t>(this->settings.first_port + 1)};
+		BOOST_OUTCOME_TRYV(this->peers.Start(peers_endpoint, MonotonicNow()));
 	}
 	Log(LogLevel::Info, "started",
-	    {{"hall", this->settings.hall}, {"front", this->settings.front.Text()}, {"store", this->settings.store.Text()}});
+	    {{"hall", this->settings.hall},
+	     {"front", Endpoint{this->settings.front.ip, front_port}.Text()},
+	     {"ready", Endpoint{this->settings.ready.ip, ready_port}.Text()},
+	     {"metrics", metrics_at},
+	     {"store", this->settings.store.Text()}});
 	this->WatchStore();
 	uv_timer_init(this->loop, &this->timer->timer);
 	this->timer->timer.data = this;
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -20,9 +20,10 @@
 	Duration report_poll = std::chrono::milliseconds(600);  ///< Time between reports asked of an engine, by one instance for all.
 	Duration report_age = std::chrono::milliseconds(400);   ///< Age of a report when it arrives, as the engines' operators state it.
 	Duration report_limit = std::chrono::milliseconds(800); ///< Time after which a report is not waited for.
-	Duration connect = std::chrono::milliseconds(400); ///< Longest time to connect to a target: several round trips and one lost packet.
-	double wait_part = 0.22;                           ///< Part of the objective that a request may wait here before it is refused.
-	double press_part = 0.08;                          ///< Part of the objective after which a request goes to a target without room.
+	Duration connect = std::chrono::milliseconds(
+	        150);             ///< Longest time to connect to a target: many round trips; a lost packet is repeated too late to wait for.
+	double wait_part = 0.22;  ///< Part of the objective that a request may wait here before it is refused.
+	double press_part = 0.08; ///< Part of the objective after which a request goes to a target without room.
 	Duration answer_slack = std::chrono::milliseconds(30); ///< Time before a limit at which the final answer is given.
 	Duration reuse_once =
 	        std::chrono::milliseconds(1500); ///< Longest rest of a connection for a request that may run once: a stale one would cost it.
--- a/tests/scenarios/lib.lua
+++ b/tests/scenarios/lib.lua
@@ -193,4 +193,69 @@
 	return runs
 end
 
+-- The users' platform in small, and instances on it: lib.world(flags), lib.gateway(name, hall), lib.configure(version, ...).
+function lib.world(flags)
+	lib.standin("world", "world", flags)
+	lib.configure(1)
+end
+
+-- Puts a configuration in force: streams under /s/, calls that run once under /o/, repeatable ones under /r/, and what extra adds.
+function lib.configure(version, extra, keys)
+	local function route(name, prefix, kind, service, attempts, timeout)
+		return string.format('{"name":"%s","host":"h.example","pathPrefix":"%s","routeType":"%s","service":"%s","maxAttempts":%d,'
+			.. '"timeoutMs":%d,"targetLatencyMs":1500,"priority":1,"gapAimMs":180}', name, prefix, kind, service, attempts, timeout)
+	end
+	local routes = { route("stream", "/s/", "streaming", "engines", 1, 30000), route("once", "/o/", "non_idempotent", "services", 1, 2000),
+		route("repeat", "/r/", "idempotent", "services", 2, 2000) }
+	if extra then routes[#routes + 1] = route(extra, "/" .. extra .. "/", "idempotent", "services", 2, 2000) end
+	lib.control("world", string.format('{"config":{"version":%d,"routes":[%s],"services":[{"name":"engines","engine":{"capacity":64,'
+		.. '"kvTokenCapacity":40000,"stride":4,"moves":true}},{"name":"services"}],"limits":{"idleTimeoutMs":15000},'
+		.. '"tenants":[{"name":"acme","apiKeys":[%s]}]}}', version, table.concat(routes, ","), keys or '"k1"'))
+end
+
+function lib.gateway(name, hall)
+	local settings = string.format('{"nodeName":"%s","zone":"%s","ip":"127.0.0.1","zones":{"hall-a":"r","hall-b":"r"},"listen":{"front":'
+		.. '"127.0.0.1:0","ready":"127.0.0.1:0"},"internalPorts":[0,1],"platform":{"address":"%s"},"bounds":{"graceS":8}}',
+		name, hall or "hall-a", lib.ports.world)
+	spawn(name, { BIN .. "/cottonspool", "gateway", "--settings", write_file(name .. ".json", settings) })
+	lib.until_true(10000, name .. " starts", function()
+		lib.ports[name] = output(name):match('"front":"([%d.:]+)"')
+		lib.ports[name .. ".ready"] = output(name):match('"ready":"([%d.:]+)"')
+		lib.ports[name .. ".metrics"] = output(name):match('"metrics":"([%d.:]+)"')
+		return lib.ports[name]
+	end)
+	lib.until_true(10000, name .. " is ready", function() return lib.is_ready(name) end)
+end
+
+function lib.is_ready(name) return lib.http{ url = "http://" .. lib.ports[name .. ".ready"] .. "/-/readyz" }.status == 200 end
+
+-- Begins a request on the platform's form; options: key, tokens, deadline.
+function lib.ask(name, path, id, options)
+	options = options or {}
+	return http_start{ url = "http://" .. lib.ports[name] .. path, method = "POST", body = "body", limit_ms = 20000, headers = {
+		"Host: h.example", "X-Attempt-Id: " .. id, "X-Deadline-Ms: " .. (options.deadline or 15000), "X-Model: m",
+		"X-Token-Count: 100," .. 4 * (options.events or 40), "Authorization: Bearer " .. (options.key or "k1") } }
+end
+
+-- Checks that an answer is the whole stream of a request: each event once, in order.
+function lib.whole_stream(answer, id, events)
+	local expected = 1
+	for number, text in answer.body:gmatch("id: (%d+)\ndata: (%S+)\n\n") do
+		lib.check(tonumber(number) == expected, id .. ": event " .. number .. " instead of " .. expected)
+		lib.check(text == id .. "-" .. number, id .. " got " .. text)
+		expected = expected + 1
+	end
+	lib.check(expected - 1 == events, id .. ": " .. (expected - 1) .. " events of " .. events .. ", status " .. tostring(answer.status))
+end
+
+-- How often each request was begun anew (moves do not count).
+function lib.world_runs()
+	local counts = {}
+	local record = lib.record("world")
+	for _, run in ipairs(record.runs) do
+		if not run.resumed then counts[run.request] = (counts[run.request] or 0) + 1 end
+	end
+	return counts, record
+end
+
 return lib
--- /dev/null
+++ b/tests/scenarios/platform_day.lua
@@ -0,0 +1,42 @@
+-- A calm day on the users' platform, with both users' mix: streams, calls that run once, repeatable calls, keys, a new route.
+local lib = require("lib")
+lib.world{ engines = 6, services = 3, event_ms = 10 }
+for i, hall in ipairs{ "hall-a", "hall-b", "hall-a" } do lib.gateway("g" .. i, hall) end
+local calls = {}
+for i = 1, 150 do
+	local name = "g" .. i % 3 + 1
+	local kind = i % 5 == 0 and "s" or i % 2 == 0 and "o" or "r"
+	local id = "req" .. i
+	calls[i] = { id = id, kind = kind, call = lib.ask(name, "/" .. kind .. "/x", id, { events = 20 + i % 30 }), events = 20 + i % 30 }
+	if i % 15 == 0 then sleep_ms(40) end
+end
+for _, each in ipairs(calls) do
+	local answer = http_wait(each.call)
+	lib.check(answer.status == 200, each.id .. ": " .. tostring(answer.status))
+	if each.kind == "s" then lib.whole_stream(answer, each.id, each.events) end
+	if each.kind ~= "s" then lib.check(answer.body == "answer to " .. each.id, each.id .. " got " .. answer.body) end
+end
+local counts, record = lib.world_runs()
+for _, each in ipairs(calls) do lib.check(counts[each.id] == 1, each.id .. " ran " .. tostring(counts[each.id]) .. " times") end
+for _, run in ipairs(record.runs) do lib.check(run.account == nil or run.account == "acme", "account " .. tostring(run.account)) end
+-- Unknown keys and routes are refused, and nothing of them runs.
+lib.check(http_wait(lib.ask("g1", "/r/x", "bad-key", { key = "nobody" })).status == 401, "an unknown key")
+lib.check(http_wait(lib.ask("g1", "/none/x", "bad-route")).status == 404, "an unknown route")
+-- A new configuration is in force on every instance soon, and never taken back.
+lib.configure(5, "new", '"k1","k2"')
+for i = 1, 3 do
+	lib.until_true(2000, "the new route on g" .. i, function() return http_wait(lib.ask("g" .. i, "/new/x", "new" .. i .. now_ms())).status == 200 end)
+	lib.check(http_wait(lib.ask("g" .. i, "/r/x", "key" .. i, { key = "k2" })).status == 200, "the new key on g" .. i)
+end
+lib.configure(4)
+sleep_ms(600)
+lib.check(http_wait(lib.ask("g2", "/new/x", "still")).status == 200, "an older configuration took the newer one back")
+-- One instance follows the store for all: few calls for three instances.
+local before = lib.record("world").store_calls
+sleep_ms(2000)
+local used = lib.record("world").store_calls - before
+lib.check(used <= 8, "store calls in two calm seconds: " .. used)
+-- Metrics tell the requests and their latencies.
+local metrics = lib.http{ url = "http://" .. lib.ports["g1.metrics"] .. "/metrics" }.body
+lib.check(metrics:find('cottonspool_requests_total{outcome="answered"}', 1, true), "no count of answers")
+lib.check(metrics:find('cottonspool_first_token_seconds_bucket{account="acme"', 1, true), "no histogram of the account")
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -56,7 +56,7 @@
 
 int main(int argc, char **argv)
 {
-	gflags::SetUsageMessage("cottonspool-standin engine|service|platform|relay [flags]");
+	gflags::SetUsageMessage("cottonspool-standin engine|service|platform|relay|world [flags]");
 	gflags::ParseCommandLineFlags(&argc, &argv, true);
 	std::signal(SIGPIPE, SIG_IGN);
 	std::string verb = argc > 1 ? argv[1] : "";
@@ -65,6 +65,7 @@
 	if (verb == "service") return cottonspool::RunService(loop);
 	if (verb == "platform") return cottonspool::RunPlatform(loop);
 	if (verb == "relay") return cottonspool::RunRelay(loop);
+	if (verb == "world") return cottonspool::RunWorld(loop);
 	std::cerr << gflags::ProgramUsage() << std::endl;
 	return 2;
 }
--- /dev/null
+++ b/tests/standins/world.cpp
@@ -0,0 +1,218 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file world.cpp Engines and services of the users' platform in small, and the control of the whole world. */
+
+#include "world_base.h"
+#include <gflags/gflags.h>
+#include <iostream>
+
+DEFINE_int32(engines, 4, "world: engines");
+DEFINE_int32(services, 2, "world: plain services");
+DEFINE_int32(event_ms, 20, "world: time between events of a stream");
+
+namespace cottonspool {
+
+static constexpr uint64_t STEP_MS = 5;           ///< Time between looks at running generations.
+static constexpr int64_t NOTICE_MS = 1500;       ///< Time after a notice from which a new request is too late.
+static constexpr uint64_t COPY_MS = 40;          ///< Time that a copy of a run's memory takes.
+static constexpr uint64_t MEMORY_TOKENS = 40000; ///< Memory told in reports.
+static const char *const HALLS[] = {"hall-a", "hall-b"};
+
+WorldTarget::WorldTarget(uv_loop_t *loop, WorldStore &store, WorldRecord &record, std::string id, std::string pool, std::string hall,
+                         bool engine)
+    : id(std::move(id)), loop(loop), store(store), record(record), pool(std::move(pool)), hall(std::move(hall)), engine(engine)
+{
+}
+
+void WorldTarget::Start()
+{
+	this->front = std::make_unique<HttpFront>(this->loop, [this](const Exchange &exchange) { this->Handle(exchange); });
+	this->port = this->front->Listen({"127.0.0.1", 0}).value();
+	if (this->engine) Every(this->loop, STEP_MS, [this] { this->Step(); });
+	this->Beat();
+}
+
+void WorldTarget::Beat()
+{
+	Json row{{"service", this->pool},
+	         {"address", "127.0.0.1:" + std::to_string(this->port)},
+	         {"zone", this->hall},
+	         {"capacity", 64},
+	         {"state", this->leaving ? "draining" : "ready"},
+	         {"coldRemainingMs", 0},
+	         {"sequence", ++this->answers}};
+	this->store.Put("servers", this->id, row.dump());
+}
+
+void WorldTarget::Leave(bool silently)
+{
+	this->leaving = true;
+	this->left_at = NowMs();
+	if (silently) this->store.Remove("servers", this->id);
+	if (!silently) this->Beat();
+}
+
+void WorldTarget::Kill()
+{
+	for (const Run &run : this->running) run.exchange->Abort();
+	this->running.clear();
+	this->front.reset();
+	this->store.Remove("servers", this->id);
+}
+
+void WorldTarget::Handle(const Exchange &exchange)
+{
+	const std::string &target = exchange->head.target;
+	if (target == "/-/report") {
+		Json report{{"running", this->running.size()},
+		            {"queued", 0},
+		            {"kvUsed", 0},
+		            {"kvTotal", MEMORY_TOKENS},
+		            {"state", this->leaving ? "draining" : "ready"}};
+		return exchange->Respond(200, {}, report.dump());
+	}
+	if (target == "/-/kv-move") return this->Move(exchange);
+	std::string attempt(FindHeader(exchange->head.headers, "X-Attempt-Id"));
+	if (FindHeader(exchange->head.headers, "X-Expect-Instance") != this->id) return exchange->Respond(421, {}, {});
+	if (this->leaving && NowMs() - this->left_at > NOTICE_MS) this->record.late.push_back({{"request", attempt}, {"target", this->id}});
+	if (this->engine) return this->Generate(exchange, attempt);
+	this->Serve(exchange, attempt);
+}
+
+void WorldTarget::Serve(const Exchange &exchange, const std::string &attempt)
+{
+	this->answers++;
+	this->record.runs.push_back({{"request", attempt}, {"target", this->id}, {"account", FindHeader(exchange->head.headers, "X-Tenant")}});
+	HttpHeaders headers{{"X-Attempt-Id", attempt}, {"X-Server-Stamp", "stamp"}, {"X-Server-Load", "1,0,6"}};
+	std::string body = "answer to " + attempt;
+	bool fails = static_cast<double>(this->answers % 10) < this->fail_part * 10;
+	std::string how = this->garble;
+	After(this->loop, 5, [exchange, headers, body, fails, how] {
+		if (how == "reset") {
+			exchange->Start(200, headers, body.size());
+			exchange->Write(body.substr(0, 3));
+			return exchange->Abort();
+		}
+		exchange->Respond(fails ? 500 : 200, headers, body);
+	});
+}
+
+void WorldTarget::Generate(const Exchange &exchange, const std::string &attempt)
+{
+	std::string tokens(FindHeader(exchange->head.headers, "X-Token-Count"));
+	std::string from(FindHeader(exchange->head.headers, "Kv-From"));
+	Run run{exchange, attempt, 0, strtoull(tokens.c_str() + tokens.find(',') + 1, nullptr, 10) / 4, NowMs() + FLAGS_event_ms};
+	if (!from.empty()) {
+		auto copy = this->record.copies.find(from.substr(from.find('/') + 1));
+		bool usable = copy != this->record.copies.end() && copy->second.first == attempt;
+		if (!usable) return exchange->Respond(503, {{"X-Attempt-Id", attempt}, {"X-Not-Executed", "1"}}, {});
+		this->record.copies.erase(copy);
+		run.made = strtoull(std::string(FindHeader(exchange->head.headers, "Last-Event-Id")).c_str(), nullptr, 10);
+	}
+	this->record.runs.push_back({{"request", attempt}, {"target", this->id}, {"resumed", !from.empty()}});
+	exchange->on_gone = [this, attempt] { this->running.remove_if([&](const Run &each) { return each.attempt == attempt; }); };
+	exchange->Start(200, {{"X-Attempt-Id", attempt}, {"X-Server-Stamp", "stamp"}, {"Content-Type", "text/event-stream"}}, std::nullopt);
+	this->running.push_back(std::move(run));
+}
+
+void WorldTarget::Step()
+{
+	for (auto it = this->running.begin(); it != this->running.end();) {
+		Run &run = *it;
+		if (NowMs() < run.next_at) {
+			++it;
+			continue;
+		}
+		run.next_at = NowMs() + FLAGS_event_ms;
+		run.made++;
+		std::string number = std::to_string(run.made);
+		run.exchange->Write("id: " + number + "\ndata: " + run.attempt + "-" + number + "\n\n");
+		Exchange done = run.made >= run.length ? run.exchange : nullptr;
+		it = done ? this->running.erase(it) : std::next(it);
+		if (!done) continue;
+		done->on_gone = nullptr;
+		done->Finish();
+	}
+}
+
+void WorldTarget::Move(const Exchange &exchange)
+{
+	Json body = Json::parse(exchange->body, nullptr, false);
+	std::string attempt = body.value("id", "");
+	auto found = std::find_if(this->running.begin(), this->running.end(), [&](const Run &run) { return run.attempt == attempt; });
+	if (found == this->running.end() || found->made == 0) return exchange->Respond(404, {}, {});
+	uint64_t made = found->made;
+	After(this->loop, COPY_MS, [this, exchange, attempt, made] {
+		std::string handle = "copy-" + std::to_string(this->record.next_handle++);
+		this->record.copies[handle] = {attempt, made};
+		exchange->Respond(200, {}, Json{{"handle", handle}, {"createdRev", made}}.dump());
+	});
+}
+
+/** The whole world: store, targets, and their control. */
+class World {
+public:
+	explicit World(uv_loop_t *loop) : loop(loop), store(loop), front(loop, [this](const Exchange &exchange) { this->Handle(exchange); }) {}
+
+	/** Start everything. */
+	void Start()
+	{
+		for (int i = 0; i < FLAGS_engines; i++) this->Add("engine-" + std::to_string(i), "engines", HALLS[i % 2], true);
+		for (int i = 0; i < FLAGS_services; i++) this->Add("service-" + std::to_string(i), "services", HALLS[i % 2], false);
+		std::cout << "listening port=" << this->front.Listen({"127.0.0.1", 0}).value() << std::endl;
+	}
+
+private:
+	void Add(const std::string &id, const std::string &pool, const std::string &hall, bool engine)
+	{
+		auto &target = this->targets[id] = std::make_unique<WorldTarget>(this->loop, this->store, this->record, id, pool, hall, engine);
+		target->Start();
+	}
+
+	void Handle(const Exchange &exchange)
+	{
+		if (exchange->head.target == "/record") {
+			Json told{{"runs", this->record.runs}, {"late", this->record.late}, {"store_calls", this->store.calls}};
+			return exchange->Respond(200, {}, told.dump());
+		}
+		if (exchange->head.target == "/control") return this->Control(exchange);
+		if (!this->store.Handle(exchange)) exchange->Respond(404, {}, {});
+	}
+
+	void Control(const Exchange &exchange)
+	{
+		Json control = Json::parse(exchange->body, nullptr, false);
+		std::string id = control.value("target", "");
+		std::string act = control.value("do", "");
+		if (control.contains("config")) this->store.Put("op", "config", control["config"].dump());
+		if (control.contains("store")) this->store.mode = control["store"];
+		if (act == "leave") this->targets.at(id)->Leave(false);
+		if (act == "vanish") this->targets.at(id)->Leave(true);
+		if (act == "kill") this->targets.at(id)->Kill();
+		if (act == "add") this->Add(id, "engines", HALLS[0], true);
+		if (act == "lapse") {
+			for (const auto &[name, target] : this->targets) this->store.Remove("servers", name);
+		}
+		if (act == "beat") {
+			for (const auto &[name, target] : this->targets) target->Beat();
+		}
+		if (act == "fail") this->targets.at(id)->fail_part = control.value("part", 0.0);
+		if (act == "garble") this->targets.at(id)->garble = control.value("how", "");
+		exchange->Respond(200, {}, "{}");
+	}
+
+	uv_loop_t *loop;                                             ///< Loop.
+	WorldStore store;                                            ///< Store.
+	WorldRecord record;                                          ///< What ran.
+	std::map<std::string, std::unique_ptr<WorldTarget>> targets; ///< Targets by name.
+	HttpFront front;                                             ///< Store and control.
+};
+
+int RunWorld(uv_loop_t *loop)
+{
+	World world(loop);
+	world.Start();
+	return uv_run(loop, UV_RUN_DEFAULT);
+}
+
+} // namespace cottonspool
--- /dev/null
+++ b/tests/standins/world_base.h
@@ -0,0 +1,121 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file world_base.h The users' platform in small: a store with rows and a feed, engines that stream, move and leave, services. */
+
+#pragma once
+
+#include "net/http_front.h"
+#include "standin_func.h"
+#include <map>
+#include <set>
+
+namespace cottonspool {
+
+using Exchange = std::shared_ptr<FrontExchange>;
+
+/** The platform's store: rows with versions, a feed that waits, and outages. */
+class WorldStore {
+public:
+	explicit WorldStore(uv_loop_t *loop) : loop(loop) {}
+
+	/** Write a row as the operator or a target does. */
+	void Put(const std::string &table, const std::string &key, const std::string &value);
+
+	/** Remove a row. */
+	void Remove(const std::string &table, const std::string &key);
+
+	/** Answer a call of an instance. @return False if it is none. */
+	bool Handle(const Exchange &exchange);
+
+	std::string mode = "up"; ///< "up", "busy" (503), "silent" (no answer) or "compact" (history gone, once).
+	uint64_t calls = 0;      ///< Calls answered or turned away.
+
+private:
+	/** One row with its history. */
+	struct Row {
+		std::string value;    ///< Content.
+		uint64_t version = 0; ///< Version.
+		bool deleted = false; ///< Gone.
+	};
+
+	/** A feed call that waits. */
+	struct Waiting {
+		Exchange exchange; ///< Call.
+		std::string table; ///< Table.
+		uint64_t since;    ///< Version.
+		int64_t until;     ///< When it is answered without rows.
+	};
+
+	Json RowsOf(const std::string &table, uint64_t since, bool with_deleted) const;
+	void Get(const Exchange &exchange, const std::string &query);
+	void Feed(const Exchange &exchange, const std::string &query);
+	void Transact(const Exchange &exchange);
+	void WakeAll();
+
+	uv_loop_t *loop;                                          ///< Loop.
+	std::map<std::string, std::map<std::string, Row>> tables; ///< Rows by table and key.
+	uint64_t version = 0;                                     ///< Counter of the whole store.
+	std::list<Waiting> waiting;                               ///< Feed calls that wait.
+	bool ticking = false;                                     ///< The timer of waiting calls runs.
+};
+
+/** What the targets of one world share. */
+struct WorldRecord {
+	Json runs = Json::array();                                      ///< Runs: request, target, resumed.
+	Json late = Json::array();                                      ///< Requests that came long after the notice.
+	std::map<std::string, std::pair<std::string, uint64_t>> copies; ///< Copies by handle: request and events made.
+	uint64_t next_handle = 1;                                       ///< Number of the next copy.
+};
+
+/** One engine or service. */
+class WorldTarget {
+public:
+	WorldTarget(uv_loop_t *loop, WorldStore &store, WorldRecord &record, std::string id, std::string pool, std::string hall, bool engine);
+
+	/** Listen and enter the list. */
+	void Start();
+
+	/** Say that it leaves; \a silently only removes its row. */
+	void Leave(bool silently);
+
+	/** End at once: every connection is reset. */
+	void Kill();
+
+	/** Write the row again, as a heartbeat does. */
+	void Beat();
+
+	std::string id;       ///< Name of its incarnation.
+	double fail_part = 0; ///< Part of the answers that are 500.
+	std::string garble;   ///< "reset", "extra" or empty.
+
+private:
+	/** One generation. */
+	struct Run {
+		Exchange exchange;   ///< Caller.
+		std::string attempt; ///< Request.
+		uint64_t made = 0;   ///< Events made.
+		uint64_t length = 0; ///< Events in all.
+		int64_t next_at = 0; ///< When the next one is due.
+	};
+
+	void Handle(const Exchange &exchange);
+	void Generate(const Exchange &exchange, const std::string &attempt);
+	void Serve(const Exchange &exchange, const std::string &attempt);
+	void Move(const Exchange &exchange);
+	void Step();
+
+	uv_loop_t *loop;                  ///< Loop.
+	WorldStore &store;                ///< Store.
+	WorldRecord &record;              ///< Record.
+	std::string pool;                 ///< Pool.
+	std::string hall;                 ///< Data hall.
+	bool engine;                      ///< Streams.
+	std::unique_ptr<HttpFront> front; ///< Listener.
+	uint16_t port = 0;                ///< Port.
+	std::list<Run> running;           ///< Generations.
+	bool leaving = false;             ///< Said that it leaves.
+	int64_t left_at = 0;              ///< When.
+	uint64_t answers = 0;             ///< Answers given.
+};
+
+} // namespace cottonspool
--- /dev/null
+++ b/tests/standins/world_store.cpp
@@ -0,0 +1,130 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file world_store.cpp The platform's store in small. */
+
+#include "world_base.h"
+#include <openssl/evp.h>
+
+namespace cottonspool {
+
+static constexpr uint64_t WAIT_TICK_MS = 20; ///< Time between looks at waiting feed calls.
+
+static std::string Encode64(const std::string &bytes)
+{
+	std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+	int length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()), reinterpret_cast<const unsigned char *>(bytes.data()),
+	                             static_cast<int>(bytes.size()));
+	text.resize(static_cast<size_t>(length));
+	return text;
+}
+
+static std::string Decode64(const std::string &text)
+{
+	std::string bytes(text.size() / 4 * 3, '\0');
+	int length = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()), reinterpret_cast<const unsigned char *>(text.data()),
+	                             static_cast<int>(text.size()));
+	size_t padding = text.ends_with("==") ? 2 : text.ends_with("=") ? 1 : 0;
+	bytes.resize(static_cast<size_t>(std::max(length, 0)) - padding);
+	return bytes;
+}
+
+static void Reply(const Exchange &exchange, int status, const Json &body)
+{
+	exchange->Respond(status, {{"Content-Type", "application/json"}}, body.dump());
+}
+
+void WorldStore::Put(const std::string &table, const std::string &key, const std::string &value)
+{
+	this->tables[table][key] = {value, ++this->version, false};
+	this->WakeAll();
+}
+
+void WorldStore::Remove(const std::string &table, const std::string &key)
+{
+	this->tables[table][key] = {"", ++this->version, true};
+	this->WakeAll();
+}
+
+Json WorldStore::RowsOf(const std::string &table, uint64_t since, bool with_deleted) const
+{
+	Json rows = Json::array();
+	auto found = this->tables.find(table);
+	if (found == this->tables.end()) return rows;
+	std::vector<std::pair<uint64_t, Json>> changed;
+	for (const auto &[key, row] : found->second) {
+		if (row.version <= since || (row.deleted && !with_deleted)) continue;
+		Json out{{"table", table}, {"part", ""}, {"tlsKey", key}, {"ver", row.version}};
+		if (row.deleted) out["deleted"] = true;
+		if (!row.deleted) out["value"] = Encode64(row.value);
+		changed.emplace_back(with_deleted ? row.version : 0, std::move(out));
+	}
+	std::stable_sort(changed.begin(), changed.end(), [](const auto &a, const auto &b) { return a.first < b.first; });
+	for (auto &[at, row] : changed) rows.push_back(std::move(row));
+	return rows;
+}
+
+void WorldStore::Get(const Exchange &exchange, const std::string &query)
+{
+	Json rows = this->RowsOf(std::string(QueryValue(query, "table")), 0, false);
+	Reply(exchange, 200, {{"rows", rows}, {"hasMore", false}, {"ver", this->version}, {"nowMs", NowMs()}});
+}
+
+void WorldStore::Feed(const Exchange &exchange, const std::string &query)
+{
+	if (this->mode == "compact") {
+		this->mode = "up";
+		return Reply(exchange, 410, Json::object());
+	}
+	uint64_t since = strtoull(QueryValue(query, "sinceRev").c_str(), nullptr, 10);
+	int64_t wait = strtoll(QueryValue(query, "waitMs").c_str(), nullptr, 10);
+	this->waiting.push_back({exchange, std::string(QueryValue(query, "table")), since, NowMs() + wait});
+	this->WakeAll();
+	if (this->ticking) return;
+	this->ticking = true;
+	Every(this->loop, WAIT_TICK_MS, [this] { this->WakeAll(); });
+}
+
+void WorldStore::WakeAll()
+{
+	if (this->mode == "silent") return;
+	for (auto it = this->waiting.begin(); it != this->waiting.end();) {
+		Json rows = this->RowsOf(it->table, it->since, true);
+		bool due = !rows.empty() || NowMs() >= it->until;
+		if (!due && !it->exchange->IsOver()) {
+			++it;
+			continue;
+		}
+		if (!it->exchange->IsOver()) Reply(it->exchange, 200, {{"rows", rows}, {"ver", this->version}, {"nowMs", NowMs()}});
+		it = this->waiting.erase(it);
+	}
+}
+
+void WorldStore::Transact(const Exchange &exchange)
+{
+	Json body = Json::parse(exchange->body, nullptr, false);
+	for (const Json &row : body.value("setKeys", Json::array())) this->Put(row["table"], row["tlsKey"], Decode64(row["value"]));
+	for (const Json &row : body.value("remove", Json::array())) this->Remove(row["table"], row["tlsKey"]);
+	Reply(exchange, 200, {{"ver", this->version}, {"nowMs", NowMs()}});
+}
+
+bool WorldStore::Handle(const Exchange &exchange)
+{
+	const std::string &target = exchange->head.target;
+	if (!target.starts_with("/-/rows-")) return false;
+	this->calls++;
+	std::string query = target.substr(std::min(target.size(), target.find('?') + 1));
+	if (this->mode == "busy") {
+		exchange->Respond(503, {}, {});
+	} else if (this->mode == "silent") {
+		this->waiting.push_back({exchange, "", UINT64_MAX, INT64_MAX});
+	} else if (target.starts_with("/-/rows-get")) {
+		this->Get(exchange, query);
+	} else if (target.starts_with("/-/rows-feed")) {
+		this->Feed(exchange, query);
+	} else {
+		this->Transact(exchange);
+	}
+	return true;
+}
+
+} // namespace cottonspool
