--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -34,6 +34,7 @@
 void PeerExchange::Share(TableWatch &to_share)
 {
 	this->shared.push_back({&to_share, {}});
+	to_share.SetPatience(this->limits.patience);
 	to_share.on_read = [this](const TableNews &news) {
 		TablesMessage message{this->name, {news}};
 		// Too much to pass on: a sign of life that is ahead of the others makes each of them read the change itself.
--- a/src/store/table_watch.cpp
+++ b/src/store/table_watch.cpp
@@ -150,6 +150,8 @@
 	// A replica that lags must not take us back: read again a little later.
 	if (this->pages_version < this->version) return this->OnFailure({std::nullopt, StoreFailure::Malformed, "older than known"}, now);
 	this->version = this->pages_version;
+	// What was read just now is as good as news: an instance that starts among others leaves the following to them.
+	if (!this->known) this->news_at = now;
 	this->known = true;
 	this->following = true;
 	this->OnAnswered(now);
