--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -9,6 +9,7 @@
 
 namespace cottonspool {
 
+static constexpr double PASS_ON_BURST_S = 2; ///< Seconds' worth of rows that may be passed on at once: one configuration to a whole hall.
 static const char *const INSTANCE_TABLE = "cottonspool-instances"; ///< Table in which instances find each other.
 
 /** @return Milliseconds since the epoch; grows with each start of an instance of the same name. */
@@ -50,7 +51,7 @@
 	bytes *= static_cast<double>(this->links.OpenLinks());
 	double gained = this->limits.pass_on_bytes * Seconds(now - this->passed_on_at);
 	this->passed_on_at = now;
-	this->pass_on_left = std::min(this->limits.pass_on_bytes, this->pass_on_left + gained);
+	this->pass_on_left = std::min(PASS_ON_BURST_S * this->limits.pass_on_bytes, this->pass_on_left + gained);
 	if (bytes > this->pass_on_left) return false;
 	this->pass_on_left -= bytes;
 	return true;
