Fix: [Peers] Signs of life carry what the store has just confirmed, and takeovers fit into the operators' bound

Ruled out: a storm on the links (one change), the others' own reading (they were in touch and did not ask). Change: news are told with each answer of the store and at no other time; wait, slack and patience are parts of the bound. Test: Watch - the others are told only what the store has just confirmed.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -35,7 +35,7 @@
 void PeerExchange::Share(TableWatch &to_share)
 {
 	this->shared.push_back({&to_share, {}});
-	to_share.SetPatience(this->limits.patience);
+	to_share.SetPatience(to_share.Limits().patience);
 	to_share.on_read = [this](const TableNews &news) {
 		TablesMessage message{this->name, {news}};
 		// Too much to pass on: a sign of life that is ahead of the others makes each of them read the change itself.
@@ -218,16 +218,14 @@
 	this->readers.push_back(this->name);
 	this->load.SetSilence(FromSeconds(Seconds(this->HeartbeatPeriod()) * this->limits.silences));
 	this->links.Broadcast(this->Whole());
-	TablesMessage signs{this->name, {}};
 	for (SharedTable &each : this->shared) {
 		// The first in the order reads for all; the others take over one after another when they hear nothing.
 		each.order = RendezvousChoice(each.watch->Table(), this->readers, this->readers.size());
 		auto rank = static_cast<int>(PlaceOf(each.order, this->name));
-		Duration patience = std::min<Duration>(this->limits.patience_most, this->limits.patience + this->limits.patience_step * rank);
+		const WatchLimits &times = each.watch->Limits();
+		Duration patience = std::min<Duration>(times.patience_most, times.patience + times.patience_step * rank);
 		each.watch->SetPatience(rank == 0 ? Duration(0) : patience);
-		if (each.watch->ReadsItself(now)) signs.tables.push_back(each.watch->SignOfLife());
 	}
-	if (!signs.tables.empty()) this->links.Broadcast(signs);
 	this->Dial(now);
 }
 
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -18,15 +18,14 @@
 	Duration heartbeat_each = std::chrono::milliseconds(40); ///< Time between heartbeats for each live peer: their number stays bounded.
 	double silences = 3.6;                               ///< Heartbeats missed after which a peer is forgotten: three and a lost packet.
 	Duration news_wait = std::chrono::milliseconds(120); ///< Longest time for which news that is not urgent waits for company.
-	Duration patience = std::chrono::milliseconds(1300); ///< Time without news of a table after which the first of the others reads it.
-	Duration patience_step = std::chrono::milliseconds(100);  ///< Further time for each one that comes before in the order of readers.
-	Duration patience_most = std::chrono::milliseconds(2300); ///< Longest such time: news must be in force within the operators' bounds.
 	double pass_on_bytes = 256e3;                  ///< Bytes of rows that may be passed on in a second; beyond, each one reads them itself.
 	Duration dial_least = std::chrono::seconds(1); ///< Pause before a peer that cannot be reached is dialled again; doubles.
 	Duration dial_most = std::chrono::seconds(8);  ///< Longest such pause.
 	Duration register_pause = std::chrono::seconds(1); ///< Pause before this instance's row is written again after a failure.
 	WatchLimits watch{.wait = std::chrono::seconds(10),
-	                  .pause_most = std::chrono::seconds(4)}; ///< Following the instances: they change seldom.
+	                  .patience = std::chrono::seconds(13),
+	                  .patience_most = std::chrono::seconds(15),
+	                  .pause_most = std::chrono::seconds(4)}; ///< Following the instances: they change seldom, and each look is paid for.
 };
 
 /** The exchange of one instance. */
--- a/src/store/table_watch.cpp
+++ b/src/store/table_watch.cpp
@@ -44,14 +44,11 @@
 	return this->patience == Duration(0) || !this->known || this->behind || now - this->news_at > this->patience;
 }
 
-TableNews TableWatch::SignOfLife() const
+void TableWatch::TellRead(uint64_t from, bool whole, const std::vector<StoredRow> &rows, TimePoint now)
 {
-	return {this->table, this->rows_version, this->rows_version, false, this->known && !this->lost, {}};
-}
-
-void TableWatch::TellRead(uint64_t from, bool whole, const std::vector<StoredRow> &rows)
-{
-	if (this->on_read) this->on_read({this->table, from, this->rows_version, whole, true, rows});
+	// One that only caught up has nothing to tell: the others have heard it from the one that reads for all.
+	bool reads_for_all = this->patience == Duration(0) || now - this->news_at > this->patience;
+	if (this->on_read && reads_for_all) this->on_read({this->table, from, this->rows_version, whole, true, rows});
 }
 
 void TableWatch::NoteRows(const std::vector<StoredRow> &rows)
@@ -158,7 +155,7 @@
 	std::vector<StoredRow> rows = std::move(this->pages);
 	this->pages.clear();
 	this->NoteRows(rows);
-	this->TellRead(0, true, rows);
+	this->TellRead(0, true, rows, now);
 	if (this->on_all) this->on_all(rows, now);
 	this->GoOn(now);
 }
@@ -176,8 +173,7 @@
 	this->version = std::max(this->version, answer.page->version);
 	this->NoteRows(answer.page->rows);
 	this->OnAnswered(now);
-	bool stands_in = this->patience > Duration(0);
-	if (stands_in || !answer.page->rows.empty()) this->TellRead(before, false, answer.page->rows);
+	this->TellRead(answer.page->rows.empty() ? this->rows_version : before, false, answer.page->rows, now);
 	if (!answer.page->rows.empty() && this->on_changes) this->on_changes(answer.page->rows, now);
 	this->GoOn(now);
 }
--- a/src/store/table_watch.h
+++ b/src/store/table_watch.h
@@ -13,6 +13,10 @@
 struct WatchLimits {
 	Duration wait = std::chrono::seconds(3); ///< Time the store may wait for a change; bounds how long a dead connection goes unnoticed.
 	Duration slack = std::chrono::milliseconds(700); ///< Time beyond it after which a call is given up.
+	Duration patience =
+	        std::chrono::milliseconds(4000); ///< Time without news of it after which the first of those that don't read it does.
+	Duration patience_step = std::chrono::milliseconds(100);  ///< Further time for each one that comes before in the order of readers.
+	Duration patience_most = std::chrono::milliseconds(5000); ///< Longest such time.
 	Duration read_limit =
 	        std::chrono::milliseconds(1000);      ///< Time after which reading a page is given up, at first; doubles with each try.
 	Duration read_most = std::chrono::seconds(4); ///< Longest such time: a slow store must not be asked in vain for ever.
@@ -27,7 +31,7 @@
 	std::function<void(const std::vector<StoredRow> &, TimePoint)> on_changes; ///< Rows changed.
 	std::function<void(const RowsAnswer &, TimePoint)> on_lost;                ///< The store has stopped answering.
 	std::function<void(Duration, TimePoint)> on_regained;                      ///< It answers again after that time.
-	std::function<void(const TableNews &)> on_read;                            ///< This instance has read something itself.
+	std::function<void(const TableNews &)> on_read; ///< This instance has asked the store for all; rows may be none.
 
 	using Clock = std::function<TimePoint()>;
 
@@ -51,8 +55,8 @@
 	/** Take in what another instance tells of this table. */
 	void OnNews(const TableNews &news, TimePoint now);
 
-	/** @return A sign of life for the others: how far this instance has read, and whether the store answers it. */
-	TableNews SignOfLife() const;
+	/** @return Times of this watch. */
+	const WatchLimits &Limits() const { return this->limits; }
 
 	/** @return Whether this instance reads the table itself now. */
 	bool ReadsItself(TimePoint now) const;
@@ -82,7 +86,7 @@
 	void OnChanges(RowsAnswer answer);
 	void OnFailure(const RowsAnswer &answer, TimePoint now);
 	void OnAnswered(TimePoint now);
-	void TellRead(uint64_t from, bool whole, const std::vector<StoredRow> &rows);
+	void TellRead(uint64_t from, bool whole, const std::vector<StoredRow> &rows, TimePoint now);
 	void GoOn(TimePoint now);
 	void NoteRows(const std::vector<StoredRow> &rows);
 
--- a/src/tests/table_watch_test.cpp
+++ b/src/tests/table_watch_test.cpp
@@ -179,6 +179,35 @@
 	}
 }
 
+TEST_CASE("Watch - the others are told only what the store has just confirmed, and take over in time when it confirms nothing")
+{
+	WatchWorld world;
+	int told = 0;
+	world.watch.on_read = [&](const TableNews &) { told++; };
+	world.store.Answer(Page({"a"}, 10));
+	world.store.Answer(Page({}, 11));
+	CHECK(told == 2);
+	// Its next call hangs: nothing is told meanwhile, however long it lasts.
+	for (int i = 0; i < 30; i++) world.Pass(milliseconds(50));
+	CHECK(told == 2);
+	// One that only catches up tells nothing either.
+	WatchWorld other;
+	int told_by_other = 0;
+	other.watch.on_read = [&](const TableNews &) { told_by_other++; };
+	other.watch.SetPatience(milliseconds(800));
+	other.store.Answer(Page({"a"}, 10));
+	told_by_other = 0;
+	other.watch.OnNews({"table", 12, 12, false, true, {}}, other.now);
+	other.Pass(milliseconds(20));
+	other.store.Answer(Page({"b"}, 12));
+	CHECK(told_by_other == 0);
+	// After its patience it reads, and tells that it does.
+	other.Pass(milliseconds(820));
+	REQUIRE(other.store.calls.size() == 1);
+	other.store.Answer(Page({}, 13));
+	CHECK(told_by_other == 1);
+}
+
 TEST_CASE("Watch - a store that says nothing is given up in time, asked again with pauses, and its return is told")
 {
 	WatchWorld world;
