--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -13,6 +13,9 @@
 static constexpr Duration SLOW_CHECK = std::chrono::seconds(1);  ///< Time between looks for slow targets.
 static constexpr size_t MAX_ACCOUNT_BUDGETS = 4096;              ///< Account budgets remembered; all are dropped beyond.
 
+/** Pressure by which an engine in another hall must be better for a move: a copy there takes twice as long, and others wait behind it. */
+static constexpr double MOVE_OTHER_HALL_PENALTY = 0.5;
+
 /** Engine priority of each class: what is smallest is preempted first. */
 static constexpr std::array<int, SERVICE_CLASS_COUNT> CLASS_PRIORITY{200, 100, 0};
 
@@ -245,6 +248,7 @@
 	for (HallPreference &hall : run.halls) {
 		if (hall.hall == source.hall) std::swap(hall, run.halls.front());
 	}
+	run.other_hall_penalty = std::max(run.other_hall_penalty, MOVE_OTHER_HALL_PENALTY);
 	run.avoid = refused;
 	run.avoid.push_back(*tracked.holder);
 	run.avoid_strictly = true;
--- a/src/tests/dispatcher_test.cpp
+++ b/src/tests/dispatcher_test.cpp
@@ -386,3 +386,28 @@
 	call.max_tokens = 50;
 	CHECK(lengths.Residual(call, 20) <= 30);
 }
+
+TEST_CASE("Dispatcher - a run moves inside its hall while an engine there has room, whichever hall its caller prefers")
+{
+	Dispatcher dispatcher({}, MakeRouter("headroom", 1));
+	TimePoint now{std::chrono::seconds(10)};
+	std::vector<TargetNumber> targets;
+	for (const char *hall : {"hall-a", "hall-a", "hall-b"}) {
+		targets.push_back(dispatcher.Targets().Configure("t" + std::to_string(targets.size()), hall, {ModelNumber{0}}));
+		dispatcher.Targets().SetUnreported(targets.back(), 40000);
+	}
+	CallSpec run = MakeCall(1, 1, now);
+	run.halls = {{"hall-a", 1}, {"hall-b", 1}};
+	Decisions decisions = dispatcher.Submit(run, now);
+	REQUIRE(decisions.sends.size() == 1);
+	TargetNumber holder = decisions.sends[0].target;
+	TargetNumber neighbour = holder == targets[0] ? targets[1] : targets[0];
+	// The neighbour holds more than the engine in the other hall, and is still the faster place to copy to.
+	CallSpec other = MakeCall(2, 1, now);
+	other.prompt_tokens = 8000;
+	dispatcher.Targets().OnSent(neighbour, other, now);
+	dispatcher.Targets().MarkLeaving(holder);
+	CHECK(dispatcher.ChooseMove(run.id, {}, now) == neighbour);
+	CHECK(dispatcher.ChooseMove(run.id, {neighbour}, now) == targets[2]);
+	CHECK(!dispatcher.ChooseMove(run.id, {neighbour, targets[2]}, now));
+}
