--- a/src/tests/target_registry_test.cpp
+++ b/src/tests/target_registry_test.cpp
@@ -102,6 +102,17 @@
 	for (const TargetEvent &event : events) CHECK(event.change == TargetChange::Leaving);
 }
 
+TEST_CASE("Registry - rows that lapsed while the store was away keep even a few targets for the grace")
+{
+	TargetRegistry registry({});
+	TimePoint now{std::chrono::seconds(100)};
+	registry.OnAll(Rows(9), now);
+	registry.OnStoreRegained(now);
+	CHECK(registry.OnChanges({Gone(3)}, now + milliseconds(5)).empty());
+	CHECK(registry.OnTick(now + milliseconds(1500)).empty());
+	CHECK(registry.OnTick(now + milliseconds(2100)).size() == 1);
+}
+
 TEST_CASE("Registry - many rows that go at once without notice are taken for a lapse")
 {
 	TargetRegistry registry({});
