Test: [Scenarios] Moved runs begin late, so that events come twice; the store calls of one reader at its present pace

The guard events-once was not caught: the stand-in's resumed run answered at once and the old engine made no event meanwhile.

--- a/tests/standins/world_base.h
+++ b/tests/standins/world_base.h
@@ -100,6 +100,7 @@
 
 	void Handle(const Exchange &exchange);
 	void Generate(const Exchange &exchange, const std::string &attempt);
+	void Begin(Run run);
 	void Serve(const Exchange &exchange, const std::string &attempt);
 	void Move(const Exchange &exchange);
 	void Step();
