Change: [Gateway] Runs that leave an engine together are copied one after another

Ruled out: letting the old engine go on for longer (the new one repeats what was passed on meanwhile: same pause); a second copy of the difference (it would wait behind the first ones of the others). Change: each instance works out from the calls it knows when the link is free for its run, those that hold less first, and asks then. Test fails without CopyWait.

--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -16,6 +16,9 @@
 /** Pressure by which an engine in another hall must be better for a move: a copy there takes twice as long, and others wait behind it. */
 static constexpr double MOVE_OTHER_HALL_PENALTY = 0.5;
 
+/** Time between tokens that is assumed while none was measured, in seconds; from the operators' sheets (7 ms a step and more). */
+static constexpr double USUAL_TOKEN_INTERVAL = 0.01;
+
 /** Engine priority of each class: what is smallest is preempted first. */
 static constexpr std::array<int, SERVICE_CLASS_COUNT> CLASS_PRIORITY{200, 100, 0};
 
@@ -256,6 +259,24 @@
 	return this->router->Choose(run, this->targets, now);
 }
 
+Duration Dispatcher::CopyWait(CallId id, const EnginePool &pool, Duration least_rest) const
+{
+	std::optional<TargetNumber> holder = this->Holder(id);
+	if (!holder) return Duration(0);
+	const TargetState &source = this->targets.Get(*holder);
+	auto own = source.in_flight.find(id);
+	if (own == source.in_flight.end()) return Duration(0);
+	auto held = [](const InFlightCall &flight) { return flight.call.prompt_tokens + flight.generated; };
+	double interval = source.interval > 0 ? source.interval : USUAL_TOKEN_INTERVAL;
+	Duration wait{0};
+	for (const auto &[other, flight] : source.in_flight) {
+		if (other == id || FromSeconds(flight.residual * interval) < least_rest) continue;
+		bool before = held(flight) != held(own->second) ? held(flight) < held(own->second) : other < id;
+		if (before) wait += CopyTime(pool, held(flight));
+	}
+	return wait;
+}
+
 void Dispatcher::OnMoved(CallId id, TargetNumber target, TimePoint now)
 {
 	auto found = this->calls.find(id);
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -7,6 +7,7 @@
 #include "decision/call_queue.h"
 #include "decision/retry_budget.h"
 #include "decision/router_base.h"
+#include "decision/serving_type.h"
 
 namespace cottonspool {
 
@@ -61,6 +62,15 @@
 	/** @return Where a run of \a call could go on, other than where it is and than \a refused; nothing when there is no room. */
 	std::optional<TargetNumber> ChooseMove(CallId call, const std::vector<TargetNumber> &refused, TimePoint now);
 
+	/**
+	 * Runs that leave an engine together are copied one after another over its link, and a copy holds what the run had when it
+	 * was asked for: one asked for too early lacks all that the run makes while it waits for the link.
+	 * @param pool What is known of the engines of the pool.
+	 * @param least_rest Runs that are expected to end within it are not copied.
+	 * @return Time from the notice until the runs that go before \a call, those that hold less memory, have been copied.
+	 */
+	Duration CopyWait(CallId call, const EnginePool &pool, Duration least_rest) const;
+
 	/** The run of \a call goes on at \a target. */
 	void OnMoved(CallId call, TargetNumber target, TimePoint now);
 
--- a/src/decision/serving_type.h
+++ b/src/decision/serving_type.h
@@ -51,6 +51,15 @@
 	bool can_back_up = false;      ///< Runs can be backed up on another engine.
 };
 
+/** @return Time that copying the memory of \a tokens to another engine of the same hall takes on the link; zero if its speed is unknown. */
+inline Duration CopyTime(const EnginePool &pool, double tokens)
+{
+	static constexpr double BITS_PER_BYTE = 8;
+	static constexpr double BITS_PER_MBIT = 1e6;
+	if (pool.link_mbps <= 0) return Duration(0);
+	return FromSeconds(tokens * pool.bytes_per_token * BITS_PER_BYTE / (pool.link_mbps * BITS_PER_MBIT));
+}
+
 /** One pool of targets. */
 struct Pool {
 	std::string name;                 ///< Name.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -157,8 +157,7 @@
 	request->rank = account != nullptr && account->rank ? *account->rank : route->rank;
 	request->pool = RouteTable::ChoosePool(*route, std::uniform_real_distribution<double>(0, 1)(this->random));
 	if (const Pool *pool = this->routes.FindPool(request->pool); pool != nullptr && pool->engine) {
-		request->tokens_per_event = pool->engine->tokens_per_event;
-		request->can_move = pool->engine->can_move;
+		request->engines = *pool->engine;
 		request->can_back_up = pool->engine->can_back_up && route->kind == RunKind::Stream;
 		request->spec.generated = true;
 	} else {
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -33,6 +33,7 @@
 	Duration move_retry = std::chrono::milliseconds(60);    ///< Pause before a move that was refused is tried again.
 	Duration move_overlap = std::chrono::milliseconds(250); ///< Longest time for which the old engine goes on once the new one was asked.
 	Duration least_move = std::chrono::milliseconds(300);   ///< Runs that are expected to end sooner stay where they are.
+	double copy_lead = 0.9; ///< Part of the expected wait for the link after which a copy is asked for, so that the link never rests.
 	double report_patience = 2.2;    ///< Times between reports after which one that a peer should have told is read here.
 	ExchangeLimits exchange;         ///< Exchange with other instances.
 	double silence_part = 0.72;      ///< Part of the longest good pause after which a silent engine is taken for lost, if there is a copy.
@@ -51,12 +52,11 @@
 	Route route;                   ///< Route, as it was in force when the request came.
 	std::string pool;              ///< Pool that was drawn.
 	std::string account;           ///< Client account; empty for none.
-	uint32_t tokens_per_event = 1; ///< Tokens that an event of a stream holds.
-	bool can_move = false;         ///< Its run can be moved to another engine.
-	bool can_back_up = false;      ///< A copy of its run can be kept at another engine.
-	int rank = 0;                  ///< Order; 0 goes first.
-	CallSpec spec;                 ///< For the dispatcher.
-	TimePoint ends_at;             ///< When the final answer is due at the latest.
+	EnginePool engines;       ///< What is known of the pool's engines; of no use for a plain service.
+	bool can_back_up = false; ///< A copy of its run can be kept at another engine.
+	int rank = 0;             ///< Order; 0 goes first.
+	CallSpec spec;            ///< For the dispatcher.
+	TimePoint ends_at;        ///< When the final answer is due at the latest.
 };
 
 struct NodeSettings;
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -71,7 +71,7 @@
 	this->last_at = now;
 	this->events++;
 	bool first = this->events == 1;
-	this->gateway.dispatcher.OnToken(this->request.spec.id, now, this->request.tokens_per_event);
+	this->gateway.dispatcher.OnToken(this->request.spec.id, now, this->request.engines.tokens_per_event);
 	if (this->target) this->gateway.OnCallAt(this->request, *this->target, first);
 }
 
@@ -181,7 +181,7 @@
 
 void StreamRelay::TryMove(TimePoint now)
 {
-	if (this->over || !this->target || this->link == 0 || !this->request.can_move) return;
+	if (this->over || !this->target || this->link == 0 || !this->request.engines.can_move) return;
 	if (this->move.phase != MovePhase::None || now < this->move.not_before) return;
 	const TargetState &source = this->gateway.dispatcher.Targets().Get(*this->target);
 	if (!source.leaving) return;
@@ -191,6 +191,8 @@
 	double interval = source.interval > 0 ? source.interval : 0.01;
 	if (this->has_event && FromSeconds(flight->second.residual * interval) < this->gateway.limits.least_move) return;
 	if (this->ResumeFromBackup("leaving", now)) return;
+	if (!this->move.turn) this->move.turn = now + this->CopyWait();
+	if (now < *this->move.turn) return;
 	std::optional<TargetNumber> to = this->gateway.dispatcher.ChooseMove(this->request.spec.id, this->move.refused, now);
 	if (!to) {
 		this->move.refused.clear();
@@ -214,6 +216,13 @@
 	this->LogMove("copy", "asked");
 }
 
+Duration StreamRelay::CopyWait() const
+{
+	const GatewayLimits &limits = this->gateway.limits;
+	Duration wait = this->gateway.dispatcher.CopyWait(this->request.spec.id, this->request.engines, limits.least_move);
+	return FromSeconds(Seconds(wait) * limits.copy_lead);
+}
+
 void StreamRelay::OnCopied(const MoveAnswer &answer)
 {
 	auto keep = this->shared_from_this();
@@ -221,6 +230,7 @@
 	switch (answer.kind) {
 	case MoveAnswer::Kind::Copied:
 		this->move.handle = answer.handle;
+		this->move.covers = answer.events;
 		this->LogMove("copy", "done");
 		return this->Resume({this->gateway.AddressOf(*this->target).Text(), answer.handle, this->last_event}, MonotonicNow());
 	case MoveAnswer::Kind::NoRoom:
@@ -323,6 +333,7 @@
 	     {"from", this->target ? targets.Get(*this->target).name : ""},
 	     {"to", this->move.phase == MovePhase::None ? "" : targets.Get(this->move.to).name},
 	     {"last_event", std::to_string(this->last_event)},
+	     {"copied_event", std::to_string(this->move.covers)},
 	     {"try", std::to_string(this->move.tries)},
 	     {"ms", FormatMilliseconds(took)}});
 }
--- a/src/gateway/stream_relay.h
+++ b/src/gateway/stream_relay.h
@@ -41,7 +41,9 @@
 		MovePhase phase = MovePhase::None;  ///< How far it is.
 		TargetNumber to;                    ///< Engine that it goes to.
 		std::string handle;                 ///< Name of the copy, at the old engine; empty while there is none.
+		uint64_t covers = 0;                ///< Events that the copy holds the memory of.
 		std::vector<TargetNumber> refused;  ///< Engines without room.
+		std::optional<TimePoint> turn;      ///< When the link is expected to be free for it; nothing before the engine's notice.
 		TimePoint begun;                    ///< When the copy was asked for.
 		TimePoint not_before;               ///< Earliest next try.
 		TimePoint overlap_until;            ///< When the old run is given up, answered or not.
@@ -57,6 +59,8 @@
 	void StartAnswer(const HttpHead &head);
 	void RelayRefusal();
 	void TryMove(TimePoint now);
+	/** @return Time until the copies of other runs that leave the same engine are nearly done. */
+	Duration CopyWait() const;
 	void OnCopied(const MoveAnswer &answer);
 	void Resume(const ResumePoint &point, TimePoint now);
 	bool ResumeFromBackup(const char *why, TimePoint now);
--- a/src/tests/dispatcher_test.cpp
+++ b/src/tests/dispatcher_test.cpp
@@ -411,3 +411,33 @@
 	CHECK(dispatcher.ChooseMove(run.id, {neighbour}, now) == targets[2]);
 	CHECK(!dispatcher.ChooseMove(run.id, {neighbour, targets[2]}, now));
 }
+
+TEST_CASE("Dispatcher - runs that leave an engine are copied one after another, those that hold less first")
+{
+	Dispatcher dispatcher({}, MakeRouter("headroom", 1));
+	TimePoint now{std::chrono::seconds(10)};
+	TargetNumber engine = dispatcher.Targets().Configure("engine", "hall", {ModelNumber{0}});
+	dispatcher.Targets().SetUnreported(engine, 40000);
+	EnginePool pool;
+	pool.bytes_per_token = 20000;
+	pool.link_mbps = 1600; // 10,000 tokens a second.
+	auto run = [&](uint64_t id, uint32_t prompt, uint32_t most) {
+		CallSpec call = MakeCall(id, 1, now);
+		call.prompt_tokens = prompt;
+		call.max_tokens = most;
+		return call;
+	};
+	REQUIRE(dispatcher.Submit(run(1, 1000, 200), now).sends.size() == 1);
+	REQUIRE(dispatcher.Submit(run(2, 3000, 200), now).sends.size() == 1);
+	CallSpec short_run = run(3, 500, 8);
+	REQUIRE(dispatcher.Submit(short_run, now).sends.size() == 1);
+	// A run of another instance counts as well.
+	dispatcher.Targets().OnSent(engine, run(1ULL << 62, 2000, 200), now);
+	Duration least = milliseconds(300);
+	CHECK(dispatcher.CopyWait(CallId{1}, pool, least) == Duration(0));
+	CHECK(dispatcher.CopyWait(CallId{2}, pool, least) == milliseconds(300));
+	// One that ends before its turn is not waited for; with an unknown link nothing is.
+	CHECK(dispatcher.CopyWait(CallId{2}, pool, Duration(0)) == milliseconds(350));
+	CHECK(dispatcher.CopyWait(CallId{2}, EnginePool{}, least) == Duration(0));
+	CHECK(dispatcher.CopyWait(CallId{9}, pool, least) == Duration(0));
+}
