Change: [Store] Bursts of changes are read together, one watch asks for the store's return, and it is heard within the calm time

A trial with a log line a call showed 1,652 reads of the list of targets, one for each change of a burst; about 450 reads of each table apart while the store or a hall was away; and some 290 in the first seconds, when instances that knew of others and had heard none took themselves for the reader. Change: 150 ms between the reads of a burst (the first change is still read at once); of several watches that lost the store one asks; an instance that knows of others waits 1.5 s for them before it reads for all.

--- a/src/gateway/gateway_limits.cpp
+++ b/src/gateway/gateway_limits.cpp
@@ -22,12 +22,18 @@
 	if (settings.link_mbps > 0) limits.exchange.pass_on_bytes = settings.link_mbps * BYTES_PER_MBIT * PASS_ON_PART;
 	// The one who reads may be cut off right after an answer: its next call hangs for wait and slack, then the others' patience
 	// runs out one after another. All of it has to fit into the time in which a change has to be known everywhere.
-	Duration bound = std::min(settings.bounds.in_force, settings.bounds.drain);
+	const PlatformBounds &bounds = settings.bounds;
+	Duration bound = std::min(bounds.in_force, bounds.drain);
 	limits.watch.wait = bound * 5 / 20;
 	limits.watch.slack = bound * 2 / 20;
 	limits.watch.patience = bound * 8 / 20;
 	limits.watch.patience_step = bound / 40;
 	limits.watch.patience_most = bound * 12 / 20;
+	// The store may return right after a call was made in vain: that call, the pause behind it and the next answer have to fit
+	// into the calm time after which the bounds hold again, with a quarter of it left to pass on what was read.
+	limits.watch.read_most = bounds.contact * 9 / 20;
+	limits.watch.read_limit = std::min<Duration>(limits.watch.read_limit, limits.watch.read_most);
+	limits.watch.pause_most = bounds.contact * 6 / 20;
 	limits.dispatch.retry.backoff_base = std::chrono::milliseconds(5);
 	limits.dispatch.retry.backoff_max = std::chrono::milliseconds(40);
 	limits.dispatch.retry_after_min = std::chrono::milliseconds(100);
--- a/src/gateway/gateway_targets.cpp
+++ b/src/gateway/gateway_targets.cpp
@@ -39,6 +39,8 @@
 	this->target_watch.on_changes = [this](const std::vector<StoredRow> &rows, TimePoint at) { this->OnTargetRows(rows, false, at); };
 	this->peers.Share(this->configuration_watch);
 	this->peers.Share(this->target_watch);
+	this->configuration_watch.WaitForReturnAt(this->target_watch);
+	this->peers.WaitForReturnAt(this->target_watch);
 	this->configuration_watch.Start(now);
 	this->target_watch.Start(now);
 }
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -95,6 +95,7 @@
 	this->links.on_link_closed = [](const std::string &to) { Log(LogLevel::Info, "peer-link-closed", {{"peer", to}}); };
 	this->watch.on_all = [this](const std::vector<StoredRow> &rows, TimePoint) { this->OnRows(rows, true); };
 	this->watch.on_changes = [this](const std::vector<StoredRow> &rows, TimePoint) { this->OnRows(rows, false); };
+	this->started = now;
 	this->Register(now);
 	this->watch.Start(now);
 	return outcome::success();
@@ -218,13 +219,14 @@
 	this->readers.push_back(this->name);
 	this->load.SetSilence(FromSeconds(Seconds(this->HeartbeatPeriod()) * this->limits.silences));
 	this->links.Broadcast(this->Whole());
+	bool settling = this->readers.size() == 1 && !this->found.empty() && now - this->started < this->limits.settle;
 	for (SharedTable &each : this->shared) {
 		// The first in the order reads for all; the others take over one after another when they hear nothing.
 		each.order = RendezvousChoice(each.watch->Table(), this->readers, this->readers.size());
 		auto rank = static_cast<int>(PlaceOf(each.order, this->name));
 		const WatchLimits &times = each.watch->Limits();
 		Duration patience = std::min<Duration>(times.patience_most, times.patience + times.patience_step * rank);
-		each.watch->SetPatience(rank == 0 ? Duration(0) : patience);
+		each.watch->SetPatience(rank == 0 && !settling ? Duration(0) : patience);
 	}
 	this->Dial(now);
 }
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -19,6 +19,8 @@
 	double silences = 3.6;                               ///< Heartbeats missed after which a peer is forgotten: three and a lost packet.
 	Duration news_wait = std::chrono::milliseconds(120); ///< Longest time for which news that is not urgent waits for company.
 	double pass_on_bytes = 256e3;                  ///< Bytes of rows that may be passed on in a second; beyond, each one reads them itself.
+	Duration settle = std::chrono::milliseconds(
+	        1500); ///< Time after the start in which an instance that knows of others and hears none yet doesn't read for all: they start together.
 	Duration dial_least = std::chrono::seconds(1); ///< Pause before a peer that cannot be reached is dialled again; doubles.
 	Duration dial_most = std::chrono::seconds(8);  ///< Longest such pause.
 	Duration register_pause = std::chrono::seconds(1); ///< Pause before this instance's row is written again after a failure.
@@ -40,6 +42,9 @@
 	/** Share the reading of \a watch with the others. */
 	void Share(TableWatch &watch);
 
+	/** While \a first has lost the store, leave finding out that it is back to it. */
+	void WaitForReturnAt(const TableWatch &first) { this->watch.WaitForReturnAt(first); }
+
 	/** Exchange news with the instances of the own hall only, or with all. */
 	void SetHallOnly(bool only) { this->hall_only = only; }
 
@@ -116,6 +121,7 @@
 	double pass_on_left = 0;            ///< Bytes of rows that may be passed on now.
 	TimePoint passed_on_at;             ///< When that was last worked out.
 	TimePoint waiting_since;            ///< When the first of them came up.
+	TimePoint started;                  ///< When the exchange began.
 	TimePoint sent_at;                  ///< When news was last sent.
 	TimePoint register_at;              ///< When the own row is written next.
 	bool registered = false;            ///< The own row is in the store.
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -93,6 +93,7 @@
 	settings.heartbeat = milliseconds("/heartbeatMs", 1200);
 	settings.bounds.drain = milliseconds("/bounds/drainMs", 2000);
 	settings.bounds.in_force = milliseconds("/bounds/configApplyMs", 2000);
+	settings.bounds.contact = milliseconds("/bounds/contactMs", 3000);
 	settings.bounds.stop_grace = seconds("/bounds/graceS", 8);
 	settings.bounds.retry_ratio = fields.Number("/bounds/retryBudgetRatio", 0.2, 0, 10);
 	settings.bounds.retry_window = seconds("/bounds/budgetWindowS", 10);
--- a/src/store/table_watch.cpp
+++ b/src/store/table_watch.cpp
@@ -85,7 +85,7 @@
 
 void TableWatch::GoOn(TimePoint now)
 {
-	if (this->call == 0 && this->following && this->ReadsItself(now)) this->ReadChanges(now);
+	if (this->call == 0 && now >= this->not_before && this->following && this->ReadsItself(now)) this->ReadChanges(now);
 }
 
 void TableWatch::OnTick(TimePoint now)
@@ -96,7 +96,7 @@
 		if (!this->following) this->read_time = std::min(this->limits.read_most, 2 * this->read_time);
 		this->OnFailure({std::nullopt, StoreFailure::NoAnswer, "no answer in time"}, now);
 	}
-	if (this->call != 0 || now < this->not_before || !this->ReadsItself(now)) return;
+	if (this->call != 0 || !this->ReadsItself(now) || this->LeavesItToProbe(now) || now < this->not_before) return;
 	if (this->following) {
 		this->ReadChanges(now);
 	} else {
@@ -104,6 +104,14 @@
 	}
 }
 
+bool TableWatch::LeavesItToProbe(TimePoint now)
+{
+	bool leaves = this->lost && this->probe != nullptr && this->probe->IsLost() && this->probe->ReadsItself(now);
+	if (this->waits_for_probe && !leaves) this->not_before = now;
+	this->waits_for_probe = leaves;
+	return leaves;
+}
+
 void TableWatch::ReadPage(TimePoint now)
 {
 	this->calls++;
@@ -174,6 +182,7 @@
 	this->NoteRows(answer.page->rows);
 	this->OnAnswered(now);
 	this->TellRead(answer.page->rows.empty() ? this->rows_version : before, false, answer.page->rows, now);
+	if (!answer.page->rows.empty()) this->not_before = now + this->limits.gather;
 	if (!answer.page->rows.empty() && this->on_changes) this->on_changes(answer.page->rows, now);
 	this->GoOn(now);
 }
--- a/src/store/table_watch.h
+++ b/src/store/table_watch.h
@@ -20,6 +20,8 @@
 	Duration read_limit =
 	        std::chrono::milliseconds(1000);      ///< Time after which reading a page is given up, at first; doubles with each try.
 	Duration read_most = std::chrono::seconds(4); ///< Longest such time: a slow store must not be asked in vain for ever.
+	Duration gather = std::chrono::milliseconds(
+	        150); ///< Time after a change before the next is asked for: changes come in bursts, and each call is paid for.
 	Duration pause_least = std::chrono::milliseconds(150); ///< Pause after a first failure; doubles.
 	Duration pause_most = std::chrono::milliseconds(1200); ///< Longest pause: with it a return is seen well inside the operators' bounds.
 };
@@ -55,6 +57,9 @@
 	/** Take in what another instance tells of this table. */
 	void OnNews(const TableNews &news, TimePoint now);
 
+	/** While \a first has lost the store too, leave finding out that it is back to it: one call tells as much as two. */
+	void WaitForReturnAt(const TableWatch &first) { this->probe = &first; }
+
 	/** @return Times of this watch. */
 	const WatchLimits &Limits() const { return this->limits; }
 
@@ -88,6 +93,7 @@
 	void OnAnswered(TimePoint now);
 	void TellRead(uint64_t from, bool whole, const std::vector<StoredRow> &rows, TimePoint now);
 	void GoOn(TimePoint now);
+	bool LeavesItToProbe(TimePoint now);
 	void NoteRows(const std::vector<StoredRow> &rows);
 
 	TableStore &store;            ///< Store.
@@ -110,6 +116,8 @@
 	Duration read_time{0};        ///< Time that a page may take now.
 	Duration patience{0};         ///< Time without news after which it is read here; zero for always.
 	TimePoint news_at;            ///< When another instance last told that the store answers it.
+	const TableWatch *probe = nullptr; ///< Watch that finds out for this one that the store is back; null for none.
+	bool waits_for_probe = false; ///< It is left to that one now.
 	bool behind = false;          ///< Another instance knows more than was told: the rest is read here.
 	bool known = false;           ///< Read whole once.
 	bool following = false;       ///< Changes are followed; otherwise the table is read whole.
--- a/src/tests/table_watch_test.cpp
+++ b/src/tests/table_watch_test.cpp
@@ -208,6 +208,51 @@
 	CHECK(told_by_other == 1);
 }
 
+TEST_CASE("Watch - a change is read at once, those that follow in a burst together")
+{
+	WatchWorld world;
+	world.store.Answer(Page({"a"}, 10));
+	world.store.Answer(Page({"b"}, 12));
+	CHECK(world.store.calls.empty());
+	world.Pass(milliseconds(100));
+	CHECK(world.store.calls.empty());
+	world.Pass(milliseconds(60));
+	REQUIRE(world.store.calls.size() == 1);
+	CHECK(world.store.Newest().version == 12);
+	// An answer without a change is no burst: the store is asked again at once.
+	world.store.Answer(Page({}, 12));
+	CHECK(world.store.calls.size() == 1);
+}
+
+TEST_CASE("Watch - of two that have lost the store one asks whether it is back, and the other reads as soon as it is")
+{
+	WatchWorld first;
+	WatchWorld second;
+	second.watch.WaitForReturnAt(first.watch);
+	auto pass = [&](Duration time) {
+		first.Pass(time);
+		second.Pass(time);
+	};
+	for (WatchWorld *world : {&first, &second}) {
+		world->store.Answer(Page({"a"}, 10));
+		world->store.Answer(Failed(StoreFailure::Refused));
+	}
+	uint64_t asked = first.store.last;
+	for (int i = 0; i < 50; i++) {
+		pass(milliseconds(100));
+		if (!first.store.calls.empty()) first.store.Answer(Failed(StoreFailure::Refused));
+		CHECK(second.store.calls.empty());
+	}
+	CHECK(first.store.last > asked);
+	while (first.store.calls.empty()) pass(milliseconds(100));
+	first.store.Answer(Page({}, 11));
+	pass(milliseconds(20));
+	REQUIRE(second.store.calls.size() == 1);
+	second.store.Answer(Page({"b"}, 12));
+	CHECK(second.changes == std::vector<size_t>{1});
+	CHECK(!second.watch.IsLost());
+}
+
 TEST_CASE("Watch - a store that says nothing is given up in time, asked again with pauses, and its return is told")
 {
 	WatchWorld world;
