Add: [Soak] Random faults from outside the processes on the users' platform

The proxy stand-in carries many links, each with a state of its own (cut, reset, silenced, delayed, cut one way); callers keep their connections and check each answer as it comes; the world's store is slow or loses answers; the wall clock can be shifted. The scenario platform_soak draws overlapping faults from a seed and judges promises from what callers and targets saw, while it runs.

--- a/tests/scenarios/lib.lua
+++ b/tests/scenarios/lib.lua
@@ -227,12 +227,14 @@
 	lib.until_true(10000, name .. " is ready", function() return lib.is_ready(name) end)
 end
 
-function lib.is_ready(name) return lib.http{ url = "http://" .. lib.ports[name .. ".ready"] .. "/-/readyz" }.status == 200 end
+function lib.is_ready(name, limit_ms)
+	return lib.http{ url = "http://" .. lib.ports[name .. ".ready"] .. "/-/readyz", limit_ms = limit_ms }.status == 200
+end
 
--- Begins a request on the platform's form; options: key, tokens, deadline.
+-- Begins a request on the platform's form; options: key, events, deadline, limit_ms.
 function lib.ask(name, path, id, options)
 	options = options or {}
-	return http_start{ url = "http://" .. lib.ports[name] .. path, method = "POST", body = "body", limit_ms = 20000, headers = {
+	return http_start{ url = "http://" .. lib.ports[name] .. path, method = "POST", body = "body", limit_ms = options.limit_ms or 20000, headers = {
 		"Host: h.example", "X-Attempt-Id: " .. id, "X-Deadline-Ms: " .. (options.deadline or 15000), "X-Model: m",
 		"X-Token-Count: 100," .. 4 * (options.events or 40), "Authorization: Bearer " .. (options.key or "k1") } }
 end
--- /dev/null
+++ b/tests/scenarios/platform_soak.lua
@@ -0,0 +1,352 @@
+-- Random faults from a seed on the users' platform, in series and overlapping, injected from outside the processes: links that are
+-- cut, reset, delayed, silenced and cut one way; instances stopped, paused, killed, restarted, their settings and wall clock changed;
+-- a store that is away, slow, forgetful or loses answers; targets that leave, vanish, die, fail and garble; configurations in storms.
+-- Callers keep their connections. Promises are judged from what callers and targets saw, while it runs and afterwards.
+-- --seed N chooses the faults, --scale N the length (15 s each), INSTANCES in the environment the number of instances.
+local lib = require("lib")
+-- It takes the place of no other soak: soak.lua holds the promises of `serve`, this one those of `gateway`.
+local CONTACT_MS, DRAIN_MS, IN_FORCE_MS, REVOKE_MS, RECOVER_MS = 3000, 2000, 2000, 5000, 12000 -- The operators' bounds.
+local PROBE_MS = 300 -- Longest wait for a probe: faults have to end in time meanwhile.
+local STOP_MS, ANSWER_SLACK_MS, LOST_MS = 8500, 700, 150
+local INSTANCES = tonumber(os.getenv("INSTANCES") or "") or 8
+-- Ports below those that the system gives out, apart for seeds that run side by side.
+local FIRST_PORT = 10000 + SEED * 100 % 20000
+print("seed " .. SEED .. ", " .. INSTANCES .. " instances")
+local halls, instances, names, broken, tally, pending = { "hall-a", "hall-b" }, {}, {}, {}, { faults = 0, ended = 0 }, {}
+local refused, kinds, windows, config = {}, {}, {}, { version = 1, acked = 0 }
+local shown_as = {}
+
+local function break_promise(text)
+	broken[#broken + 1] = text
+	print("BROKEN " .. text)
+end
+
+-- Disturbances: from, to, and whom: an instance's name, "store", or "targets".
+local function disturb(whom, for_ms) windows[#windows + 1] = { whom = whom, from = now_ms(), to = now_ms() + for_ms } end
+local function calm(whom, from, to)
+	for _, window in ipairs(windows) do
+		if window.whom == whom and window.from <= to and window.to + CONTACT_MS >= from then return false end
+	end
+	return true
+end
+
+local function link(to, port)
+	return json(lib.control("relay", string.format('{"to":"%s","port":%d}', to, port or 0)).body).port
+end
+local function set_link(port, mode, delay)
+	lib.control("relay", string.format('{"port":%d,"mode":"%s","delay_ms":%d}', port, mode, delay or 0))
+end
+
+local function write_settings(name, extra)
+	local each = instances[name]
+	return write_file(name .. ".json", string.format('{"nodeName":"%s","zone":"%s","ip":"127.0.0.1","zones":{"hall-a":"r","hall-b":"r"},'
+		.. '"listen":{"front":"127.0.0.1:%d","ready":"127.0.0.1:%d"},"internalPorts":[%d,%d],"platform":{"address":"127.0.0.1:%d"},'
+		.. '"bounds":{"graceS":8,"contactMs":%d,"drainMs":%d,"configApplyMs":%d,"retrySlack":50}%s}', name, each.hall, each.front, each.ready,
+		each.own, each.own + 1, each.store, CONTACT_MS, DRAIN_MS, IN_FORCE_MS, extra or ""))
+end
+
+local function start(name)
+	local each = instances[name]
+	local file = write_settings(name)
+	each.clock = write_file(name .. ".clock", "0")
+	spawn(name, { "/usr/bin/env", "LD_PRELOAD=" .. BIN .. "/libcottonspool-clock.so", "COTTONSPOOL_TEST_CLOCK=" .. each.clock,
+		BIN .. "/cottonspool", "gateway", "--settings", file })
+	each.up, each.seen, each.born = true, 0, now_ms()
+end
+
+local function tell_callers()
+	local list = {}
+	for name, each in pairs(instances) do
+		if each.takes then list[#list + 1] = string.format('"%s":"127.0.0.1:%d"', name, each.front) end
+	end
+	lib.control("callers", '{"instances":{' .. table.concat(list, ",") .. "}}")
+end
+
+-- The system: a world, links to all of it, instances, callers.
+lib.world{ engines = 6, services = 4, event_ms = 10 }
+lib.standin("relay", "relay")
+lib.standin("callers", "callers", { seed = SEED, per_second = 30 + INSTANCES })
+local targets, target_links = {}, {}
+for id, address in pairs(lib.record("world").targets) do
+	targets[#targets + 1] = id
+	target_links[id] = link(address)
+	shown_as[#shown_as + 1] = string.format('"%s":"127.0.0.1:%d"', address, target_links[id])
+end
+table.sort(targets)
+for i = 1, INSTANCES do
+	local name = "g" .. i
+	names[i] = name
+	local own = FIRST_PORT + 4 * i
+	instances[name] = { hall = halls[i % 2 + 1], front = own + 2, ready = own + 3, own = own, store = link(lib.ports.world), peer = 0 }
+	instances[name].peer = link("127.0.0.1:" .. own + 1)
+	shown_as[#shown_as + 1] = string.format('"127.0.0.1:%d":"127.0.0.1:%d"', own + 1, instances[name].peer)
+	lib.ports[name], lib.ports[name .. ".ready"] = "127.0.0.1:" .. instances[name].front, "127.0.0.1:" .. instances[name].ready
+end
+lib.control("world", '{"shown_as":{' .. table.concat(shown_as, ",") .. "}}")
+for _, name in ipairs(names) do start(name) end
+for _, name in ipairs(names) do
+	lib.until_true(20000, name .. " is ready", function() return lib.is_ready(name) end)
+	instances[name].takes = true
+end
+tell_callers()
+
+-- Faults: each does something now and gives back what undoes it, with the time after which.
+local function later(for_ms, act) pending[#pending + 1] = { at = now_ms() + for_ms, act = act } end
+local function some(list) return list[math.random(#list)] end
+local function some_instance()
+	local up = {}
+	for _, name in ipairs(names) do if instances[name].up and instances[name].takes then up[#up + 1] = name end end
+	return #up > 1 and some(up) or nil
+end
+local function trouble_link(port, whom, for_ms)
+	local mode = some{ "cut", "stall", "drop-answers", "drop-requests", "reset", "delay" }
+	disturb(whom, for_ms)
+	set_link(port, mode, mode == "delay" and math.random(20, 300) or 0)
+	later(for_ms, function() set_link(port, "pass") end)
+end
+-- The platform's balancer: an instance that is not ready gets no new connections.
+local function out(name)
+	instances[name].takes = false
+	tell_callers()
+end
+local function back(name)
+	if not instances[name].up or instances[name].takes then return end
+	instances[name].takes = lib.is_ready(name, PROBE_MS)
+	if not instances[name].takes then return later(200, function() back(name) end) end
+	tell_callers()
+end
+local function restart(name)
+	wait_exit(name, 100)
+	start(name)
+	later(300, function() back(name) end)
+end
+local function configure(with_key)
+	local before = config.version
+	config.version = config.version + math.random(1, 9)
+	lib.configure(config.version, "v" .. config.version, with_key and '"k1","k2"' or '"k1"')
+	config.acked, config.before = now_ms(), before
+	if config.key and not with_key then config.revoked = now_ms() end
+	config.key = with_key
+	if with_key then config.revoked = nil end
+end
+local spare = 0
+local faults = {
+	function() local name = some_instance() if name then trouble_link(instances[name].store, name, math.random(300, 5000)) end end,
+	function() local name = some_instance() if name then trouble_link(instances[name].peer, name, math.random(300, 4000)) end end,
+	function() trouble_link(target_links[some(targets)], "targets", math.random(300, 3000)) end,
+	function() -- Killed, started again later.
+		local name = some_instance()
+		if not name then return end
+		local away = math.random(100, 3000)
+		disturb(name, away + 1500)
+		signal(name, "KILL")
+		instances[name].up = false
+		out(name)
+		later(away, function() restart(name) end)
+	end,
+	function() -- A planned stop: callers keep their connections until the process is gone.
+		local name = some_instance()
+		if not name then return end
+		signal(name, "TERM")
+		instances[name].up, instances[name].stopping = false, now_ms()
+		later(2000, function() out(name) end)
+		local function gone()
+			local code = wait_exit(name, 0)
+			if code == nil and now_ms() - instances[name].stopping < STOP_MS then return later(100, gone) end
+			if code == nil then break_promise(name .. " still runs " .. STOP_MS .. " ms after SIGTERM") signal(name, "KILL") end
+			instances[name].stopping = nil
+			disturb(name, 1500)
+			out(name)
+			restart(name)
+		end
+		later(2100, gone)
+	end,
+	function() -- Frozen.
+		local name = some_instance()
+		if not name then return end
+		local length = math.random(100, 2500)
+		disturb(name, length)
+		signal(name, "STOP")
+		later(length, function() signal(name, "CONT") end)
+	end,
+	function() -- Settings change, with or without a signal.
+		local name = some_instance()
+		if not name then return end
+		write_settings(name, ',"heartbeatMs":' .. math.random(900, 1500))
+		if math.random(2) == 1 then signal(name, "HUP") end
+	end,
+	function() -- The wall clock jumps, and jumps back.
+		local name = some_instance()
+		if not name then return end
+		write_file(name .. ".clock", tostring(math.random(-3000000, 3000000)))
+		later(math.random(500, 6000), function() write_file(name .. ".clock", "0") end)
+	end,
+	function() -- The store.
+		local length = math.random(300, 4000)
+		disturb("store", length)
+		local mode = some{ "busy", "silent", "compact", "lose", "slow" }
+		lib.control("world", mode == "slow" and '{"slow_ms":' .. math.random(50, 400) .. "}" or '{"store":"' .. mode .. '"}')
+		local lapse = math.random(3) == 1 and mode ~= "compact"
+		if lapse then lib.control("world", '{"do":"lapse"}') end
+		later(length, function()
+			lib.control("world", '{"store":"up","slow_ms":0}')
+			if lapse then later(800, function() lib.control("world", '{"do":"beat"}') end) end
+		end)
+	end,
+	function() -- A target leaves, with notice, without, or at once; another one comes.
+		spare = spare + 1
+		local i = math.random(#targets)
+		local old, pool = targets[i], targets[i]:match("^engine") and "engines" or "services"
+		local how = some{ "leave", "leave", "vanish", "kill" }
+		targets[i] = (pool == "engines" and "engine-x" or "service-x") .. spare
+		lib.control("world", string.format('{"do":"add","target":"%s","pool":"%s"}', targets[i], pool))
+		target_links[targets[i]] = target_links[old]
+		lib.control("world", string.format('{"do":"%s","target":"%s"}', how, old))
+		if how == "kill" then return disturb("targets", 500) end
+		later(DRAIN_MS + 2500, function()
+			disturb("targets", 500)
+			lib.control("world", string.format('{"do":"kill","target":"%s"}', old))
+		end)
+	end,
+	function() -- A service fails a part, or garbles.
+		local id = some(targets)
+		if not id:match("^service") then return end
+		local length = math.random(500, 3000)
+		disturb("targets", length)
+		lib.control("world", math.random(2) == 1 and string.format('{"do":"fail","target":"%s","part":0.5}', id)
+			or string.format('{"do":"garble","target":"%s","how":"reset"}', id))
+		later(length, function()
+			lib.control("world", string.format('{"do":"fail","target":"%s","part":0}', id))
+			lib.control("world", string.format('{"do":"garble","target":"%s","how":""}', id))
+		end)
+	end,
+	function() configure(math.random(2) == 1) end,
+	function() for i = 0, 4 do later(i * 300, function() configure(math.random(2) == 1) end) end end,
+}
+
+-- What callers saw.
+local function judge(each)
+	tally.ended = tally.ended + 1
+	kinds[each.id] = each.kind
+	tally[each["end"] .. each.status] = (tally[each["end"] .. each.status] or 0) + 1
+	if each.fault ~= "" then break_promise(each.id .. ": " .. each.fault) end
+	local promise = each["end"] == "whole" and (each.status == 503 or each.status == 429 or each.status == 408 or each.status == 421)
+	if promise then refused[each.id] = true end
+	if promise and (each.status == 503 or each.status == 429) and not each.retry_after then break_promise(each.id .. ": not told when to come back") end
+	local undisturbed = calm(each.instance, each.began, each.over) and calm("targets", each.began, each.over)
+	if undisturbed and each["end"] == "broken" and each.over - each.began > LOST_MS then
+		break_promise(each.id .. ": cut after " .. each.over - each.began .. " ms (" .. each.cause .. ") with nothing but planned work")
+	end
+	if undisturbed and each["end"] == "whole" and (each.status == 502 or each.status == 504) and calm("store", each.began, each.over) then
+		break_promise(each.id .. ": " .. each.status .. " with nothing but planned work")
+	end
+	local limit = (each.kind == "s" and 15000 or 2000) + ANSWER_SLACK_MS
+	if calm(each.instance, each.began, each.over) and each["end"] ~= "left" and each.over - each.began > limit then
+		break_promise(each.id .. ": answered after " .. each.over - each.began .. " ms")
+	end
+end
+local function take()
+	local taken = json(lib.http{ url = "http://" .. lib.ports.callers .. "/take" }.body)
+	for _, each in ipairs(taken.ended) do judge(each) end
+	return taken.open
+end
+
+-- What targets saw.
+local judged_late = 0
+local function judge_record()
+	local counts, record = lib.world_runs()
+	for id, count in pairs(counts) do
+		local kind = refused[id] and "refused"
+		if kind then break_promise(id .. ": said not run, ran " .. count .. " times") refused[id] = nil end
+	end
+	for i = judged_late + 1, #record.late do
+		local late = record.late[i]
+		local name = late.request:match("^(g%d+)%-")
+		local from = late.at - late.after_ms - CONTACT_MS
+		if late.after_ms > DRAIN_MS and name and calm(name, from, late.at) and calm("store", from, late.at) then
+			break_promise(late.request .. " reached " .. late.target .. " " .. late.after_ms .. " ms after its notice")
+		end
+	end
+	judged_late = #record.late
+	return counts, record
+end
+
+-- The configuration: in force within the bound, and never an older one again.
+local probes = 0
+local function probe(name, path, key)
+	probes = probes + 1
+	return http_wait(lib.ask(name, path, "probe" .. probes, { key = key, deadline = PROBE_MS, limit_ms = 2 * PROBE_MS }))
+end
+local function judge_configuration()
+	local version, acked = config.version, config.acked
+	if acked == 0 then return end
+	for _, name in ipairs(names) do
+		local each = instances[name]
+		local life = each.born
+		if each.up and each.takes and calm(name, now_ms(), now_ms()) then
+			local before = now_ms()
+			local known = probe(name, "/v" .. version .. "/x")
+			local quiet = calm(name, acked, now_ms()) and calm("store", acked, now_ms())
+			if config.version == version and each.born == life and each.up then
+				if known.status == 404 and each.seen >= version then break_promise(name .. " went back behind version " .. version) end
+				if known.status == 404 and quiet and before - acked > IN_FORCE_MS then break_promise(name .. " does not know version " .. version) end
+				if known.status ~= 404 and known.status ~= 0 and known.status ~= 503 then each.seen = math.max(each.seen, version) end
+				local old = config.before > 1 and each.seen >= version and probe(name, "/v" .. config.before .. "/x")
+				if old and old.status == 200 then break_promise(name .. " serves the route of " .. config.before .. " after " .. version) end
+				if config.revoked and quiet and before - config.revoked > REVOKE_MS and probe(name, "/r/x", "k2").status == 200 then
+					break_promise(name .. " takes a key " .. before - config.revoked .. " ms after it was taken away")
+				end
+			end
+		end
+	end
+end
+
+local stop = now_ms() + math.floor(15000 * SCALE)
+local next_fault, next_look = now_ms() + 1000, now_ms() + 1000
+while now_ms() < stop do
+	for i = #pending, 1, -1 do
+		if now_ms() >= pending[i].at then table.remove(pending, i).act() end
+	end
+	if now_ms() >= next_fault then
+		tally.faults = tally.faults + 1
+		some(faults)()
+		next_fault = now_ms() + math.random(50, 900)
+	end
+	if now_ms() >= next_look then
+		take()
+		judge_record()
+		judge_configuration()
+		next_look = now_ms() + 1000
+	end
+	sleep_ms(20)
+end
+-- All faults end; service is back by itself.
+while #pending > 0 do
+	for i = #pending, 1, -1 do
+		if now_ms() >= pending[i].at then table.remove(pending, i).act() end
+	end
+	sleep_ms(20)
+end
+local function recovered(name)
+	for _, path in ipairs{ "/s/x", "/o/x", "/r/x" } do
+		probes = probes + 1
+		if http_wait(lib.ask(name, path, "back" .. probes, { events = 3, deadline = 1500, limit_ms = 2000 })).status ~= 200 then return false end
+	end
+	return true
+end
+for _, name in ipairs(names) do lib.until_true(RECOVER_MS, name .. " serves again", function() return recovered(name) end) end
+lib.control("callers", '{"active":false}')
+lib.until_true(20000, "every request has its final answer", function() return take() == 0 end)
+config.acked = config.acked > 0 and now_ms() - IN_FORCE_MS - 1 or 0
+judge_configuration()
+local counts = judge_record()
+for id, count in pairs(counts) do
+	local most = kinds[id] and kinds[id] ~= "r" and 1 or 2
+	if count > most then break_promise(id .. " ran " .. count .. " times") end
+end
+local out_text = {}
+for key, count in pairs(tally) do out_text[#out_text + 1] = key .. " " .. count end
+table.sort(out_text)
+print(table.concat(out_text, ", "))
+lib.check(tally.whole200 and tally.whole200 > 0, "nothing was served")
+lib.check(#broken == 0, #broken .. " promises broken, the first: " .. tostring(broken[1]))
--- /dev/null
+++ b/tests/standins/callers.cpp
@@ -0,0 +1,196 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file callers.cpp Callers on the users' platform: they keep connections open, and check each answer as it comes. */
+
+#include "net/http_upstream.h"
+#include "standin_func.h"
+#include <gflags/gflags.h>
+#include <iostream>
+#include <list>
+#include <map>
+#include <pcg_random.hpp>
+#include <random>
+
+DEFINE_uint64(seed, 1, "callers: seed of what is asked");
+DEFINE_int32(per_second, 40, "callers: requests begun in a second");
+DEFINE_int32(most_events, 150, "callers: longest stream, in events");
+
+namespace cottonspool {
+
+static constexpr uint64_t PACE_MS = 10;         ///< Time between looks at what is due.
+static constexpr int TOKENS_PER_EVENT = 4;      ///< As the stand-in's engines are configured.
+static constexpr int64_t LIMIT_MS = 15000;      ///< Time limit of a stream.
+static constexpr int64_t PLAIN_LIMIT_MS = 2000; ///< Time limit of a plain call.
+static constexpr double LEAVE_PART = 0.04;      ///< Part of the callers who leave before their answer is whole.
+
+/** One request on its way. */
+struct Asked {
+	std::string id;             ///< Its id; begins with the instance's name.
+	std::string instance;       ///< Instance asked.
+	char kind = 'r';            ///< 's' stream, 'o' once, 'r' repeatable.
+	int64_t began = 0;          ///< When.
+	int64_t leaves_at = 0;      ///< When the caller leaves; 0 for never.
+	uint64_t call = 0;          ///< Call under way.
+	int status = 0;             ///< Status; 0 while there is none.
+	bool stamped = false;       ///< The answer bears a target's stamp.
+	std::string body;           ///< Body so far; of a stream what is not yet a whole event.
+	uint64_t events = 0;        ///< Events seen, in order.
+	uint64_t length = 0;        ///< Events that the stream has.
+	std::string fault;          ///< Broken promise seen in the answer.
+	bool retry_after = false;   ///< It was told when to come back.
+	int64_t last_at = 0;        ///< When the last bytes came.
+};
+
+/** All callers. */
+class Callers {
+public:
+	explicit Callers(uv_loop_t *loop) : upstream(loop), random(FLAGS_seed)
+	{
+		Every(loop, PACE_MS, [this] { this->Pace(); });
+	}
+
+	/** Answer the scenario: {"instances": {NAME: IP:PORT}} sets whom to ask; "/take" tells what has ended since the last time. */
+	void Handle(const std::shared_ptr<HttpExchange> &exchange)
+	{
+		if (exchange->request.path == "/take") {
+			Answer(exchange, 200, {{"ended", this->ended}, {"open", this->asked.size()}, {"now_ms", NowMs()}});
+			this->ended = Json::array();
+			return;
+		}
+		Json order = Body(*exchange);
+		if (order.contains("instances")) this->instances = order["instances"].get<std::map<std::string, std::string>>();
+		this->active = order.value("active", this->active);
+		Answer(exchange, 200, {{"ok", true}});
+	}
+
+private:
+	double Draw() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
+
+	void Pace()
+	{
+		this->upstream.OnTick(MonotonicNow());
+		int64_t now = NowMs();
+		for (auto it = this->asked.begin(); it != this->asked.end();) {
+			auto each = it++;
+			if (each->leaves_at != 0 && now >= each->leaves_at) this->Leave(each);
+		}
+		this->due += FLAGS_per_second * static_cast<double>(PACE_MS) / 1000;
+		for (; this->due >= 1; this->due--) {
+			if (this->active && !this->instances.empty()) this->Ask(now);
+		}
+	}
+
+	void Ask(int64_t now)
+	{
+		auto chosen = std::next(this->instances.begin(), static_cast<long>(this->random() % this->instances.size()));
+		auto each = this->asked.emplace(this->asked.end());
+		each->instance = chosen->first;
+		each->id = chosen->first + "-" + std::to_string(FLAGS_seed) + "-" + std::to_string(++this->last);
+		double kind = this->Draw();
+		each->kind = kind < 0.35 ? 's' : kind < 0.65 ? 'o' : 'r';
+		each->began = each->last_at = now;
+		each->length = 1 + this->random() % static_cast<uint64_t>(FLAGS_most_events);
+		if (this->Draw() < LEAVE_PART) each->leaves_at = now + static_cast<int64_t>(this->Draw() * 1000);
+		each->call = this->upstream.Start(this->MakeCall(each, chosen->second));
+	}
+
+	UpstreamCall MakeCall(std::list<Asked>::iterator each, const std::string &address)
+	{
+		size_t colon = address.find(':');
+		int64_t limit = each->kind == 's' ? LIMIT_MS : PLAIN_LIMIT_MS;
+		UpstreamCall call;
+		call.to = {address.substr(0, colon), static_cast<uint16_t>(std::stoi(address.substr(colon + 1)))};
+		call.peer = each->instance;
+		call.method = "POST";
+		call.target = std::string("/") + each->kind + "/x";
+		call.headers = {{"Host", "h.example"},
+		                {"X-Attempt-Id", each->id},
+		                {"X-Deadline-Ms", std::to_string(limit)},
+		                {"X-Model", "m"},
+		                {"X-Token-Count", "100," + std::to_string(TOKENS_PER_EVENT * each->length)},
+		                {"Authorization", "Bearer k1"}};
+		call.body = "body of " + each->id;
+		call.on_head = [this, each](const HttpHead &head) {
+			this->OnHead(*each, head);
+			return true;
+		};
+		call.on_body = [this, each](std::string_view bytes) { this->OnBody(*each, bytes); };
+		call.on_end = [this, each](UpstreamEnd end, const char *cause) { this->OnEnd(each, end, cause); };
+		return call;
+	}
+
+	void OnHead(Asked &each, const HttpHead &head)
+	{
+		each.status = head.status;
+		each.stamped = !FindHeader(head.headers, "X-Server-Stamp").empty();
+		each.retry_after = !FindHeader(head.headers, "Retry-After").empty();
+		each.last_at = NowMs();
+		if (head.status == 200 && !each.stamped) each.fault = "a success without a target's stamp";
+		std::string_view told = FindHeader(head.headers, "X-Attempt-Id");
+		if (!told.empty() && told != each.id) each.fault = "the answer of " + std::string(told);
+	}
+
+	void OnBody(Asked &each, std::string_view bytes)
+	{
+		each.last_at = NowMs();
+		each.body.append(bytes);
+		if (each.kind != 's' || each.status != 200) return;
+		for (size_t end = each.body.find("\n\n"); end != std::string::npos; end = each.body.find("\n\n")) {
+			std::string number = std::to_string(++each.events);
+			std::string wanted = "id: " + number + "\ndata: " + each.id + "-" + number;
+			std::string event = each.body.substr(0, end);
+			if (event != wanted && each.fault.empty()) each.fault = "event " + number + " is " + event;
+			each.body.erase(0, end + 2);
+		}
+	}
+
+	void OnEnd(std::list<Asked>::iterator each, UpstreamEnd end, const char *cause)
+	{
+		bool whole = end == UpstreamEnd::Complete;
+		if (whole && each->status == 200 && each->kind == 's' && each->events != each->length)
+			each->fault = "looks complete after " + std::to_string(each->events) + " of " + std::to_string(each->length) + " events";
+		if (whole && each->status == 200 && each->kind != 's' && each->body != "answer to " + each->id)
+			each->fault = "body " + each->body.substr(0, 80);
+		this->Tell(each, whole ? "whole" : end == UpstreamEnd::NotSent ? "not-sent" : "broken", cause);
+	}
+
+	void Leave(std::list<Asked>::iterator each)
+	{
+		this->upstream.Cancel(each->call);
+		this->Tell(each, "left", "");
+	}
+
+	void Tell(std::list<Asked>::iterator each, const char *end, const char *cause)
+	{
+		if (!each->fault.empty()) std::cout << "BROKEN " << each->id << ": " << each->fault << std::endl;
+		this->ended.push_back({{"id", each->id},
+		                       {"instance", each->instance},
+		                       {"kind", std::string(1, each->kind)},
+		                       {"began", each->began},
+		                       {"last", each->last_at},
+		                       {"over", NowMs()},
+		                       {"status", each->status},
+		                       {"end", end},
+		                       {"cause", cause},
+		                       {"retry_after", each->retry_after},
+		                       {"fault", each->fault}});
+		this->asked.erase(each);
+	}
+
+	HttpUpstream upstream;                        ///< Connections, kept until the instance is gone.
+	pcg64 random;                                 ///< What is asked.
+	std::map<std::string, std::string> instances; ///< Whom to ask.
+	std::list<Asked> asked;                       ///< Requests on their way.
+	Json ended = Json::array();                   ///< Ended since the scenario last asked.
+	double due = 0;                               ///< Requests that are due.
+	uint64_t last = 0;                            ///< Number of the last request.
+	bool active = true;                           ///< New requests are begun.
+};
+
+int RunCallers(uv_loop_t *loop)
+{
+	Callers callers(loop);
+	return Serve(loop, [&](const std::shared_ptr<HttpExchange> &exchange) { callers.Handle(exchange); });
+}
+
+} // namespace cottonspool
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -56,7 +56,7 @@
 
 int main(int argc, char **argv)
 {
-	gflags::SetUsageMessage("cottonspool-standin engine|service|platform|relay|world [flags]");
+	gflags::SetUsageMessage("cottonspool-standin engine|service|platform|relay|world|callers [flags]");
 	gflags::ParseCommandLineFlags(&argc, &argv, true);
 	std::signal(SIGPIPE, SIG_IGN);
 	std::string verb = argc > 1 ? argv[1] : "";
@@ -66,6 +66,7 @@
 	if (verb == "platform") return cottonspool::RunPlatform(loop);
 	if (verb == "relay") return cottonspool::RunRelay(loop);
 	if (verb == "world") return cottonspool::RunWorld(loop);
+	if (verb == "callers") return cottonspool::RunCallers(loop);
 	std::cerr << gflags::ProgramUsage() << std::endl;
 	return 2;
 }
--- a/tests/standins/relay.cpp
+++ b/tests/standins/relay.cpp
@@ -1,126 +1,219 @@
 /* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
 
-/** @file relay.cpp Link stand-in: a TCP relay that can be cut, stalled and made to drop answers. */
+/** @file relay.cpp Loopback proxy: links between processes that can be cut, reset, silenced, delayed, and cut one way. */
 
 #include "standin_func.h"
 #include <gflags/gflags.h>
 #include <iostream>
+#include <map>
 #include <set>
 
-DEFINE_string(to, "", "IP:PORT that the link leads to");
-DEFINE_int32(link_port, 0, "port of the link; 0 takes a free one and prints it");
+DEFINE_string(to, "", "IP:PORT that the first link leads to; none without it");
+DEFINE_int32(link_port, 0, "port of the first link");
 DECLARE_string(ip);
 
 namespace cottonspool {
 
-enum class LinkMode { Pass, Stall, Cut, DropAnswers };
+static constexpr int SIDES = 2; ///< Caller's side and far side.
+
+/** What a link does with the bytes that come. */
+enum class LinkMode {
+	Pass,         ///< Pass them on.
+	Stall,        ///< Read nothing: both sides hear nothing, and their buffers fill.
+	Cut,          ///< Close connections, also new ones.
+	Reset,        ///< Reset connections, also new ones.
+	DropAnswers,  ///< Lose what the far side sends.
+	DropRequests, ///< Lose what the caller sends.
+};
+
+class Link;
 
 /** One relayed connection. */
-struct Link {
-	uv_tcp_t sides[2];    ///< Caller's side and far side.
-	int open = 2;         ///< Sides not yet closed.
-	bool closing = false; ///< Being closed.
+struct Relayed {
+	Link *link;                    ///< Link that it runs over.
+	uv_tcp_t sides[SIDES];         ///< Caller's side and far side.
+	int open = SIDES;              ///< Sides not yet closed.
+	bool closing = false;          ///< Being closed.
+	int64_t free_at[SIDES] = {};   ///< When the last delayed bytes of a side leave: order is kept.
+	std::shared_ptr<bool> present; ///< False once it is being closed; delayed bytes hold it.
 };
 
-static LinkMode mode = LinkMode::Pass;
-static std::set<Link *> links;
-static sockaddr_in far_address;
+/** One port that leads to one address. */
+class Link {
+public:
+	Link(uv_loop_t *loop, const sockaddr_in &far) : loop(loop), far(far) {}
 
-static void CloseLink(Link *link)
-{
-	if (link->closing) return;
-	link->closing = true;
-	links.erase(link);
-	for (uv_tcp_t &side : link->sides) {
-		uv_close(reinterpret_cast<uv_handle_t *>(&side), [](uv_handle_t *handle) {
-			auto *closed = static_cast<Link *>(handle->data);
-			if (--closed->open == 0) delete closed;
+	/** Listen on \a port; 0 takes a free one. @return The port; 0 if it cannot be had. */
+	int Listen(int port)
+	{
+		uv_tcp_init(this->loop, &this->listener);
+		this->listener.data = this;
+		sockaddr_in address{};
+		uv_ip4_addr(FLAGS_ip.c_str(), port, &address);
+		if (uv_tcp_bind(&this->listener, reinterpret_cast<sockaddr *>(&address), 0) != 0) return 0;
+		auto accept = [](uv_stream_t *from, int) { static_cast<Link *>(from->data)->Accept(); };
+		if (uv_listen(reinterpret_cast<uv_stream_t *>(&this->listener), 512, accept) != 0) return 0;
+		int size = sizeof(address);
+		uv_tcp_getsockname(&this->listener, reinterpret_cast<sockaddr *>(&address), &size);
+		return ntohs(address.sin_port);
+	}
+
+	/** Treat all connections so from now on; what passes is late by \a delay_ms. */
+	void Set(LinkMode new_mode, int64_t delay_ms)
+	{
+		this->mode = new_mode;
+		this->delay = delay_ms;
+		std::set<Relayed *> all = this->relayed;
+		for (Relayed *each : all) {
+			if (this->mode == LinkMode::Cut || this->mode == LinkMode::Reset) {
+				this->Close(each);
+			} else {
+				this->SetReading(each);
+			}
+		}
+	}
+
+private:
+	void Accept()
+	{
+		auto *each = new Relayed{.link = this, .sides = {}, .present = std::make_shared<bool>(true)};
+		for (uv_tcp_t &side : each->sides) {
+			uv_tcp_init(this->loop, &side);
+			uv_tcp_nodelay(&side, 1);
+			side.data = each;
+		}
+		this->relayed.insert(each);
+		uv_accept(reinterpret_cast<uv_stream_t *>(&this->listener), reinterpret_cast<uv_stream_t *>(&each->sides[0]));
+		if (this->mode == LinkMode::Cut || this->mode == LinkMode::Reset) return this->Close(each);
+		auto *connect = new uv_connect_t;
+		connect->data = each;
+		uv_tcp_connect(connect, &each->sides[1], reinterpret_cast<sockaddr *>(&this->far), [](uv_connect_t *done, int status) {
+			auto *connected = static_cast<Relayed *>(done->data);
+			if (status != 0 && !connected->closing) connected->link->Close(connected);
+			if (status == 0 && !connected->closing) connected->link->SetReading(connected);
+			delete done;
 		});
 	}
-}
 
-static void OnAlloc(uv_handle_t *, size_t, uv_buf_t *buffer)
-{
-	*buffer = uv_buf_init(static_cast<char *>(malloc(65536)), 65536);
-}
+	void SetReading(Relayed *each)
+	{
+		if (!uv_is_writable(reinterpret_cast<uv_stream_t *>(&each->sides[1]))) return;
+		for (uv_tcp_t &side : each->sides) {
+			auto *stream = reinterpret_cast<uv_stream_t *>(&side);
+			if (this->mode == LinkMode::Stall) {
+				uv_read_stop(stream);
+			} else if (!uv_is_active(reinterpret_cast<uv_handle_t *>(&side))) {
+				uv_read_start(stream, OnAlloc, OnRead);
+			}
+		}
+	}
 
-static void OnRead(uv_stream_t *from, ssize_t got, const uv_buf_t *buffer)
-{
-	auto *link = static_cast<Link *>(from->data);
-	bool answer = from == reinterpret_cast<uv_stream_t *>(&link->sides[1]);
-	bool drop = answer && mode == LinkMode::DropAnswers;
-	if (got < 0) CloseLink(link);
-	if (got <= 0 || drop) {
+	void Close(Relayed *each)
+	{
+		if (each->closing) return;
+		each->closing = true;
+		*each->present = false;
+		this->relayed.erase(each);
+		auto closed = [](uv_handle_t *handle) {
+			auto *gone = static_cast<Relayed *>(handle->data);
+			if (--gone->open == 0) delete gone;
+		};
+		for (uv_tcp_t &side : each->sides) {
+			// A connection that was never made cannot be reset.
+			bool reset = this->mode == LinkMode::Reset && uv_tcp_close_reset(&side, closed) == 0;
+			if (!reset && !uv_is_closing(reinterpret_cast<uv_handle_t *>(&side))) uv_close(reinterpret_cast<uv_handle_t *>(&side), closed);
+		}
+	}
+
+	static void OnAlloc(uv_handle_t *, size_t, uv_buf_t *buffer)
+	{
+		static constexpr size_t PART = 65536;
+		*buffer = uv_buf_init(static_cast<char *>(malloc(PART)), PART);
+	}
+
+	static void OnRead(uv_stream_t *from, ssize_t got, const uv_buf_t *buffer)
+	{
+		auto *each = static_cast<Relayed *>(from->data);
+		int side = from == reinterpret_cast<uv_stream_t *>(&each->sides[1]) ? 1 : 0;
+		LinkMode mode = each->link->mode;
+		bool drop = (side == 1 && mode == LinkMode::DropAnswers) || (side == 0 && mode == LinkMode::DropRequests);
+		std::string bytes = got > 0 && !drop ? std::string(buffer->base, static_cast<size_t>(got)) : std::string();
 		free(buffer->base);
-		return;
+		if (got < 0) return each->link->End(each, side);
+		if (!bytes.empty()) each->link->Later(each, side, [each, side, bytes] { Write(each, 1 - side, bytes); });
 	}
-	auto *to = reinterpret_cast<uv_stream_t *>(&link->sides[answer ? 0 : 1]);
-	auto *write = new uv_write_t;
-	write->data = buffer->base;
-	uv_buf_t out = uv_buf_init(buffer->base, static_cast<unsigned>(got));
-	uv_write(write, to, &out, 1, [](uv_write_t *done, int) {
-		free(done->data);
-		delete done;
-	});
-}
 
-static void StartLink(Link *link)
-{
-	for (uv_tcp_t &side : link->sides) {
-		if (mode != LinkMode::Stall) uv_read_start(reinterpret_cast<uv_stream_t *>(&side), OnAlloc, OnRead);
+	/** A side has closed: the other one is closed behind the bytes that are still on their way. */
+	void End(Relayed *each, int side)
+	{
+		this->Later(each, side, [this, each] { this->Close(each); });
 	}
-}
 
-static void OnAccept(uv_stream_t *listener, int)
-{
-	auto *link = new Link;
-	for (uv_tcp_t &side : link->sides) {
-		uv_tcp_init(listener->loop, &side);
-		uv_tcp_nodelay(&side, 1);
-		side.data = link;
+	/** Call \a act at once, or after the link's delay and behind what is delayed already. */
+	void Later(Relayed *each, int side, std::function<void()> act)
+	{
+		int64_t now = NowMs();
+		int64_t at = std::max(now + this->delay, each->free_at[side]);
+		each->free_at[side] = at;
+		if (at <= now) return act();
+		After(this->loop, static_cast<uint64_t>(at - now), [present = each->present, act = std::move(act)] {
+			if (*present) act();
+		});
 	}
-	links.insert(link);
-	uv_accept(listener, reinterpret_cast<uv_stream_t *>(&link->sides[0]));
-	if (mode == LinkMode::Cut) return CloseLink(link);
-	auto *connect = new uv_connect_t;
-	connect->data = link;
-	uv_tcp_connect(connect, &link->sides[1], reinterpret_cast<sockaddr *>(&far_address), [](uv_connect_t *done, int status) {
-		auto *connected = static_cast<Link *>(done->data);
-		if (status != 0 && !connected->closing) CloseLink(connected);
-		if (status == 0) StartLink(connected);
-		delete done;
-	});
-}
 
-/** Put the link and all that runs over it in \a name's state. */
-static void SetMode(const std::string &name)
-{
-	mode = name == "stall"          ? LinkMode::Stall
-	       : name == "cut"          ? LinkMode::Cut
-	       : name == "drop-answers" ? LinkMode::DropAnswers
-	                                : LinkMode::Pass;
-	std::set<Link *> all = links;
-	for (Link *link : all) {
-		if (mode == LinkMode::Cut) CloseLink(link);
-		if (mode == LinkMode::Pass) StartLink(link);
-		if (mode != LinkMode::Stall) continue;
-		for (uv_tcp_t &side : link->sides) uv_read_stop(reinterpret_cast<uv_stream_t *>(&side));
+	static void Write(Relayed *each, int side, const std::string &bytes)
+	{
+		auto *out = new std::string(bytes);
+		auto *write = new uv_write_t;
+		write->data = out;
+		uv_buf_t buffer = uv_buf_init(out->data(), static_cast<unsigned>(out->size()));
+		auto done = [](uv_write_t *over, int) {
+			delete static_cast<std::string *>(over->data);
+			delete over;
+		};
+		if (uv_write(write, reinterpret_cast<uv_stream_t *>(&each->sides[side]), &buffer, 1, done) != 0) done(write, 0);
 	}
+
+	uv_loop_t *loop;               ///< Loop.
+	sockaddr_in far;               ///< Address that it leads to.
+	uv_tcp_t listener{};           ///< Listening socket.
+	LinkMode mode{LinkMode::Pass}; ///< What becomes of bytes.
+	int64_t delay = 0;             ///< Time that they are late by, in milliseconds.
+	std::set<Relayed *> relayed;   ///< Connections.
+};
+
+/** @return The mode named \a name. */
+static LinkMode ModeNamed(const std::string &name)
+{
+	static const std::map<std::string, LinkMode> modes{{"stall", LinkMode::Stall},
+	                                                   {"cut", LinkMode::Cut},
+	                                                   {"reset", LinkMode::Reset},
+	                                                   {"drop-answers", LinkMode::DropAnswers},
+	                                                   {"drop-requests", LinkMode::DropRequests}};
+	auto found = modes.find(name);
+	return found == modes.end() ? LinkMode::Pass : found->second;
 }
 
 int RunRelay(uv_loop_t *loop)
 {
-	size_t colon = FLAGS_to.find(':');
-	if (colon == std::string::npos) return 2;
-	uv_ip4_addr(FLAGS_to.substr(0, colon).c_str(), std::stoi(FLAGS_to.substr(colon + 1)), &far_address);
-	uv_tcp_t listener;
-	uv_tcp_init(loop, &listener);
-	sockaddr_in address{};
-	uv_ip4_addr(FLAGS_ip.c_str(), FLAGS_link_port, &address);
-	if (uv_tcp_bind(&listener, reinterpret_cast<sockaddr *>(&address), 0) != 0) return 1;
-	if (uv_listen(reinterpret_cast<uv_stream_t *>(&listener), 128, OnAccept) != 0) return 1;
-	return Serve(loop, [](const std::shared_ptr<HttpExchange> &exchange) {
-		SetMode(Body(*exchange).value("mode", "pass"));
+	std::map<int, std::unique_ptr<Link>> links;
+	int first = 0;
+	auto add = [&](const std::string &to, int port) {
+		size_t colon = to.find(':');
+		sockaddr_in far{};
+		if (colon == std::string::npos || uv_ip4_addr(to.substr(0, colon).c_str(), std::stoi(to.substr(colon + 1)), &far) != 0) return 0;
+		auto link = std::make_unique<Link>(loop, far);
+		int at = link->Listen(port);
+		if (at != 0) links[at] = std::move(link);
+		return at;
+	};
+	if (!FLAGS_to.empty() && (first = add(FLAGS_to, FLAGS_link_port)) == 0) return 1;
+	return Serve(loop, [&](const std::shared_ptr<HttpExchange> &exchange) {
+		Json order = Body(*exchange);
+		if (order.contains("to")) return Answer(exchange, 200, {{"port", add(order["to"], order.value("port", 0))}});
+		auto link = links.find(order.value("port", first));
+		if (link == links.end()) return Answer(exchange, 404, {});
+		link->second->Set(ModeNamed(order.value("mode", "pass")), order.value("delay_ms", 0));
 		Answer(exchange, 200, {{"ok", true}});
 	});
 }
--- a/tests/standins/standin_func.h
+++ b/tests/standins/standin_func.h
@@ -41,10 +41,9 @@
 int RunEngine(uv_loop_t *loop);   ///< Model engine: continuous batching in limited memory.
 int RunService(uv_loop_t *loop);  ///< Plain service.
 int RunPlatform(uv_loop_t *loop); ///< Table service, object store and instance list.
-int RunRelay(uv_loop_t *loop);
-
-/** Run the users' platform in small: its store, engines and services in one process. */
-int RunWorld(uv_loop_t *loop); ///< TCP link that can be cut and stalled.
+int RunRelay(uv_loop_t *loop);    ///< Links that can be cut, reset, silenced and delayed.
+int RunWorld(uv_loop_t *loop);    ///< The users' platform in small: its store, engines and services.
+int RunCallers(uv_loop_t *loop);  ///< Callers on the users' platform who check what they get.
 
 /** Serve \a handler at --ip and --port until the process is killed. @return Exit code. */
 int Serve(uv_loop_t *loop, HttpServer::Handler handler);
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -36,7 +36,7 @@
 void WorldTarget::Beat()
 {
 	Json row{{"service", this->pool},
-	         {"address", "127.0.0.1:" + std::to_string(this->port)},
+	         {"address", this->Address()},
 	         {"zone", this->hall},
 	         {"capacity", 64},
 	         {"state", this->leaving ? "draining" : "ready"},
@@ -75,7 +75,7 @@
 	if (target == "/-/kv-move") return this->Move(exchange);
 	std::string attempt(FindHeader(exchange->head.headers, "X-Attempt-Id"));
 	if (FindHeader(exchange->head.headers, "X-Expect-Instance") != this->id) return exchange->Respond(421, {}, {});
-	if (this->leaving && NowMs() - this->left_at > NOTICE_MS) this->record.late.push_back({{"request", attempt}, {"target", this->id}});
+	if (this->leaving && NowMs() - this->left_at > NOTICE_MS) this->record.late.push_back({{"request", attempt}, {"target", this->id}, {"after_ms", NowMs() - this->left_at}, {"at", NowMs()}});
 	if (this->engine) return this->Generate(exchange, attempt);
 	this->Serve(exchange, attempt);
 }
@@ -184,6 +184,7 @@
 	{
 		if (exchange->head.target == "/record") {
 			Json told{{"runs", this->record.runs}, {"late", this->record.late}, {"store_calls", this->store.calls}};
+			for (const auto &[id, target] : this->targets) told["targets"][id] = target->Address();
 			return exchange->Respond(200, {}, told.dump());
 		}
 		if (exchange->head.target == "/control") return this->Control(exchange);
@@ -197,15 +198,19 @@
 		std::string act = control.value("do", "");
 		if (control.contains("config")) this->store.Put("op", "config", control["config"].dump());
 		if (control.contains("store")) this->store.mode = control["store"];
+		this->store.slow_ms = control.value("slow_ms", this->store.slow_ms);
+		if (control.contains("shown_as")) this->store.shown_as = control["shown_as"].get<std::map<std::string, std::string>>();
 		if (act == "leave") this->targets.at(id)->Leave(false);
 		if (act == "vanish") this->targets.at(id)->Leave(true);
 		if (act == "kill") this->targets.at(id)->Kill();
-		if (act == "add") this->Add(id, "engines", HALLS[0], true);
+		if (act == "add") this->Add(id, control.value("pool", "engines"), HALLS[this->targets.size() % 2], control.value("pool", "engines") == "engines");
 		if (act == "lapse") {
 			for (const auto &[name, target] : this->targets) this->store.Remove("servers", name);
 		}
 		if (act == "beat") {
-			for (const auto &[name, target] : this->targets) target->Beat();
+			for (const auto &[name, target] : this->targets) {
+				if (target->IsAlive()) target->Beat();
+			}
 		}
 		if (act == "fail") this->targets.at(id)->fail_part = control.value("part", 0.0);
 		if (act == "garble") this->targets.at(id)->garble = control.value("how", "");
--- a/tests/standins/world_base.h
+++ b/tests/standins/world_base.h
@@ -27,7 +27,9 @@
 	/** Answer a call of an instance. @return False if it is none. */
 	bool Handle(const Exchange &exchange);
 
-	std::string mode = "up"; ///< "up", "busy" (503), "silent" (no answer) or "compact" (history gone, once).
+	std::string mode = "up"; ///< "up", "busy" (503), "silent" (no answer), "compact" (history gone, once) or "lose" (writes done, not answered).
+	int64_t slow_ms = 0;     ///< Time by which answers are late, in milliseconds.
+	std::map<std::string, std::string> shown_as; ///< Addresses that rows show in place of others: those of links.
 	uint64_t calls = 0;      ///< Calls answered or turned away.
 
 private:
@@ -47,6 +49,8 @@
 	};
 
 	Json RowsOf(const std::string &table, uint64_t since, bool with_deleted) const;
+	std::string Shown(const std::string &value) const;
+	void Answer(const Exchange &exchange);
 	void Get(const Exchange &exchange, const std::string &query);
 	void Feed(const Exchange &exchange, const std::string &query);
 	void Transact(const Exchange &exchange);
@@ -75,6 +79,12 @@
 	/** Listen and enter the list. */
 	void Start();
 
+	/** @return Where it listens. */
+	std::string Address() const { return "127.0.0.1:" + std::to_string(this->port); }
+
+	/** @return Whether it still listens. */
+	bool IsAlive() const { return this->front != nullptr; }
+
 	/** Say that it leaves; \a silently only removes its row. */
 	void Leave(bool silently);
 
--- a/tests/standins/world_store.cpp
+++ b/tests/standins/world_store.cpp
@@ -45,6 +45,17 @@
 	this->WakeAll();
 }
 
+std::string WorldStore::Shown(const std::string &value) const
+{
+	std::string text = value;
+	for (const auto &[address, shown] : this->shown_as) {
+		size_t at = text.find(address);
+		bool whole = at != std::string::npos && (at + address.size() == text.size() || isdigit(text[at + address.size()]) == 0);
+		if (whole) return text.replace(at, address.size(), shown);
+	}
+	return text;
+}
+
 Json WorldStore::RowsOf(const std::string &table, uint64_t since, bool with_deleted) const
 {
 	Json rows = Json::array();
@@ -55,7 +66,7 @@
 		if (row.version <= since || (row.deleted && !with_deleted)) continue;
 		Json out{{"table", table}, {"part", ""}, {"tlsKey", key}, {"ver", row.version}};
 		if (row.deleted) out["deleted"] = true;
-		if (!row.deleted) out["value"] = Encode64(row.value);
+		if (!row.deleted) out["value"] = Encode64(this->Shown(row.value));
 		changed.emplace_back(with_deleted ? row.version : 0, std::move(out));
 	}
 	std::stable_sort(changed.begin(), changed.end(), [](const auto &a, const auto &b) { return a.first < b.first; });
@@ -104,14 +115,27 @@
 	Json body = Json::parse(exchange->body, nullptr, false);
 	for (const Json &row : body.value("setKeys", Json::array())) this->Put(row["table"], row["tlsKey"], Decode64(row["value"]));
 	for (const Json &row : body.value("remove", Json::array())) this->Remove(row["table"], row["tlsKey"]);
+	if (this->mode == "lose") return this->waiting.push_back({exchange, "", UINT64_MAX, INT64_MAX});
 	Reply(exchange, 200, {{"ver", this->version}, {"nowMs", NowMs()}});
 }
 
 bool WorldStore::Handle(const Exchange &exchange)
 {
-	const std::string &target = exchange->head.target;
-	if (!target.starts_with("/-/rows-")) return false;
+	if (!exchange->head.target.starts_with("/-/rows-")) return false;
 	this->calls++;
+	if (this->slow_ms == 0) {
+		this->Answer(exchange);
+	} else {
+		After(this->loop, static_cast<uint64_t>(this->slow_ms), [this, exchange] {
+			if (!exchange->IsOver()) this->Answer(exchange);
+		});
+	}
+	return true;
+}
+
+void WorldStore::Answer(const Exchange &exchange)
+{
+	const std::string &target = exchange->head.target;
 	std::string query = target.substr(std::min(target.size(), target.find('?') + 1));
 	if (this->mode == "busy") {
 		exchange->Respond(503, {}, {});
@@ -124,7 +148,6 @@
 	} else {
 		this->Transact(exchange);
 	}
-	return true;
 }
 
 } // namespace cottonspool
