Fix: [Retries] The slack of the retry budget is shared by the number of instances that the store lists

Cause: it was divided by 20 whatever their number; 78 instances together could have made 764 retries beyond the share where 196 are allowed. Change: divided by the listed instances, 20 only until the list is known. The test fails with the fixed number for 78 and 200 instances (by count: 10 each).

--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -131,6 +131,16 @@
 	return call.ends_at;
 }
 
+void Dispatcher::ShareRetries(double slack, size_t instances)
+{
+	if (!this->limits.pool_retry) return;
+	// Less than one would never allow a retry, however many first attempts were made.
+	double burst = std::max(1.0, slack / static_cast<double>(std::max<size_t>(instances, 1)));
+	if (burst == this->limits.pool_retry->burst) return;
+	this->limits.pool_retry->burst = burst;
+	for (auto &[model, budget] : this->pool_budgets) budget.SetBurst(burst);
+}
+
 RetryBudget *Dispatcher::PoolBudget(ModelNumber model)
 {
 	if (!this->limits.pool_retry) return nullptr;
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -50,6 +50,9 @@
 public:
 	Dispatcher(DispatchLimits limits, std::unique_ptr<Router> router);
 
+	/** Share the retries that all instances may save up, \a slack for each model or service, among \a instances. */
+	void ShareRetries(double slack, size_t instances);
+
 	/** A new call has come in. */
 	Decisions Submit(const CallSpec &call, TimePoint now);
 
--- a/src/decision/retry_budget.cpp
+++ b/src/decision/retry_budget.cpp
@@ -7,6 +7,12 @@
 
 namespace cottonspool {
 
+void RetryBudget::SetBurst(double burst)
+{
+	this->limits.burst = burst;
+	this->tokens = std::min(this->tokens, burst);
+}
+
 void RetryBudget::OnFirstAttempt()
 {
 	this->tokens = std::min(this->limits.burst, this->tokens + this->limits.ratio);
--- a/src/decision/retry_budget.h
+++ b/src/decision/retry_budget.h
@@ -22,6 +22,9 @@
 public:
 	explicit RetryBudget(RetryLimits limits) : limits(limits), tokens(limits.burst) {}
 
+	/** From now on at most \a burst retries are saved up. */
+	void SetBurst(double burst);
+
 	/** A first attempt was made. */
 	void OnFirstAttempt();
 
--- a/src/gateway/gateway_limits.cpp
+++ b/src/gateway/gateway_limits.cpp
@@ -9,8 +9,7 @@
 
 static constexpr double BYTES_PER_MBIT = 125000; ///< Bytes in a megabit.
 static constexpr double PASS_ON_PART = 0.2;      ///< Part of the link that rows passed on to other instances may take.
-static constexpr double SHARED_BY =
-        20; ///< Instances among which the slack of the retry budget is divided; none talks to the others about it.
+static constexpr double SHARED_BY = 20;          ///< Instances among which the slack of the retry budget is shared until their number is known.
 
 GatewayLimits GatewayLimitsFor(const NodeSettings &settings)
 {
@@ -19,6 +18,7 @@
 	pool.ratio = settings.bounds.retry_ratio * 0.9;
 	pool.burst = std::max(1.0, settings.bounds.retry_slack / SHARED_BY);
 	limits.dispatch.pool_retry = pool;
+	limits.retry_slack = settings.bounds.retry_slack;
 	limits.exchange.link_mbps = settings.link_mbps;
 	if (settings.link_mbps > 0) limits.exchange.pass_on_bytes = settings.link_mbps * BYTES_PER_MBIT * PASS_ON_PART;
 	// The one who reads may be cut off right after an answer: its next call hangs for wait and slack, then the others' patience
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -77,6 +77,9 @@
 	/** @return Whether this instance reads the reports of \a target for itself and its peers. */
 	bool ReadsReportsOf(const std::string &target) const;
 
+	/** @return Instances that the store lists, this one included; zero before the list was read. */
+	size_t Instances() const { return this->watch.IsKnown() ? this->found.size() + 1 : 0; }
+
 	/** @return Open links to others. */
 	size_t Links() const { return this->links.OpenLinks(); }
 
--- a/src/tests/dispatcher_test.cpp
+++ b/src/tests/dispatcher_test.cpp
@@ -441,3 +441,34 @@
 	CHECK(dispatcher.CopyWait(CallId{2}, EnginePool{}, least) == Duration(0));
 	CHECK(dispatcher.CopyWait(CallId{9}, pool, least) == Duration(0));
 }
+
+TEST_CASE("Dispatcher - instances that share the retries beyond the usual ones make no more together than one alone may")
+{
+	for (size_t instances : {1, 8, 78, 200}) {
+		constexpr double SLACK = 200;
+		size_t retries = 0;
+		for (size_t i = 0; i < instances; i++) {
+			DispatchLimits limits;
+			limits.pool_retry = RetryLimits{.ratio = 0, .burst = SLACK / 20};
+			limits.max_attempts = 1000;
+			limits.targets.eject_failures = 1000;
+			Dispatcher dispatcher(limits, MakeRouter("headroom", 1));
+			TimePoint now{std::chrono::seconds(10)};
+			TargetNumber target = dispatcher.Targets().Configure("service", "hall", {ModelNumber{0}}, false);
+			dispatcher.Targets().SetUnreported(target, 1000);
+			dispatcher.ShareRetries(SLACK, instances);
+			CallSpec call = MakeCall(1, 1, now);
+			call.generated = false;
+			call.deadline = now + std::chrono::hours(10);
+			REQUIRE(dispatcher.Submit(call, now).sends.size() == 1);
+			while (dispatcher.Holder(call.id)) {
+				dispatcher.OnSendEnded(call.id, SendEnd::Failed, now);
+				now += std::chrono::seconds(3);
+				dispatcher.OnTick(now);
+			}
+			retries += dispatcher.Counters().retries;
+		}
+		CHECK(retries <= static_cast<size_t>(SLACK));
+		CHECK(retries >= static_cast<size_t>(SLACK) / 2);
+	}
+}
