Change: [Gateway] Thousands of targets are looked through ten times a second, and news to many peers go out together

By reading: each tick of 25 ms asked for each of up to 3,000 targets which of its peers reads its reports (a hash a peer), each configuration rebuilt the index once for each target, and each call was told to each peer in a message of its own. Change: looks through all targets each 100 ms, whose turn it is looked up each 600 ms, the index rebuilt only when it changes, urgent news apart by 0.5 ms for each link.

--- a/src/decision/target_table.cpp
+++ b/src/decision/target_table.cpp
@@ -37,14 +37,18 @@
 	TargetState &target = this->targets[entry->second.value];
 	target.hall = hall;
 	target.engine = engine;
-	target.models = std::set<ModelNumber>(models.begin(), models.end());
+	std::set<ModelNumber> wanted(models.begin(), models.end());
+	bool same = target.known && target.models == wanted;
+	target.models = std::move(wanted);
 	target.known = true;
-	this->RebuildIndex();
+	// Each configuration names every target again: thousands of them would rebuild the index thousands of times.
+	if (!same) this->RebuildIndex();
 	return entry->second;
 }
 
 void TargetTable::Forget(TargetNumber target)
 {
+	if (!this->targets[target.value].known) return;
 	this->targets[target.value].known = false;
 	this->RebuildIndex();
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -272,8 +272,11 @@
 	this->upstream.OnTick(now);
 	this->front.OnTick(now);
 	this->readiness.OnTick(now);
-	this->OnTargetEvents(this->registry.OnTick(now), now);
-	this->PollReports(now);
+	if (now >= this->next_look) {
+		this->next_look = now + this->limits.target_look;
+		this->OnTargetEvents(this->registry.OnTick(now), now);
+		this->PollReports(now);
+	}
 	this->Carry(this->dispatcher.OnTick(now));
 	std::vector<std::shared_ptr<RelayCall>> all;
 	all.reserve(this->calls.size());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -126,6 +126,7 @@
 	uint64_t next_call = 1;                                                     ///< Number of the next request.
 	bool stopping = false;                                                      ///< Stop() was called.
 	TimePoint stop_begun;                                                       ///< When.
+	TimePoint next_look;                                                        ///< When all targets are next looked through.
 	TimePoint settings_checked;                                                 ///< When the settings file was last looked at.
 	std::string settings_text;                                                  ///< Its content.
 	size_t cut_calls = 0;                                                       ///< Requests cut by the end.
--- a/src/gateway/gateway_targets.cpp
+++ b/src/gateway/gateway_targets.cpp
@@ -183,9 +183,9 @@
 void Gateway::PollReports(TimePoint now)
 {
 	for (const auto &[id, listed] : this->usable) {
+		if (this->peers.IsHallOnly() && listed.hall != this->settings.hall) continue;
 		std::optional<TargetNumber> number = this->dispatcher.Targets().Find(id);
 		if (!number || !this->records[number->value].engine) continue;
-		if (this->peers.IsHallOnly() && listed.hall != this->settings.hall) continue;
 		TargetRecord &record = this->records[number->value];
 		if (record.report_call != 0 && now >= record.report_limit) {
 			this->upstream.Cancel(record.report_call);
@@ -194,7 +194,11 @@
 		if (record.report_call != 0 || now < record.next_report) continue;
 		// One instance reads a target's reports for all; the others read them only when they hear nothing.
 		Duration patience = FromSeconds(Seconds(this->limits.report_poll) * this->limits.report_patience);
-		if (now - record.reported_at < patience && !this->peers.ReadsReportsOf(id)) continue;
+		if (now - record.reported_at < patience && !this->peers.ReadsReportsOf(id)) {
+			// Whose turn it is changes with the instances that live: looked up again soon, but not at every step.
+			record.next_report = std::min(record.reported_at + patience, now + this->limits.report_poll);
+			continue;
+		}
 		this->PollReport(*number, now);
 	}
 }
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -18,6 +18,7 @@
 struct GatewayLimits {
 	Duration tick = std::chrono::milliseconds(25);          ///< Time between ticks; bounds how late a time limit is acted on.
 	Duration report_poll = std::chrono::milliseconds(600);  ///< Time between reports asked of an engine, by one instance for all.
+	Duration target_look = std::chrono::milliseconds(100);  ///< Time between looks through all targets: there may be thousands.
 	Duration report_age = std::chrono::milliseconds(400);   ///< Age of a report when it arrives, as the engines' operators state it.
 	Duration report_limit = std::chrono::milliseconds(800); ///< Time after which a report is not waited for.
 	Duration connect = std::chrono::milliseconds(
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -190,7 +190,8 @@
 	news = CallNews{CallNews::Kind::At, call.id.value, target, call.prompt_tokens, generated, call.max_tokens, pool, call.service_class};
 	if (!at_once) return;
 	this->waiting.calls.push_back(news);
-	this->Flush();
+	this->urgent = true;
+	if (this->MayTellAtOnce(MonotonicNow())) this->Flush();
 }
 
 void PeerExchange::TellEnded(CallId call)
@@ -207,9 +208,16 @@
 	this->waiting.reports.push_back({target, report});
 }
 
+bool PeerExchange::MayTellAtOnce(TimePoint now) const
+{
+	return now - this->flushed_at >= this->limits.urgent_each * static_cast<int>(this->links.OpenLinks());
+}
+
 void PeerExchange::Flush()
 {
+	this->urgent = false;
 	if (this->waiting.calls.empty() && this->waiting.reports.empty()) return;
+	this->flushed_at = MonotonicNow();
 	this->links.Broadcast(this->waiting);
 	this->waiting.calls.clear();
 	this->waiting.reports.clear();
@@ -232,7 +240,8 @@
 	}
 	bool any = !this->waiting.calls.empty() || !this->waiting.reports.empty();
 	if (any && this->waiting_since == TimePoint{}) this->waiting_since = now;
-	if (any && now - this->waiting_since >= this->limits.news_wait) this->Flush();
+	bool due = (this->urgent && this->MayTellAtOnce(now)) || now - this->waiting_since >= this->limits.news_wait;
+	if (any && due) this->Flush();
 	if (now - this->sent_at >= this->HeartbeatPeriod()) this->Heartbeat(now);
 }
 
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -20,6 +20,8 @@
 	double silences = 3.6;                               ///< Heartbeats missed after which a peer is forgotten: three and a lost packet.
 	Duration news_wait = std::chrono::milliseconds(120); ///< Longest time for which news that is not urgent waits for company.
 	double link_mbps = 0; ///< Speed of this instance's link, told to the others, in Mbit/s; 0 if unknown.
+	Duration urgent_each = std::chrono::microseconds(
+	        500); ///< Pause between urgent news for each link: with many peers several go out together, as each costs each of them a wake-up.
 	double pass_on_bytes = 256e3;                  ///< Bytes of rows that may be passed on in a second; beyond, each one reads them itself.
 	Duration settle = std::chrono::milliseconds(
 	        1500); ///< Time after the start in which an instance that knows of others and hears none yet doesn't read for all: they start together.
@@ -98,6 +100,7 @@
 	void OnTables(const TablesMessage &message, TimePoint now);
 	bool MayPassOn(const TableNews &news, TimePoint now);
 	Duration HeartbeatPeriod() const;
+	bool MayTellAtOnce(TimePoint now) const;
 	void Register(TimePoint now);
 	void OnRows(const std::vector<StoredRow> &rows, bool all);
 	void Dial(TimePoint now);
@@ -129,6 +132,8 @@
 	double pass_on_left = 0;            ///< Bytes of rows that may be passed on now.
 	TimePoint passed_on_at;             ///< When that was last worked out.
 	TimePoint waiting_since;            ///< When the first of them came up.
+	TimePoint flushed_at;               ///< When news last went out.
+	bool urgent = false;                ///< Some of what waits is urgent.
 	TimePoint started;                  ///< When the exchange began.
 	TimePoint sent_at;                  ///< When news was last sent.
 	TimePoint register_at;              ///< When the own row is written next.
