Add: [Operator] cottonspool explain REQUEST LOG...: from a request's id to its cause by gateways' logs alone

Reads log files of one or more instances (what stands before a line's JSON does not matter), names the cause in the first line and prints the request's lines with the changes of belief that bear on it.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -33,7 +33,7 @@
   show KIND [NAME]           show records: account, model, target, share, policy
   status                     show the state of the instances given with --server; --json
   drain TARGET               give a target no new work; --wait_s waits until it is empty; --back
-  explain REQUEST            show what was decided for a request
+  explain REQUEST [LOG ...]  show what was decided for a request: by an instance given with --server, or by the logs of gateways
 
 Exit codes: 0 done, 1 failed, 2 wrong usage, 3 conflict with another change, 4 not known whether done.
 All flags: cottonspool --helpfull)";
@@ -161,6 +161,7 @@
 	if (verb == "apply") return RunApply(ReadOptions(), first);
 	if (verb == "show") return RunShow(ReadOptions(), first, words.size() > 2 ? words[2] : "");
 	if (verb == "drain") return RunDrain(ReadOptions(), first, author.empty() ? "operator" : author, FLAGS_back);
+	if (words.size() > 2) return RunExplainLogs(first, {words.begin() + 2, words.end()});
 	return RunExplain(ReadOptions(), first);
 }
 
--- /dev/null
+++ b/src/operator/explain_log.cpp
@@ -0,0 +1,161 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file explain_log.cpp What became of a request and why, from log lines. */
+
+#include "operator/explain_log.h"
+#include <algorithm>
+#include <iomanip>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+
+namespace cottonspool {
+
+static constexpr double EARLIER_MS = 5000; ///< Changes of belief are shown from this long before the request came.
+
+/** Events that change what an instance believes, and so bear on requests without naming one. */
+static const std::set<std::string> BELIEFS{"target-leaving", "store-lost", "store-regained", "configuration", "stopping", "scope"};
+
+/** Outcomes that need no look at other lines, in words. */
+static const std::map<std::string, std::string> PLAIN_CAUSES{
+        {"caller-gone", "the caller left before the answer was whole"},
+        {"no-target", "no target could be reached; it was not run, unless a send before that says maybe"},
+        {"deadline-passed", "no target had room within the time it could wait"},
+        {"wait-too-long", "more was waiting than could be served within its time"},
+        {"queue-full", "too much was waiting"},
+        {"retry-budget", "a second send was needed, and the retry budget was spent"},
+        {"time-limit", "no whole answer came within its time limit"},
+        {"instance-stops", "the instance had to end before the answer was whole"},
+        {"no-configuration", "the instance did not know a configuration yet"},
+        {"no-route", "the configuration in force has no such route"},
+        {"unknown-key", "the configuration in force does not know the key"},
+        {"stopping", "the instance was stopping, and a new stream could not have ended in time"}};
+
+std::string LogLine::Field(const std::string &name) const
+{
+	auto found = this->fields.find(name);
+	return found == this->fields.end() ? "" : found->second;
+}
+
+std::optional<LogLine> ParseLogLine(const std::string &text)
+{
+	size_t start = text.find('{');
+	if (start == std::string::npos) return std::nullopt;
+	nlohmann::json object = nlohmann::json::parse(text.substr(start), nullptr, false);
+	if (!object.is_object() || !object.contains("event")) return std::nullopt;
+	LogLine line;
+	for (const auto &[name, value] : object.items()) line.fields[name] = value.is_string() ? value.get<std::string>() : value.dump();
+	line.event = line.Field("event");
+	line.instance = line.Field("instance");
+	line.at_ms = std::strtod(line.Field("at_ms").c_str(), nullptr);
+	for (const char *name : {"event", "instance", "at_ms", "level"}) line.fields.erase(name);
+	return line;
+}
+
+void RequestStory::Add(std::istream &log)
+{
+	for (std::string text; std::getline(log, text);) {
+		std::optional<LogLine> line = ParseLogLine(text);
+		if (!line) continue;
+		if (line->Field("request") == this->request) {
+			this->lines.push_back(std::move(*line));
+		} else if (BELIEFS.contains(line->event)) {
+			this->beliefs.push_back(std::move(*line));
+		}
+	}
+}
+
+const LogLine *RequestStory::Last(const std::string &event) const
+{
+	auto found = std::find_if(this->lines.rbegin(), this->lines.rend(), [&](const LogLine &line) { return line.event == event; });
+	return found == this->lines.rend() ? nullptr : &*found;
+}
+
+const LogLine *RequestStory::NoticeOf(const std::string &target, double before_ms) const
+{
+	const std::string &instance = this->lines.front().instance;
+	auto found = std::find_if(this->beliefs.begin(), this->beliefs.end(), [&](const LogLine &line) {
+		return line.event == "target-leaving" && line.instance == instance && line.Field("target") == target && line.at_ms <= before_ms;
+	});
+	return found == this->beliefs.end() ? nullptr : &*found;
+}
+
+std::string RequestStory::CauseOfLoss(const LogLine &finished) const
+{
+	const LogLine *lost = this->Last("run-lost");
+	const LogLine *ended = lost != nullptr ? lost : this->Last("send-ended");
+	if (ended == nullptr) return finished.Field("outcome");
+	std::string target = ended->Field("target");
+	std::string text = target + " was lost (" + ended->Field("cause") + ")";
+	if (const LogLine *notice = this->NoticeOf(target, ended->at_ms)) {
+		std::ostringstream told;
+		told << " " << std::fixed << std::setprecision(1) << (ended->at_ms - notice->at_ms) / 1000 << " s after it was known to leave ("
+		     << notice->Field("source") << ")";
+		const LogLine *move = this->Last("move");
+		text += told.str();
+		text += move == nullptr ? ", and its run was not moved"
+		                        : ", and its move did not end in time (" + move->Field("step") + ": " + move->Field("result") + ")";
+	} else {
+		text += lost != nullptr ? " without notice" : " before its answer was whole: it may have run";
+	}
+	return text;
+}
+
+std::string RequestStory::Cause() const
+{
+	if (this->lines.empty()) return "no line tells of it";
+	if (const LogLine *refused = this->Last("refused")) {
+		auto known = PLAIN_CAUSES.find(refused->Field("reason"));
+		return "refused with " + refused->Field("status") + ": " + (known != PLAIN_CAUSES.end() ? known->second : refused->Field("reason"));
+	}
+	const LogLine *finished = this->Last("finished");
+	if (finished == nullptr) return "not answered by the end of the logs: the instance died, or the request is still being served";
+	std::string outcome = finished->Field("outcome");
+	std::string status = finished->Field("status");
+	const LogLine *sent = this->Last("sent");
+	std::string after = " after " + finished->Field("ms") + " ms";
+	if (outcome == "answered") return "answered with " + status + " by " + (sent != nullptr ? sent->Field("target") : "a target") + after;
+	std::string how = status == "0" ? "broken off" : "answered with " + status;
+	auto known = PLAIN_CAUSES.find(outcome);
+	return how + after + ": " + (known != PLAIN_CAUSES.end() ? known->second : this->CauseOfLoss(*finished));
+}
+
+std::vector<LogLine> RequestStory::Related() const
+{
+	std::set<std::string> targets;
+	std::set<std::string> instances;
+	for (const LogLine &line : this->lines) {
+		instances.insert(line.instance);
+		for (const char *field : {"target", "from", "to"}) targets.insert(line.Field(field));
+	}
+	double first = this->lines.front().at_ms - EARLIER_MS;
+	double last = this->lines.back().at_ms;
+	std::vector<LogLine> related = this->lines;
+	for (const LogLine &line : this->beliefs) {
+		bool near = instances.contains(line.instance) && line.at_ms >= first && line.at_ms <= last;
+		bool bears = line.event != "target-leaving" || targets.contains(line.Field("target"));
+		if (near && bears) related.push_back(line);
+	}
+	std::stable_sort(related.begin(), related.end(), [](const LogLine &a, const LogLine &b) {
+		return a.instance != b.instance ? a.instance < b.instance : a.at_ms < b.at_ms;
+	});
+	return related;
+}
+
+std::string RequestStory::Text() const
+{
+	std::ostringstream text;
+	text << this->request << ": " << this->Cause() << "\n";
+	if (this->lines.empty()) return text.str();
+	double begun = this->lines.front().at_ms;
+	for (const LogLine &line : this->Related()) {
+		text << std::setw(9) << std::fixed << std::setprecision(0) << line.at_ms - begun << " ms  " << line.instance << "  " << line.event;
+		for (const auto &[name, value] : line.fields) {
+			if (name != "request" && !value.empty()) text << "  " << name << "=" << value;
+		}
+		text << "\n";
+	}
+	return text.str();
+}
+
+} // namespace cottonspool
--- a/src/operator/operator.cpp
+++ b/src/operator/operator.cpp
@@ -3,6 +3,7 @@
 /** @file operator.cpp The operators' verbs of the command line. */
 
 #include "configuration/record_type.h"
+#include "operator/explain_log.h"
 #include "operator/operator_func.h"
 #include "policy/policy_engine.h"
 #include <curl/curl.h>
@@ -303,6 +304,19 @@
 	return EXIT_OK;
 }
 
+int RunExplainLogs(const std::string &request, const std::vector<std::string> &logs)
+{
+	RequestStory story(request);
+	for (const std::string &path : logs) {
+		std::ifstream file(path);
+		if (path != "-" && !file) return Complain(path + " cannot be read");
+		story.Add(path == "-" ? std::cin : file);
+	}
+	if (!story.IsKnown()) return Complain("no line tells of " + request);
+	std::cout << story.Text();
+	return EXIT_OK;
+}
+
 int RunExplain(const OperatorOptions &options, const std::string &request)
 {
 	for (const std::string &server : options.servers) {
--- a/src/operator/operator_func.h
+++ b/src/operator/operator_func.h
@@ -28,5 +28,8 @@
 int RunDrain(const OperatorOptions &options, const std::string &target, const std::string &author,
              bool back);                                                    ///< Drain a target, or take it back. @return Exit code.
 int RunExplain(const OperatorOptions &options, const std::string &request); ///< Show what was decided for a request. @return Exit code.
+int RunExplainLogs(
+        const std::string &request,
+        const std::vector<std::string> &logs); ///< The same from log files of gateways; "-" is standard input. @return Exit code.
 
 } // namespace cottonspool
