--- a/src/gateway/gateway_limits.cpp
+++ b/src/gateway/gateway_limits.cpp
@@ -9,7 +9,7 @@
 
 static constexpr double BYTES_PER_MBIT = 125000; ///< Bytes in a megabit.
 static constexpr double PASS_ON_PART = 0.2;      ///< Part of the link that rows passed on to other instances may take.
-static constexpr double SHARED_BY = 20;          ///< Instances among which the slack of the retry budget is shared until their number is known.
+static constexpr double SHARED_BY = 20; ///< Instances among which the slack of the retry budget is shared until their number is known.
 
 GatewayLimits GatewayLimitsFor(const NodeSettings &settings)
 {
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -34,11 +34,11 @@
 	Duration move_retry = std::chrono::milliseconds(60);    ///< Pause before a move that was refused is tried again.
 	Duration move_overlap = std::chrono::milliseconds(250); ///< Longest time for which the old engine goes on once the new one was asked.
 	Duration least_move = std::chrono::milliseconds(300);   ///< Runs that are expected to end sooner stay where they are.
-	double copy_lead = 0.9; ///< Part of the expected wait for the link after which a copy is asked for, so that the link never rests.
-	double report_patience = 2.2;    ///< Times between reports after which one that a peer should have told is read here.
-	ExchangeLimits exchange;         ///< Exchange with other instances.
-	double silence_part = 0.72;      ///< Part of the longest good pause after which a silent engine is taken for lost, if there is a copy.
-	size_t hall_engines = 8;         ///< Engines in the own hall from which its instances keep to them and to each other.
+	double copy_lead = 0.9;       ///< Part of the expected wait for the link after which a copy is asked for, so that the link never rests.
+	double report_patience = 2.2; ///< Times between reports after which one that a peer should have told is read here.
+	ExchangeLimits exchange;      ///< Exchange with other instances.
+	double silence_part = 0.72;   ///< Part of the longest good pause after which a silent engine is taken for lost, if there is a copy.
+	size_t hall_engines = 8;      ///< Engines in the own hall from which its instances keep to them and to each other.
 	size_t hall_engines_least = 4;   ///< Engines below which they no longer do; lower, so that a few departures change nothing.
 	double other_hall_penalty = 1.2; ///< Pressure by which another hall's engine must then be better.
 	double retry_slack = 50;         ///< Retries beyond their share of the requests that all instances together may make.
@@ -50,10 +50,10 @@
 
 /** One request as it is served. */
 struct RelayRequest {
-	RequestInfo info;              ///< What the caller's fields say.
-	Route route;                   ///< Route, as it was in force when the request came.
-	std::string pool;              ///< Pool that was drawn.
-	std::string account;           ///< Client account; empty for none.
+	RequestInfo info;         ///< What the caller's fields say.
+	Route route;              ///< Route, as it was in force when the request came.
+	std::string pool;         ///< Pool that was drawn.
+	std::string account;      ///< Client account; empty for none.
 	EnginePool engines;       ///< What is known of the pool's engines; of no use for a plain service.
 	bool can_back_up = false; ///< A copy of its run can be kept at another engine.
 	int rank = 0;             ///< Order; 0 goes first.
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -17,16 +17,16 @@
 struct ExchangeLimits {
 	Duration heartbeat = std::chrono::milliseconds(500);     ///< Least time between heartbeats.
 	Duration heartbeat_each = std::chrono::milliseconds(40); ///< Time between heartbeats for each live peer: their number stays bounded.
-	double silences = 3.6;                               ///< Heartbeats missed after which a peer is forgotten: three and a lost packet.
-	Duration news_wait = std::chrono::milliseconds(120); ///< Longest time for which news that is not urgent waits for company.
-	double link_mbps = 0; ///< Speed of this instance's link, told to the others, in Mbit/s; 0 if unknown.
-	Duration urgent_each = std::chrono::microseconds(
-	        500); ///< Pause between urgent news for each link: with many peers several go out together, as each costs each of them a wake-up.
-	double pass_on_bytes = 256e3;                  ///< Bytes of rows that may be passed on in a second; beyond, each one reads them itself.
-	Duration settle = std::chrono::milliseconds(
-	        1500); ///< Time after the start in which an instance that knows of others and hears none yet doesn't read for all: they start together.
-	Duration dial_least = std::chrono::seconds(1); ///< Pause before a peer that cannot be reached is dialled again; doubles.
-	Duration dial_most = std::chrono::seconds(8);  ///< Longest such pause.
+	double silences = 3.6;                                 ///< Heartbeats missed after which a peer is forgotten: three and a lost packet.
+	Duration news_wait = std::chrono::milliseconds(120);   ///< Longest time for which news that is not urgent waits for company.
+	double link_mbps = 0;                                  ///< Speed of this instance's link, told to the others, in Mbit/s; 0 if unknown.
+	Duration urgent_each = std::chrono::microseconds(500); ///< Pause between urgent news for each link: with many peers several go out
+	                                                       ///< together, as each costs each of them a wake-up.
+	double pass_on_bytes = 256e3; ///< Bytes of rows that may be passed on in a second; beyond, each one reads them itself.
+	Duration settle = std::chrono::milliseconds(1500); ///< Time after the start in which an instance that knows of others and hears none
+	                                                   ///< yet doesn't read for all: they start together.
+	Duration dial_least = std::chrono::seconds(1);     ///< Pause before a peer that cannot be reached is dialled again; doubles.
+	Duration dial_most = std::chrono::seconds(8);      ///< Longest such pause.
 	Duration register_pause = std::chrono::seconds(1); ///< Pause before this instance's row is written again after a failure.
 	WatchLimits watch{.wait = std::chrono::seconds(10),
 	                  .patience = std::chrono::seconds(13),
--- a/src/platform/node_settings.h
+++ b/src/platform/node_settings.h
@@ -12,11 +12,11 @@
 
 /** Times and shares within which the operator's rules hold. */
 struct PlatformBounds {
-	Duration drain{std::chrono::seconds(2)};         ///< Time after a target's notice from which nothing new may reach it.
-	Duration in_force{std::chrono::seconds(2)};      ///< Time after which a configuration has to be in force.
-	Duration contact{std::chrono::seconds(3)};       ///< Calm time after which the bounds hold again, also for what the store told meanwhile.
-	Duration stop_grace{std::chrono::seconds(8)};    ///< Time between SIGTERM and SIGKILL.
-	double retry_ratio = 0.2;                        ///< Second sends allowed for each request, all instances together.
+	Duration drain{std::chrono::seconds(2)};      ///< Time after a target's notice from which nothing new may reach it.
+	Duration in_force{std::chrono::seconds(2)};   ///< Time after which a configuration has to be in force.
+	Duration contact{std::chrono::seconds(3)};    ///< Calm time after which the bounds hold again, also for what the store told meanwhile.
+	Duration stop_grace{std::chrono::seconds(8)}; ///< Time between SIGTERM and SIGKILL.
+	double retry_ratio = 0.2;                     ///< Second sends allowed for each request, all instances together.
 	Duration retry_window{std::chrono::seconds(10)}; ///< Window of that share.
 	double retry_slack = 50;                         ///< Second sends allowed beyond the share, all instances together.
 };
--- a/src/store/table_watch.h
+++ b/src/store/table_watch.h
@@ -96,33 +96,33 @@
 	bool LeavesItToProbe(TimePoint now);
 	void NoteRows(const std::vector<StoredRow> &rows);
 
-	TableStore &store;            ///< Store.
-	Clock clock;                  ///< Tells the time at which an answer comes.
-	std::string table;            ///< Table.
-	WatchLimits limits;           ///< Times.
-	std::vector<StoredRow> pages; ///< Rows of a read that is under way.
-	std::string next_key;         ///< Where its next page begins.
-	uint64_t pages_version = 0;   ///< Version of its first page: changes are read from there.
-	uint64_t version = 0;         ///< Version up to which the table is known: the store's, which rises with every table's writes.
-	uint64_t rows_version = 0;    ///< Version of the table's last change that is known; the same at all who know it.
-	uint64_t wanted = 0;          ///< Version that another instance told of, up to which the rest is read here.
-	uint64_t call = 0;            ///< Call under way; 0 for none.
-	uint64_t calls = 0;           ///< Calls made.
-	TimePoint call_limit;         ///< When it is given up.
-	TimePoint not_before;         ///< Earliest next call.
-	TimePoint confirmed;          ///< When the store last confirmed what is known.
-	TimePoint lost_since;         ///< When the first call failed.
-	Duration pause{0};            ///< Pause after the last failure.
-	Duration read_time{0};        ///< Time that a page may take now.
-	Duration patience{0};         ///< Time without news after which it is read here; zero for always.
-	TimePoint news_at;            ///< When another instance last told that the store answers it.
+	TableStore &store;                 ///< Store.
+	Clock clock;                       ///< Tells the time at which an answer comes.
+	std::string table;                 ///< Table.
+	WatchLimits limits;                ///< Times.
+	std::vector<StoredRow> pages;      ///< Rows of a read that is under way.
+	std::string next_key;              ///< Where its next page begins.
+	uint64_t pages_version = 0;        ///< Version of its first page: changes are read from there.
+	uint64_t version = 0;              ///< Version up to which the table is known: the store's, which rises with every table's writes.
+	uint64_t rows_version = 0;         ///< Version of the table's last change that is known; the same at all who know it.
+	uint64_t wanted = 0;               ///< Version that another instance told of, up to which the rest is read here.
+	uint64_t call = 0;                 ///< Call under way; 0 for none.
+	uint64_t calls = 0;                ///< Calls made.
+	TimePoint call_limit;              ///< When it is given up.
+	TimePoint not_before;              ///< Earliest next call.
+	TimePoint confirmed;               ///< When the store last confirmed what is known.
+	TimePoint lost_since;              ///< When the first call failed.
+	Duration pause{0};                 ///< Pause after the last failure.
+	Duration read_time{0};             ///< Time that a page may take now.
+	Duration patience{0};              ///< Time without news after which it is read here; zero for always.
+	TimePoint news_at;                 ///< When another instance last told that the store answers it.
 	const TableWatch *probe = nullptr; ///< Watch that finds out for this one that the store is back; null for none.
-	bool waits_for_probe = false; ///< It is left to that one now.
-	bool behind = false;          ///< Another instance knows more than was told: the rest is read here.
-	bool known = false;           ///< Read whole once.
-	bool following = false;       ///< Changes are followed; otherwise the table is read whole.
-	bool lost = false;            ///< The last call failed.
-	std::shared_ptr<bool> alive;  ///< False once this is gone; calls hold it.
+	bool waits_for_probe = false;      ///< It is left to that one now.
+	bool behind = false;               ///< Another instance knows more than was told: the rest is read here.
+	bool known = false;                ///< Read whole once.
+	bool following = false;            ///< Changes are followed; otherwise the table is read whole.
+	bool lost = false;                 ///< The last call failed.
+	std::shared_ptr<bool> alive;       ///< False once this is gone; calls hold it.
 };
 
 } // namespace cottonspool
--- a/src/tests/peer_load_test.cpp
+++ b/src/tests/peer_load_test.cpp
@@ -8,8 +8,8 @@
 #include "peer/peer_message.h"
 #include <algorithm>
 #include <doctest/doctest.h>
-#include <set>
 #include <rapidcheck.h>
+#include <set>
 
 using namespace cottonspool;
 using std::chrono::milliseconds;
--- a/tests/runner/processes.cpp
+++ b/tests/runner/processes.cpp
@@ -73,7 +73,8 @@
 /** signal(name, "TERM"|"KILL"|"STOP"|"CONT"|"HUP") */
 static int SendSignal(lua_State *lua)
 {
-	static const std::map<std::string, int> signals{{"TERM", SIGTERM}, {"KILL", SIGKILL}, {"STOP", SIGSTOP}, {"CONT", SIGCONT}, {"HUP", SIGHUP}};
+	static const std::map<std::string, int> signals{
+	        {"TERM", SIGTERM}, {"KILL", SIGKILL}, {"STOP", SIGSTOP}, {"CONT", SIGCONT}, {"HUP", SIGHUP}};
 	auto found = processes.find(luaL_checkstring(lua, 1));
 	auto number = signals.find(luaL_checkstring(lua, 2));
 	if (found == processes.end() || number == signals.end()) return luaL_error(lua, "no such process or signal");
--- a/tests/standins/callers.cpp
+++ b/tests/standins/callers.cpp
@@ -25,20 +25,20 @@
 
 /** One request on its way. */
 struct Asked {
-	std::string id;             ///< Its id; begins with the instance's name.
-	std::string instance;       ///< Instance asked.
-	char kind = 'r';            ///< 's' stream, 'o' once, 'r' repeatable.
-	int64_t began = 0;          ///< When.
-	int64_t leaves_at = 0;      ///< When the caller leaves; 0 for never.
-	uint64_t call = 0;          ///< Call under way.
-	int status = 0;             ///< Status; 0 while there is none.
-	bool stamped = false;       ///< The answer bears a target's stamp.
-	std::string body;           ///< Body so far; of a stream what is not yet a whole event.
-	uint64_t events = 0;        ///< Events seen, in order.
-	uint64_t length = 0;        ///< Events that the stream has.
-	std::string fault;          ///< Broken promise seen in the answer.
-	bool retry_after = false;   ///< It was told when to come back.
-	int64_t last_at = 0;        ///< When the last bytes came.
+	std::string id;           ///< Its id; begins with the instance's name.
+	std::string instance;     ///< Instance asked.
+	char kind = 'r';          ///< 's' stream, 'o' once, 'r' repeatable.
+	int64_t began = 0;        ///< When.
+	int64_t leaves_at = 0;    ///< When the caller leaves; 0 for never.
+	uint64_t call = 0;        ///< Call under way.
+	int status = 0;           ///< Status; 0 while there is none.
+	bool stamped = false;     ///< The answer bears a target's stamp.
+	std::string body;         ///< Body so far; of a stream what is not yet a whole event.
+	uint64_t events = 0;      ///< Events seen, in order.
+	uint64_t length = 0;      ///< Events that the stream has.
+	std::string fault;        ///< Broken promise seen in the answer.
+	bool retry_after = false; ///< It was told when to come back.
+	int64_t last_at = 0;      ///< When the last bytes came.
 };
 
 /** All callers. */
--- a/tests/standins/clock_shift.cpp
+++ b/tests/standins/clock_shift.cpp
@@ -7,9 +7,9 @@
 #include <ctime>
 #include <dlfcn.h>
 
-static constexpr long MS_PER_S = 1000;          ///< Milliseconds in a second.
-static constexpr long NS_PER_MS = 1000000;      ///< Nanoseconds in a millisecond.
-static constexpr long NS_PER_S = 1000000000;    ///< Nanoseconds in a second.
+static constexpr long MS_PER_S = 1000;       ///< Milliseconds in a second.
+static constexpr long NS_PER_MS = 1000000;   ///< Nanoseconds in a millisecond.
+static constexpr long NS_PER_S = 1000000000; ///< Nanoseconds in a second.
 
 /** @return By how many milliseconds the file that COTTONSPOOL_TEST_CLOCK names shifts the clock. */
 static long Shift()
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -75,7 +75,8 @@
 	if (target == "/-/kv-move") return this->Move(exchange);
 	std::string attempt(FindHeader(exchange->head.headers, "X-Attempt-Id"));
 	if (FindHeader(exchange->head.headers, "X-Expect-Instance") != this->id) return exchange->Respond(421, {}, {});
-	if (this->leaving && NowMs() - this->left_at > NOTICE_MS) this->record.late.push_back({{"request", attempt}, {"target", this->id}, {"after_ms", NowMs() - this->left_at}, {"at", NowMs()}});
+	if (this->leaving && NowMs() - this->left_at > NOTICE_MS)
+		this->record.late.push_back({{"request", attempt}, {"target", this->id}, {"after_ms", NowMs() - this->left_at}, {"at", NowMs()}});
 	if (this->engine) return this->Generate(exchange, attempt);
 	this->Serve(exchange, attempt);
 }
@@ -203,7 +204,8 @@
 		if (act == "leave") this->targets.at(id)->Leave(false);
 		if (act == "vanish") this->targets.at(id)->Leave(true);
 		if (act == "kill") this->targets.at(id)->Kill();
-		if (act == "add") this->Add(id, control.value("pool", "engines"), HALLS[this->targets.size() % 2], control.value("pool", "engines") == "engines");
+		if (act == "add")
+			this->Add(id, control.value("pool", "engines"), HALLS[this->targets.size() % 2], control.value("pool", "engines") == "engines");
 		if (act == "lapse") {
 			for (const auto &[name, target] : this->targets) this->store.Remove("servers", name);
 		}
--- a/tests/standins/world_base.h
+++ b/tests/standins/world_base.h
@@ -27,10 +27,11 @@
 	/** Answer a call of an instance. @return False if it is none. */
 	bool Handle(const Exchange &exchange);
 
-	std::string mode = "up"; ///< "up", "busy" (503), "silent" (no answer), "compact" (history gone, once) or "lose" (writes done, not answered).
-	int64_t slow_ms = 0;     ///< Time by which answers are late, in milliseconds.
+	std::string mode =
+	        "up"; ///< "up", "busy" (503), "silent" (no answer), "compact" (history gone, once) or "lose" (writes done, not answered).
+	int64_t slow_ms = 0;                         ///< Time by which answers are late, in milliseconds.
 	std::map<std::string, std::string> shown_as; ///< Addresses that rows show in place of others: those of links.
-	uint64_t calls = 0;      ///< Calls answered or turned away.
+	uint64_t calls = 0;                          ///< Calls answered or turned away.
 
 private:
 	/** One row with its history. */
