Change: [Gateway] Requests keep to their own hall on small sites as well

Cause: on the milestone sites another hall's target needed to be better by 0.1 only, and each cut of a hall stopped what ran across. Change: the figure that grown sites have had (1.2) holds for all.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -184,7 +184,7 @@
 	spec.max_attempts = route.max_attempts;
 	spec.ends_at = request->ends_at;
 	spec.objective = route.objective;
-	if (this->peers.IsHallOnly()) spec.other_hall_penalty = this->limits.other_hall_penalty;
+	spec.other_hall_penalty = this->limits.other_hall_penalty;
 	spec.arrived = now;
 	spec.deadline = std::min(request->ends_at, now + FromSeconds(Seconds(route.objective) * this->limits.wait_part));
 	spec.press_from = now + FromSeconds(Seconds(route.objective) * this->limits.press_part);
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -40,7 +40,7 @@
 	double silence_part = 0.72;   ///< Part of the longest good pause after which a silent engine is taken for lost, if there is a copy.
 	size_t hall_engines = 8;      ///< Engines in the own hall from which its instances keep to them and to each other.
 	size_t hall_engines_least = 4;   ///< Engines below which they no longer do; lower, so that a few departures change nothing.
-	double other_hall_penalty = 1.2; ///< Pressure by which another hall's engine must then be better.
+	double other_hall_penalty = 1.2; ///< Pressure by which another hall's target must be better: a cut hall stops what it has elsewhere.
 	double retry_slack = 50;         ///< Retries beyond their share of the requests that all instances together may make.
 	BackupRules backup;              ///< Copies of runs.
 	DispatchLimits dispatch;         ///< Decisions.
