--- a/tests/standins/relay.cpp
+++ b/tests/standins/relay.cpp
@@ -33,6 +33,7 @@
 	Link *link;                    ///< Link that it runs over.
 	uv_tcp_t sides[SIDES];         ///< Caller's side and far side.
 	int open = SIDES;              ///< Sides not yet closed.
+	bool holed = false;            ///< Bytes were lost: TCP would never pass on what follows them.
 	bool closing = false;          ///< Being closed.
 	int64_t free_at[SIDES] = {};   ///< When the last delayed bytes of a side leave: order is kept.
 	std::shared_ptr<bool> present; ///< False once it is being closed; delayed bytes hold it.
@@ -65,7 +66,9 @@
 		this->delay = delay_ms;
 		std::set<Relayed *> all = this->relayed;
 		for (Relayed *each : all) {
-			if (this->mode == LinkMode::Cut || this->mode == LinkMode::Reset) {
+			bool drops = this->mode == LinkMode::DropAnswers || this->mode == LinkMode::DropRequests;
+			bool ends = this->mode == LinkMode::Cut || this->mode == LinkMode::Reset || (each->holed && !drops);
+			if (ends) {
 				this->Close(each);
 			} else {
 				this->SetReading(each);
@@ -139,6 +142,7 @@
 		bool drop = (side == 1 && mode == LinkMode::DropAnswers) || (side == 0 && mode == LinkMode::DropRequests);
 		std::string bytes = got > 0 && !drop ? std::string(buffer->base, static_cast<size_t>(got)) : std::string();
 		free(buffer->base);
+		each->holed = each->holed || (got > 0 && drop);
 		if (got < 0) return each->link->End(each, side);
 		if (!bytes.empty()) each->link->Later(each, side, [each, side, bytes] { Write(each, 1 - side, bytes); });
 	}
