--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -27,11 +27,11 @@
 	double link_mbps = 0; ///< Speed of its link, in Mbit/s; 0 if unknown.
 };
 
-/** @return \a row as it stands in the store. */
+/** @return \a row as it stands in the store: its fields between blanks, the hall last, as its name may hold blanks. */
 static std::string EncodeInstanceRow(const InstanceRow &row)
 {
 	std::ostringstream text;
-	text << row.address << ' ' << row.hall << ' ' << row.link_mbps;
+	text << row.address << ' ' << row.link_mbps << ' ' << row.hall;
 	return text.str();
 }
 
@@ -39,7 +39,9 @@
 static InstanceRow DecodeInstanceRow(const std::string &text)
 {
 	InstanceRow row;
-	std::istringstream(text) >> row.address >> row.hall >> row.link_mbps;
+	std::istringstream in(text);
+	in >> row.address >> row.link_mbps >> std::ws;
+	std::getline(in, row.hall);
 	return row;
 }
 
--- a/src/store/table_watch.cpp
+++ b/src/store/table_watch.cpp
@@ -66,6 +66,8 @@
 		// For one that has given the store up, its return is news by itself: rows may have lapsed meanwhile.
 		// One that still has to read what could not be passed on has not regained it: only an own answer tells that.
 		bool returns = this->lost && this->call == 0 && !this->behind && news.to <= this->rows_version;
+		// After a silence the store is back for somebody: what could not be passed on is asked for at once, without the rest of a pause.
+		if (this->lost && now - this->news_at > this->patience) this->not_before = std::min(this->not_before, now);
 		this->news_at = now;
 		if (returns) this->OnAnswered(now);
 		if (news.to == this->rows_version) this->confirmed = now;
--- a/src/tests/table_watch_test.cpp
+++ b/src/tests/table_watch_test.cpp
@@ -274,6 +274,29 @@
 	CHECK(world.changes == std::vector<size_t>{1});
 }
 
+TEST_CASE("Watch - news that come again after a silence end a pause at once, for the store is back")
+{
+	WatchWorld world;
+	world.watch.SetPatience(milliseconds(1300));
+	world.store.Answer(Page({"a"}, 10));
+	while (world.lost == 0 || !world.store.calls.empty()) {
+		world.Pass(milliseconds(50));
+		if (!world.store.calls.empty()) world.store.Answer(Failed(StoreFailure::Refused));
+	}
+	// The pauses have grown to their longest.
+	for (int i = 0; i < 100; i++) {
+		world.Pass(milliseconds(50));
+		if (!world.store.calls.empty()) world.store.Answer(Failed(StoreFailure::Refused));
+	}
+	while (world.store.calls.empty()) world.Pass(milliseconds(10));
+	world.store.Answer(Failed(StoreFailure::Refused));
+	world.watch.OnNews({"table", 20, 20, false, true, {}}, world.now);
+	world.Pass(milliseconds(20));
+	REQUIRE(world.store.calls.size() == 1);
+	world.store.Answer(Page({"b"}, 20));
+	CHECK(world.changes == std::vector<size_t>{1});
+}
+
 TEST_CASE("Watch - a store that says nothing is given up in time, asked again with pauses, and its return is told")
 {
 	WatchWorld world;
