--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -229,28 +229,6 @@
 	call->Begin(MonotonicNow());
 }
 
-void Gateway::Carry(Decisions decisions)
-{
-	this->to_carry.push_back(std::move(decisions));
-	if (this->carrying) return;
-	this->carrying = true;
-	while (!this->to_carry.empty()) {
-		Decisions next = std::move(this->to_carry.front());
-		this->to_carry.pop_front();
-		for (const SendAction &action : next.sends) {
-			auto found = this->calls.find(action.call);
-			std::shared_ptr<RelayCall> call = found == this->calls.end() ? nullptr : found->second;
-			if (call) call->OnSend(action);
-		}
-		for (const GiveUpAction &action : next.give_ups) {
-			auto found = this->calls.find(action.call);
-			std::shared_ptr<RelayCall> call = found == this->calls.end() ? nullptr : found->second;
-			if (call) call->OnGiveUp(action);
-		}
-	}
-	this->carrying = false;
-}
-
 void Gateway::OnCallAt(const RelayRequest &request, TargetNumber target, bool at_once)
 {
 	if (!request.spec.generated) return;
@@ -260,6 +238,11 @@
 	this->peers.TellAt(request.spec, request.pool, state.name, generated, at_once);
 }
 
+void Gateway::Carry(Decisions decisions)
+{
+	this->carrier.Carry(std::move(decisions));
+}
+
 void Gateway::OnCallOver(CallId call)
 {
 	this->peers.TellEnded(call);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "core/name_table.h"
+#include "decision/decision_carrier.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/relay_call.h"
 #include "metrics/metrics.h"
@@ -121,8 +122,7 @@
 	HttpFront figures;                                                          ///< Metrics.
 	pcg64 random;                                                               ///< Randomness of choices.
 	std::unordered_map<CallId, std::shared_ptr<RelayCall>, StrongIdHash> calls; ///< Requests not yet answered.
-	std::deque<Decisions> to_carry;                                             ///< Decisions not yet carried out.
-	bool carrying = false;                                                      ///< Decisions are being carried out.
+	DecisionCarrier<RelayCall> carrier{this->calls};                            ///< Hands decisions to them.
 	uint64_t next_call = 1;                                                     ///< Number of the next request.
 	bool stopping = false;                                                      ///< Stop() was called.
 	TimePoint stop_begun;                                                       ///< When.
--- a/src/instance/instance.cpp
+++ b/src/instance/instance.cpp
@@ -98,26 +98,7 @@
 
 void Instance::Carry(Decisions decisions)
 {
-	this->to_carry.push_back(std::move(decisions));
-	if (this->carrying) return;
-	this->carrying = true;
-	while (!this->to_carry.empty()) {
-		Decisions next = std::move(this->to_carry.front());
-		this->to_carry.pop_front();
-		for (const SendAction &action : next.sends) {
-			auto found = this->calls.find(action.call);
-			if (found == this->calls.end()) continue;
-			std::shared_ptr<Call> call = found->second;
-			call->OnSend(action);
-		}
-		for (const GiveUpAction &action : next.give_ups) {
-			auto found = this->calls.find(action.call);
-			if (found == this->calls.end()) continue;
-			std::shared_ptr<Call> call = found->second;
-			call->OnGiveUp(action);
-		}
-	}
-	this->carrying = false;
+	this->carrier.Carry(std::move(decisions));
 }
 
 void Instance::OnCallOver(CallId call)
--- a/src/instance/instance.h
+++ b/src/instance/instance.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include "decision/decision_carrier.h"
 #include "http/http_server.h"
 #include "instance/claim_store.h"
 #include "instance/configuration_keeper.h"
@@ -104,8 +105,7 @@
 	OrderKeeper orders;                                                    ///< Orders to engines.
 	pcg64 random;                                                          ///< Randomness of names and choices.
 	std::unordered_map<CallId, std::shared_ptr<Call>, StrongIdHash> calls; ///< Calls not yet answered.
-	std::deque<Decisions> to_carry;                                        ///< Decisions not yet carried out.
-	bool carrying = false;                                                 ///< Decisions are being carried out.
+	DecisionCarrier<Call> carrier{this->calls};                            ///< Hands decisions to them.
 	uint64_t next_call = 1;                                                ///< Number of the next call.
 	std::map<uint64_t, TimePoint> heartbeat_times;                         ///< When the last heartbeats were sent, by counter.
 	size_t heartbeat_bytes = 0;                                            ///< Size of the last heartbeat.
