--- /dev/null
+++ b/scripts/play_days.py
@@ -0,0 +1,173 @@
+#!/usr/bin/env python3
+"""Plays days of the operators' deployments with mechanisms switched, and tabulates what each day is worth.
+
+Days are played in scratch copies of the committed tree with the binary that target/ holds, without charging processor time, so a
+rerun repeats to the last digit. Journal entries of the plays are copied to journal/ when --keep-journal is given.
+
+  scripts/play_days.py --player PATH --sites DIR gopherline-hub mawqif-cloud --seeds 0,1,2
+  scripts/play_days.py --player PATH --sites DIR gopherline-hub --ablation --csv docs/design/ablation.csv
+"""
+import argparse
+import concurrent.futures
+import csv
+import json
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+import tomllib
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+STANDARD_SEED = "0"  # stands for the seed that the day itself names
+
+
+def find_site(sites, name):
+    """The deployment's file below the folder of deployments."""
+    found = sorted(sites.rglob(name + ".toml"))
+    if not found:
+        sys.exit(f"no {name}.toml below {sites}")
+    return found[0]
+
+
+def day_names(site):
+    """The standard days with trouble of a deployment."""
+    return [day["name"] for day in tomllib.loads(site.read_text())["day"] if day["slot"] != "quiet"]
+
+
+def quiet_names(site):
+    return [day["name"] for day in tomllib.loads(site.read_text())["day"] if day["slot"] == "quiet"]
+
+
+def engine_pool(site):
+    """The pool of model engines, which own days name @engines."""
+    return next(service["name"] for service in tomllib.loads(site.read_text())["services"] if "llm" in service)
+
+
+def own_days(site, folder):
+    """Own days, filled in for one deployment, in a folder that outlives the plays."""
+    paths = []
+    for template in sorted((ROOT / "tests/days").glob("*.toml")):
+        path = folder / f"{site.stem}-{template.name}"
+        path.write_text(template.read_text().replace("@engines", engine_pool(site)))
+        paths.append(str(path))
+    return paths
+
+
+def scratch_copy(folder, switches):
+    """A copy of the committed tree that runs the binary of target/ with the switches."""
+    subprocess.run(["git", "clone", "-q", "--shared", str(ROOT), str(folder)], check=True)
+    (folder / "target").mkdir()
+    shutil.copy(ROOT / "target/cottonspool", folder / "target")
+    deploy = folder / "deploy/system.toml"
+    text = re.sub(r"(?m)^build = .*$", 'build = "true"', deploy.read_text())
+    flag = f" --switch={switches}" if switches else ""
+    deploy.write_text(re.sub(r"(?m)^(run = .*gateway)\"$", rf'\g<1>{flag}"', text))
+    return folder
+
+
+def play(player, copy, site, day, seed, label):
+    """Play one day. Returns its worth and the rules that were broken."""
+    with tempfile.NamedTemporaryFile(suffix=".json") as report:
+        command = [player, "run", str(site), day, "--no-cpu", "--report", report.name, "--why", f"Trial: {label}"]
+        if seed != STANDARD_SEED:
+            command += ["--seed", seed]
+        done = subprocess.run(command, cwd=copy, capture_output=True, text=True)
+        try:
+            result = json.loads(Path(report.name).read_text())
+        except json.JSONDecodeError:
+            sys.exit(f"{label} {site.stem} {day}: {done.stdout[-400:]}{done.stderr[-400:]}")
+    broken = list(result["breaks"]) + ([result["fault"]] if result["fault"] else [])
+    return result["G"], broken
+
+
+def switch_names():
+    listed = subprocess.run([ROOT / "target/cottonspool", "gateway", "--switch=help"], capture_output=True, text=True, check=True)
+    return [line.split(":")[0] for line in listed.stdout.splitlines()]
+
+
+def mean(values):
+    return sum(values) / len(values) if values else float("nan")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("names", nargs="+", help="deployments")
+    parser.add_argument("--player", required=True, help="the program that plays days")
+    parser.add_argument("--sites", required=True, type=Path, help="folder of the deployments' files")
+    parser.add_argument("--seeds", default=STANDARD_SEED, help="seeds, separated by commas; 0 is the day's own")
+    parser.add_argument("--switch", default="", help="mechanisms to switch in all plays")
+    parser.add_argument("--ablation", action="store_true", help="switch each mechanism in turn")
+    parser.add_argument("--no-own", action="store_true", help="standard days only")
+    parser.add_argument("--csv", type=Path, help="file for the table")
+    parser.add_argument("--jobs", type=int, default=6)
+    parser.add_argument("--keep-journal", action="store_true")
+    args = parser.parse_args()
+    variants = [args.switch] + (switch_names() if args.ablation else [])
+    player = str(Path(args.player).resolve())
+    with tempfile.TemporaryDirectory() as scratch_name, concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
+        scratch = Path(scratch_name)
+        work = []
+        for variant in variants:
+            copy = scratch_copy(scratch / f"tree-{len(work)}", variant)
+            for name in args.names:
+                site = find_site(args.sites.resolve(), name)
+                groups = {"trouble": day_names(site), "quiet": quiet_names(site)}
+                if not args.no_own:
+                    groups["own"] = own_days(site, scratch)
+                for group, days in groups.items():
+                    for day in days:
+                        for seed in args.seeds.split(","):
+                            future = pool.submit(play, player, copy, site, day, seed, variant or "nothing switched")
+                            work.append((variant, name, group, day, seed, copy, future))
+        rows = collect(work, args.names, variants)
+        if args.keep_journal:
+            keep_journal({copy for *_, copy, _ in work})
+    print_table(rows, args.names)
+    if args.csv:
+        with args.csv.open("w", newline="") as out:
+            csv.writer(out).writerows([["switched", "deployment", "days", "worth", "difference", "broken"]] + rows)
+
+
+def collect(work, names, variants):
+    """Mean worth of each variant, deployment and group of days, and its difference from the first variant's."""
+    worth, broken, base = {}, {}, {}
+    for variant, name, group, day, seed, _, future in work:
+        value, rules = future.result()
+        worth.setdefault((variant, name, group), []).append(value)
+        broken.setdefault((variant, name, group), []).extend(f"{Path(day).stem}/{seed}:{rule}" for rule in rules)
+        if group == "own":
+            worth.setdefault((variant, name, Path(day).stem.removeprefix(name + "-")), []).append(value)
+    rows = []
+    for (variant, name, group), values in worth.items():
+        base.setdefault((name, group), mean(values))
+        rules = " ".join(broken.get((variant, name, group), []))
+        rows.append([variant or "nothing", name, group, f"{mean(values):.4f}", f"{mean(values) - base[(name, group)]:+.4f}", rules])
+    return rows
+
+
+def print_table(rows, names):
+    """One line for each variant, one column for each deployment and group; behind each worth its difference."""
+    groups = sorted({(row[1], row[2]) for row in rows}, key=lambda pair: (names.index(pair[0]), pair[1]))
+    print("| switched | " + " | ".join(f"{name} {group}" for name, group in groups) + " | rules broken |")
+    print("| --- |" + " --- |" * (len(groups) + 1))
+    for variant in dict.fromkeys(row[0] for row in rows):
+        cells = {(row[1], row[2]): row for row in rows if row[0] == variant}
+        values = [f"{cells[key][3]} {cells[key][4]}" for key in groups]
+        broken = " ".join(row[5] for row in cells.values() if row[5])
+        print(f"| {variant} | " + " | ".join(values) + f" | {broken} |")
+
+
+def keep_journal(copies):
+    """Copy the entries that the plays wrote to this tree's journal."""
+    for copy in copies:
+        known = set(subprocess.run(["git", "ls-files", "journal"], cwd=copy, capture_output=True, text=True).stdout.split())
+        staged = subprocess.run(["git", "diff", "--name-only", "HEAD", "--", "journal"], cwd=copy, capture_output=True, text=True)
+        for entry in set(staged.stdout.split()) | known:
+            if not (ROOT / entry).exists():
+                shutil.copy(copy / entry, ROOT / entry)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -203,7 +203,7 @@
 	double cost = tracked.call.generated ? tracked.call.prompt_tokens + generated : 1;
 	this->queue.Correct(tracked.call.account, tracked.call.service_class, tracked.call.account_weight, cost - tracked.charged);
 	bool failed = end == SendEnd::Lost || end == SendEnd::Failed;
-	bool again = end == SendEnd::NotRun || (failed && tracked.call.repeatable);
+	bool again = end == SendEnd::NotRun || (failed && tracked.call.repeatable && this->limits.retry_failed);
 	if (end == SendEnd::NotSent) {
 		this->TryElsewhere(tracked, now, decisions);
 	} else if (again) {
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -20,6 +20,7 @@
 	uint32_t max_unsent = 6;                                   ///< Most targets tried in a row that could not be reached.
 	LengthEstimateLimits lengths;                              ///< Length estimate.
 	bool refuse_early = true;                                  ///< Give up at once when the expected wait passes the deadline.
+	bool retry_failed = true;                                  ///< Send a repeatable call that failed at a target to another.
 	uint32_t max_attempts = 3;                                 ///< Most sends of one call.
 	size_t heads_tried = 24;                                   ///< Waiting accounts tried per class and event.
 	Duration retry_after_min = std::chrono::milliseconds(500); ///< Least time told to come back after.
--- a/src/decision/length_estimate.cpp
+++ b/src/decision/length_estimate.cpp
@@ -78,6 +78,7 @@
 
 void LengthEstimate::Learn(const CallSpec &call, uint32_t tokens)
 {
+	if (!this->limits.learn) return;
 	this->Touch(GroupKey(call, call.account.value)).histogram.Add(tokens);
 	this->Touch(GroupKey(call, ALL_ACCOUNTS)).histogram.Add(tokens);
 }
--- a/src/decision/length_estimate.h
+++ b/src/decision/length_estimate.h
@@ -38,6 +38,7 @@
 struct LengthEstimateLimits {
 	size_t max_groups = 4096;   ///< Groups (model, class, account) remembered; the longest unused one is dropped.
 	double prior_tokens = 256;  ///< Expected length before anything was learned.
+	bool learn = true;          ///< Learn from outputs that ended; otherwise the prior stands.
 	double account_outputs = 8; ///< Outputs of an account after which its own history counts for half.
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -43,8 +43,8 @@
 }
 
 Gateway::Gateway(uv_loop_s *loop, NodeSettings given, std::string settings_path, GatewayLimits limits)
-    : limits(limits), upstream(loop), metrics(ACCOUNT_SERIES), dispatcher(limits.dispatch, MakeRouter("headroom", 0)), loop(loop),
-      settings(std::move(given)), settings_path(std::move(settings_path)), store(this->upstream, this->settings.store),
+    : limits(limits), upstream(loop), metrics(ACCOUNT_SERIES), dispatcher(limits.dispatch, MakeRouter("headroom", 0, limits.router)),
+      loop(loop), settings(std::move(given)), settings_path(std::move(settings_path)), store(this->upstream, this->settings.store),
       configuration_watch(this->store, CONFIGURATION_TABLE, limits.watch), target_watch(this->store, TARGET_TABLE, limits.watch),
       registry(limits.registry), peer_load(this->dispatcher.Targets(), this->pools, std::chrono::seconds(2)),
       peers(loop, this->store, this->peer_load, this->settings.name, this->settings.hall, limits.exchange,
--- a/src/gateway/gateway_targets.cpp
+++ b/src/gateway/gateway_targets.cpp
@@ -225,7 +225,7 @@
 	report.running = told->running;
 	report.waiting = told->waiting;
 	report.waiting_tokens = told->waiting_tokens;
-	report.leaving = told->leaving;
+	report.leaving = told->leaving && this->limits.use_own_notice;
 	this->peers.TellReport(this->dispatcher.Targets().Get(number).name, report);
 	this->TakeReport(number, std::move(report));
 }
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -188,6 +188,7 @@
 
 void PeerExchange::TellAt(const CallSpec &call, const std::string &pool, const std::string &target, uint32_t generated, bool at_once)
 {
+	if (!this->limits.tell_calls) return;
 	CallNews &news = this->own[call.id.value];
 	news = CallNews{CallNews::Kind::At, call.id.value, target, call.prompt_tokens, generated, call.max_tokens, pool, call.service_class};
 	if (!at_once) return;
@@ -279,6 +280,7 @@
 
 bool PeerExchange::ReadsReportsOf(const std::string &target) const
 {
+	if (!this->limits.share_reports) return true;
 	return RendezvousChoice(target, this->readers, 1).front() == this->name;
 }
 
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -22,6 +22,8 @@
 	double link_mbps = 0;                                  ///< Speed of this instance's link, told to the others, in Mbit/s; 0 if unknown.
 	Duration urgent_each = std::chrono::microseconds(500); ///< Pause between urgent news for each link: with many peers several go out
 	                                                       ///< together, as each costs each of them a wake-up.
+	bool tell_calls = true;                                ///< Tell the others where own calls run.
+	bool share_reports = true;                             ///< One instance reads an engine's reports for all.
 	double pass_on_bytes = 256e3; ///< Bytes of rows that may be passed on in a second; beyond, each one reads them itself.
 	Duration settle = std::chrono::milliseconds(1500); ///< Time after the start in which an instance that knows of others and hears none
 	                                                   ///< yet doesn't read for all: they start together.
--- /dev/null
+++ b/src/gateway/rule_switches.cpp
@@ -0,0 +1,67 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file rule_switches.cpp Mechanisms that can be switched one by one. */
+
+#include "gateway/rule_switches.h"
+#include <algorithm>
+#include <limits>
+
+namespace cottonspool {
+
+/** The mechanisms; all are on unless the effect says that it is switched on. */
+static constexpr RuleSwitch SWITCHES[] = {
+        {"moves", "a run stays at an engine that leaves", [](GatewayLimits &l) { l.use_moves = false; }},
+        {"copies-in-turn", "copies of runs that leave an engine together are asked for at once", [](GatewayLimits &l) { l.copy_lead = 0; }},
+        {"own-hall-first", "the own hall's targets are not preferred", [](GatewayLimits &l) { l.other_hall_penalty = 0; }},
+        {"room", "a call does not wait for room at an engine", [](GatewayLimits &l) { l.router.use_headroom = false; }},
+        {"first-token", "the wait for the first token is not looked at", [](GatewayLimits &l) { l.router.use_first_token = false; }},
+        {"cached-prefix", "a cached beginning of the prompt is not looked at", [](GatewayLimits &l) { l.router.use_prefix = false; }},
+        {"interval", "the time between tokens is not looked at", [](GatewayLimits &l) { l.router.use_interval = false; }},
+        {"pressing", "no call goes to an engine without room",
+         [](GatewayLimits &l) {
+	         l.router.use_press = false;
+	         l.press_part = std::numeric_limits<double>::infinity();
+         }},
+        {"growth-feedback", "the room kept for growth is not adapted",
+         [](GatewayLimits &l) { l.dispatch.targets.use_growth_feedback = false; }},
+        {"learned-lengths", "expected lengths are not learned", [](GatewayLimits &l) { l.dispatch.lengths.learn = false; }},
+        {"retry-failed", "a repeatable call that failed at a target is not sent to another",
+         [](GatewayLimits &l) { l.dispatch.retry_failed = false; }},
+        {"ejection", "targets that fail in a row are not ejected",
+         [](GatewayLimits &l) { l.dispatch.targets.eject_failures = std::numeric_limits<uint32_t>::max(); }},
+        {"early-refusal", "a call is not refused before its wait is over", [](GatewayLimits &l) { l.dispatch.refuse_early = false; }},
+        {"peer-news", "instances do not tell each other of their calls", [](GatewayLimits &l) { l.exchange.tell_calls = false; }},
+        {"shared-reports", "each instance reads each engine's reports", [](GatewayLimits &l) { l.exchange.share_reports = false; }},
+        {"hall-scope", "news go to the instances of all halls",
+         [](GatewayLimits &l) { l.hall_engines = std::numeric_limits<size_t>::max(); }},
+        {"fresh-connection", "calls that run once use connections that have rested",
+         [](GatewayLimits &l) { l.reuse_once = std::chrono::hours(1); }},
+        {"own-notice", "an engine's notice in its own report is not looked at", [](GatewayLimits &l) { l.use_own_notice = false; }},
+        {"lapse-grace", "rows that lapsed while the store was away count as departures",
+         [](GatewayLimits &l) {
+	         l.registry.lapse_grace = Duration(0);
+	         l.registry.lapse_least = std::numeric_limits<size_t>::max();
+         }},
+        {"backups", "switched on: copies of all long runs are kept at other engines", [](GatewayLimits &l) { l.backup.use = true; }},
+};
+
+std::span<const RuleSwitch> RuleSwitches()
+{
+	return SWITCHES;
+}
+
+Result<void> SwitchRules(std::string_view names, GatewayLimits &limits)
+{
+	while (!names.empty()) {
+		std::string_view name = names.substr(0, names.find(','));
+		names.remove_prefix(std::min(names.size(), name.size() + 1));
+		auto found = std::find_if(std::begin(SWITCHES), std::end(SWITCHES), [&](const RuleSwitch &rule) { return rule.name == name; });
+		if (found == std::end(SWITCHES)) {
+			return Error{Step::Settings, "--switch", "'" + std::string(name) + "' is no mechanism; --switch=help lists them"};
+		};
+		found->apply(limits);
+	}
+	return outcome::success();
+}
+
+} // namespace cottonspool
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -181,7 +181,7 @@
 
 void StreamRelay::TryMove(TimePoint now)
 {
-	if (this->over || !this->target || this->link == 0 || !this->request.engines.can_move) return;
+	if (this->over || !this->target || this->link == 0 || !this->request.engines.can_move || !this->gateway.limits.use_moves) return;
 	if (this->move.phase != MovePhase::None || now < this->move.not_before) return;
 	const TargetState &source = this->gateway.dispatcher.Targets().Get(*this->target);
 	if (!source.leaving) return;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,6 +3,7 @@
 /** @file main.cpp Command line of cottonspool. */
 
 #include "gateway/gateway.h"
+#include "gateway/rule_switches.h"
 #include "instance/instance.h"
 #include "metrics/log.h"
 #include "operator/operator_func.h"
@@ -12,6 +13,7 @@
 #include <uv.h>
 
 DEFINE_string(settings, "", "serve: TOML file with the settings of the instance");
+DEFINE_string(switch, "", "gateway: mechanisms to switch, separated by commas, to measure what they are worth; help lists them");
 DEFINE_bool(check, false, "serve: only check the settings");
 DEFINE_string(server, "", "operators: instances to ask, http://IP:PORT, separated by commas");
 DEFINE_string(key, "", "operators: key; the environment's COTTONSPOOL_OPERATOR_KEY when not given");
@@ -26,7 +28,8 @@
 
   serve --settings FILE      run an entry instance; --check only checks the settings
   gateway                    run an instance on the operators' platform, with the settings file that its environment
-                             names or --settings FILE; --check only checks the settings
+                             names or --settings FILE; --check only checks the settings; --switch=NAME,... switches
+                             mechanisms off for a measurement, --switch=help lists them
   settings                   print the reference of all settings
   check FILE                 check a change file and try its policies
   apply FILE                 have a change accepted; --wait_s waits until it is in force
@@ -82,6 +85,10 @@
 /** Run an instance on the operators' platform until it is stopped. */
 static int RunGateway()
 {
+	if (FLAGS_switch == "help") {
+		for (const RuleSwitch &rule : RuleSwitches()) std::cout << rule.name << ": " << rule.effect << std::endl;
+		return EXIT_OK;
+	}
 	std::string path = FLAGS_settings.empty() ? NodeSettingsPath() : FLAGS_settings;
 	if (path.empty()) {
 		std::cerr << "cottonspool: gateway needs the platform's environment or --settings FILE" << std::endl;
@@ -96,9 +103,14 @@
 		std::cout << path << ": all right" << std::endl;
 		return EXIT_OK;
 	}
+	GatewayLimits limits = GatewayLimitsFor(settings.value());
+	if (Result<void> switched = SwitchRules(FLAGS_switch, limits); !switched) {
+		std::cerr << "cottonspool: " << FormatError(switched.error()) << std::endl;
+		return EXIT_USAGE;
+	}
 	InitLog("info", "json", settings.value().name);
 	uv_loop_t *loop = uv_default_loop();
-	Gateway gateway(loop, settings.value(), path, GatewayLimitsFor(settings.value()));
+	Gateway gateway(loop, settings.value(), path, limits);
 	Result<void> started = gateway.Start();
 	if (!started) {
 		std::cerr << "cottonspool: " << FormatError(started.error()) << std::endl;
