Fix: [Targets] A target that cannot be reached is ejected even if others are, and those that only failed come back for it; Add: [Logs] time to the first event, moves and copies of lost runs

Its own service stood ejected after three of its own 500s in a row (14% of repeatable calls get one whichever target they ask), a third target too, and as never more than half are ejected, all calls went to the target in the hall that was cut off, where no connection came up. Ruled out: no target left (two of three answered). Change: calls that could not be sent are counted apart; after two in a row the target is ejected beyond the half, and the others, which do answer, are taken back first. Test: target_health_test.

--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -190,14 +190,20 @@
 	this->queue.PushFront(tracked.call, this->ExpectedTokens(tracked.call));
 }
 
+/** @return How the target behaved whose send ended with \a end. */
+static TargetConduct ConductOf(SendEnd end)
+{
+	if (end == SendEnd::Complete || end == SendEnd::CallerGone) return TargetConduct::Well;
+	return end == SendEnd::NotSent ? TargetConduct::Unreachable : TargetConduct::Failed;
+}
+
 Decisions Dispatcher::OnSendEnded(CallId id, SendEnd end, TimePoint now)
 {
 	Decisions decisions;
 	auto found = this->calls.find(id);
 	if (found == this->calls.end() || !found->second.holder) return decisions;
 	Tracked &tracked = found->second;
-	bool healthy = end == SendEnd::Complete || end == SendEnd::CallerGone;
-	uint32_t generated = this->targets.OnEnded(*tracked.holder, id, healthy, now);
+	uint32_t generated = this->targets.OnEnded(*tracked.holder, id, ConductOf(end), now);
 	this->in_flight--;
 	if (end == SendEnd::Complete && tracked.call.generated) this->lengths.Learn(tracked.call, generated);
 	double cost = tracked.call.generated ? tracked.call.prompt_tokens + generated : 1;
--- a/src/decision/target_table.cpp
+++ b/src/decision/target_table.cpp
@@ -239,21 +239,41 @@
 	return generated;
 }
 
-uint32_t TargetTable::OnEnded(TargetNumber number, CallId call, bool healthy, TimePoint now)
+uint32_t TargetTable::OnEnded(TargetNumber number, CallId call, TargetConduct conduct, TimePoint now)
 {
 	TargetState &target = this->targets[number.value];
 	if (!target.in_flight.contains(call)) return 0;
 	uint32_t generated = this->TakeOut(target, call, now);
 	target.probing = false;
-	if (healthy) {
+	target.unreached = conduct == TargetConduct::Unreachable ? target.unreached + 1 : 0;
+	if (conduct == TargetConduct::Well) {
 		target.failures = target.ejections = 0;
 		target.ejected_until = TimePoint{};
-	} else if (++target.failures >= this->limits.eject_failures) {
+	} else if (target.unreached >= this->limits.eject_unreached) {
+		this->EjectUnreachable(target, now);
+	} else if (++target.failures >= this->limits.eject_failures && this->MayEject(target, now)) {
 		this->Eject(target, now);
 	}
 	return generated;
 }
 
+void TargetTable::EjectUnreachable(TargetState &target, TimePoint now)
+{
+	// While a hall is cut off, targets that had answered with failures stood ejected, and all calls went to the one that could
+	// not be reached: 174 refused on a day. One that answers at all serves more, so those come back before this one goes.
+	bool others = false;
+	for (ModelNumber model : target.models) {
+		for (TargetNumber number : this->ForModel(model)) {
+			TargetState &other = this->targets[number.value];
+			if (&other == &target || other.leaving || other.unreached >= this->limits.eject_unreached) continue;
+			others = true;
+			other.failures = other.ejections = 0;
+			other.ejected_until = TimePoint{};
+		}
+	}
+	if (others) this->Eject(target, now);
+}
+
 bool TargetTable::MayEject(const TargetState &target, TimePoint now) const
 {
 	for (ModelNumber model : target.models) {
@@ -269,7 +289,6 @@
 
 void TargetTable::Eject(TargetState &target, TimePoint now)
 {
-	if (!this->MayEject(target, now)) return;
 	auto length = this->limits.eject_base * (1U << std::min<uint32_t>(target.ejections, 10));
 	target.ejected_until = now + std::min<Duration>(length, this->limits.eject_max);
 	target.ejections++;
--- a/src/decision/target_table.h
+++ b/src/decision/target_table.h
@@ -20,12 +20,20 @@
 	double share_max = 6;                                           ///< Most times its equal share that an instance may take of headroom.
 	double growth_min = 0.1;                                        ///< Least part reserved.
 	double growth_max = 2.0;                                        ///< Largest part reserved.
-	uint32_t eject_failures = 3;                                    ///< Failures in a row after which a target is ejected.
-	Duration eject_base = std::chrono::seconds(1);                  ///< First ejection; doubles up to eject_max.
-	Duration eject_max = std::chrono::seconds(30);                  ///< Longest ejection.
-	double slow_factor = 3.0;        ///< Token interval against the median from which a target is shown as slow.
-	bool use_shares = true;          ///< Keep to a share of reported headroom.
-	bool use_growth_feedback = true; ///< Adapt the reserved growth to preemptions.
+	uint32_t eject_unreached = 2;                  ///< Calls in a row that could not be sent after which a target is ejected.
+	uint32_t eject_failures = 3;                   ///< Failures in a row after which a target is ejected.
+	Duration eject_base = std::chrono::seconds(1); ///< First ejection; doubles up to eject_max.
+	Duration eject_max = std::chrono::seconds(30); ///< Longest ejection.
+	double slow_factor = 3.0;                      ///< Token interval against the median from which a target is shown as slow.
+	bool use_shares = true;                        ///< Keep to a share of reported headroom.
+	bool use_growth_feedback = true;               ///< Adapt the reserved growth to preemptions.
+};
+
+/** How a target behaved towards one call. */
+enum class TargetConduct : uint8_t {
+	Well,        ///< It answered.
+	Failed,      ///< It answered with a failure, or broke off.
+	Unreachable, ///< No connection to it came up.
 };
 
 /** One call in flight at a target: of this instance, or of another that told it. */
@@ -63,6 +71,7 @@
 	double median_interval = 0;           ///< Median time between tokens of its like, in seconds; 0 while unknown.
 	double interval = 0;                  ///< Smoothed time between tokens, in seconds; 0 while unknown.
 	uint32_t failures = 0;                ///< Failures in a row.
+	uint32_t unreached = 0;               ///< Calls in a row that could not be sent to it.
 	uint32_t ejections = 0;               ///< Ejections in a row.
 	TimePoint ejected_until;              ///< Gets nothing new before this.
 	bool probing = false;                 ///< One call is on its way to find out whether it is well again.
@@ -103,8 +112,8 @@
 	/** The run of \a call goes on at \a to instead of \a from. */
 	void OnMoved(TargetNumber from, TargetNumber to, CallId call, TimePoint now);
 
-	/** \a call has ended at \a target; \a healthy tells whether the target behaved. @return Tokens generated. */
-	uint32_t OnEnded(TargetNumber target, CallId call, bool healthy, TimePoint now);
+	/** \a call has ended at \a target, which behaved as \a conduct tells. @return Tokens generated. */
+	uint32_t OnEnded(TargetNumber target, CallId call, TargetConduct conduct, TimePoint now);
 
 	/** \a tokens of a call that a peer told came at \a target; their times say nothing of its speed. */
 	void OnForeignToken(TargetNumber target, CallId call, TimePoint now, uint32_t tokens);
@@ -165,6 +174,7 @@
 	/** @return Whether \a target may be ejected: never more than half of the targets of a model are. */
 	bool MayEject(const TargetState &target, TimePoint now) const;
 	void Eject(TargetState &target, TimePoint now);
+	void EjectUnreachable(TargetState &target, TimePoint now);
 	double OthersCommitted(const TargetState &target) const;
 	void AddTokens(TargetState &target, InFlightCall &flight, TimePoint now, uint32_t tokens);
 	uint32_t TakeOut(TargetState &target, CallId call, TimePoint now);
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -60,6 +60,7 @@
 	const std::string &account = this->request.account;
 	if (!this->has_event) {
 		Duration first = now - this->request.spec.arrived;
+		this->first_after = first;
 		this->gateway.metrics.Observe(Measure::FirstTokenSeconds, account, this->request.spec.service_class, Seconds(first));
 	} else {
 		Duration gap = now - this->last_at;
@@ -129,6 +130,7 @@
 	Log(LogLevel::Info, "streamed",
 	    {{"request", this->request.info.attempt},
 	     {"events", std::to_string(this->events)},
+	     {"first_ms", FormatMilliseconds(this->first_after)},
 	     {"longest_gap_ms", FormatMilliseconds(this->longest_gap)},
 	     {"moves", std::to_string(this->moves)}});
 	this->EndSend(SendEnd::Complete);
@@ -141,6 +143,8 @@
 	    {{"request", this->request.info.attempt},
 	     {"target", this->target ? this->gateway.dispatcher.Targets().Get(*this->target).name : ""},
 	     {"events", std::to_string(this->events)},
+	     {"moves", std::to_string(this->moves)},
+	     {"copy_kept", this->backup ? "yes" : "no"},
 	     {"cause", cause}});
 	this->OnGone();
 	if (this->link != 0) this->gateway.upstream.Cancel(this->link);
--- a/src/gateway/stream_relay.h
+++ b/src/gateway/stream_relay.h
@@ -82,6 +82,7 @@
 	uint64_t last_event = 0; ///< Number of the last one.
 	uint64_t events = 0;     ///< Events passed on.
 	TimePoint last_at;       ///< When it was passed on.
+	Duration first_after{0}; ///< Time from the request to the first event.
 	Duration longest_gap{0}; ///< Longest pause between events.
 	bool paused = false;     ///< The engine is not being read, since the caller reads slowly.
 	Move move;               ///< Move under way.
--- a/src/tests/dispatcher_test.cpp
+++ b/src/tests/dispatcher_test.cpp
@@ -354,19 +354,19 @@
 	targets.OnReport(other, report, now);
 	for (uint64_t i = 0; i < 3; i++) {
 		targets.OnSent(number, MakeCall(i, 0, now), now);
-		targets.OnEnded(number, CallId{i}, false, now);
+		targets.OnEnded(number, CallId{i}, TargetConduct::Failed, now);
 	}
 	CHECK_FALSE(targets.IsUsable(targets.Get(number), ModelNumber{0}, now));
 	for (uint64_t i = 3; i < 9; i++) {
 		targets.OnSent(other, MakeCall(i, 0, now), now);
-		targets.OnEnded(other, CallId{i}, false, now);
+		targets.OnEnded(other, CallId{i}, TargetConduct::Failed, now);
 	}
 	CHECK(targets.IsUsable(targets.Get(other), ModelNumber{0}, now)); // Never more than half are ejected.
 	now += std::chrono::milliseconds(1100);
 	CHECK(targets.IsUsable(targets.Get(number), ModelNumber{0}, now));
 	targets.OnSent(number, MakeCall(10, 0, now), now);
 	CHECK_FALSE(targets.IsUsable(targets.Get(number), ModelNumber{0}, now));
-	targets.OnEnded(number, CallId{10}, true, now);
+	targets.OnEnded(number, CallId{10}, TargetConduct::Well, now);
 	CHECK(targets.IsUsable(targets.Get(number), ModelNumber{0}, now));
 }
 
--- /dev/null
+++ b/src/tests/target_health_test.cpp
@@ -0,0 +1,70 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file target_health_test.cpp Targets that fail and targets that cannot be reached are taken out, the better ones last. */
+
+#include "decision/target_table.h"
+#include <doctest/doctest.h>
+
+using namespace cottonspool;
+
+namespace {
+
+/** Three plain services of one pool. */
+struct HealthWorld {
+	LengthEstimate lengths{{}};              ///< Not used by plain services.
+	TargetTable targets{{}, lengths};        ///< Targets.
+	TimePoint now{std::chrono::seconds(10)}; ///< Time.
+	std::vector<TargetNumber> all;           ///< Numbers.
+	uint64_t next = 1;                       ///< Next call.
+
+	HealthWorld()
+	{
+		for (const char *name : {"a", "b", "c"}) {
+			this->all.push_back(this->targets.Configure(name, "hall", {ModelNumber{0}}, false));
+			this->targets.SetUnreported(this->all.back(), 6);
+		}
+	}
+
+	/** \a times calls are sent to the target \a index and end with \a conduct. */
+	void Calls(size_t index, TargetConduct conduct, int times)
+	{
+		for (int i = 0; i < times; i++) {
+			CallSpec call;
+			call.id = CallId{this->next++};
+			call.generated = false;
+			this->targets.OnSent(this->all[index], call, this->now);
+			this->targets.OnEnded(this->all[index], call.id, conduct, this->now);
+		}
+	}
+
+	/** @return Whether the target \a index may get calls. */
+	bool IsUsable(size_t index) const { return this->targets.IsUsable(this->targets.Get(this->all[index]), ModelNumber{0}, this->now); }
+};
+
+} // namespace
+
+TEST_CASE("Targets - one that cannot be reached goes, and one that only failed comes back for it")
+{
+	HealthWorld world;
+	world.Calls(0, TargetConduct::Failed, 3);
+	CHECK_FALSE(world.IsUsable(0));
+	world.Calls(1, TargetConduct::Unreachable, 2);
+	CHECK_FALSE(world.IsUsable(1));
+	CHECK(world.IsUsable(0));
+	world.Calls(2, TargetConduct::Unreachable, 2);
+	CHECK_FALSE(world.IsUsable(2));
+	CHECK(world.IsUsable(0));
+}
+
+TEST_CASE("Targets - the last one that is left stays, and one that answers again is taken back")
+{
+	HealthWorld world;
+	for (size_t i = 0; i < 3; i++) world.Calls(i, TargetConduct::Unreachable, 2);
+	CHECK(world.IsUsable(2));
+	world.now += std::chrono::seconds(2);
+	CHECK(world.IsUsable(0));
+	world.Calls(0, TargetConduct::Well, 1);
+	world.Calls(2, TargetConduct::Unreachable, 1);
+	CHECK_FALSE(world.IsUsable(2));
+	CHECK(world.IsUsable(0));
+}
