Change: [Gateway] While the store is away engines' reports are asked for three times as often, and a notice in one is passed on at once

Ruled out: copies in turn that wait too long (the link was busy all the time, also with all copies asked for at once). Test: scenario platform_store, failed first (12 reports in 2.4 s, 9 before).

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -97,6 +97,7 @@
 	void RefreshScope();
 	void PollReports(TimePoint now);
 	void PollReport(TargetNumber target, TimePoint now);
+	Duration ReportPeriod() const;
 	void OnReport(TargetNumber target, const std::optional<EngineReport> &report);
 
 	void OnTick();
--- a/src/gateway/gateway_targets.cpp
+++ b/src/gateway/gateway_targets.cpp
@@ -203,12 +203,17 @@
 	}
 }
 
+Duration Gateway::ReportPeriod() const
+{
+	return this->target_watch.IsLost() ? this->limits.report_poll_alone : this->limits.report_poll;
+}
+
 void Gateway::PollReport(TargetNumber number, TimePoint now)
 {
 	TargetRecord &record = this->records[number.value];
 	const std::string &name = this->dispatcher.Targets().Get(number).name;
 	double jitter = std::uniform_real_distribution<double>(1 - REPORT_JITTER, 1 + REPORT_JITTER)(this->random);
-	record.next_report = now + FromSeconds(Seconds(this->limits.report_poll) * jitter);
+	record.next_report = now + FromSeconds(Seconds(this->ReportPeriod()) * jitter);
 	record.report_limit = now + this->limits.report_limit;
 	record.report_call = this->upstream.Start(MakeReportCall(
 	        record.address, name, [this, number](const std::optional<EngineReport> &report) { this->OnReport(number, report); }));
@@ -227,6 +232,8 @@
 	report.waiting_tokens = told->waiting_tokens;
 	report.leaving = told->leaving && this->limits.use_own_notice;
 	this->peers.TellReport(this->dispatcher.Targets().Get(number).name, report);
+	// A notice that only the report tells leaves little time to move runs: the others hear of it at once.
+	if (report.leaving) this->peers.Flush();
 	this->TakeReport(number, std::move(report));
 }
 
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -16,11 +16,12 @@
 
 /** Times and bounds of a gateway. */
 struct GatewayLimits {
-	Duration tick = std::chrono::milliseconds(25);          ///< Time between ticks; bounds how late a time limit is acted on.
-	Duration report_poll = std::chrono::milliseconds(600);  ///< Time between reports asked of an engine, by one instance for all.
-	Duration target_look = std::chrono::milliseconds(100);  ///< Time between looks through all targets: there may be thousands.
-	Duration report_age = std::chrono::milliseconds(400);   ///< Age of a report when it arrives, as the engines' operators state it.
-	Duration report_limit = std::chrono::milliseconds(800); ///< Time after which a report is not waited for.
+	Duration tick = std::chrono::milliseconds(25);               ///< Time between ticks; bounds how late a time limit is acted on.
+	Duration report_poll = std::chrono::milliseconds(600);       ///< Time between reports asked of an engine, by one instance for all.
+	Duration report_poll_alone = std::chrono::milliseconds(200); ///< The same while the store is away: only reports tell who leaves.
+	Duration target_look = std::chrono::milliseconds(100);       ///< Time between looks through all targets: there may be thousands.
+	Duration report_age = std::chrono::milliseconds(400);        ///< Age of a report when it arrives, as the engines' operators state it.
+	Duration report_limit = std::chrono::milliseconds(800);      ///< Time after which a report is not waited for.
 	Duration connect = std::chrono::milliseconds(
 	        150);             ///< Longest time to connect to a target: many round trips; a lost packet is repeated too late to wait for.
 	double wait_part = 0.22;  ///< Part of the objective that a request may wait here before it is refused.
--- a/tests/scenarios/platform_store.lua
+++ b/tests/scenarios/platform_store.lua
@@ -15,12 +15,21 @@
 	end
 end
 serve("before")
+local function reports_in(ms)
+	local before = lib.record("world").reports
+	sleep_ms(ms)
+	return lib.record("world").reports - before
+end
+local usual = reports_in(2400)
 for i, mode in ipairs{ "busy", "silent" } do
 	lib.control("world", '{"store":"' .. mode .. '"}')
 	for _ = 1, 8 do
 		serve("while the store is " .. mode)
 		sleep_ms(300)
 	end
+	-- Only engines' own reports tell who leaves now: they are asked for more often.
+	local now = reports_in(2400)
+	lib.check(now > 2 * usual, now .. " reports while the store is " .. mode .. ", " .. usual .. " before")
 	-- All rows lapse while it is away; live targets write theirs again a second after its return.
 	lib.control("world", '{"do":"lapse"}')
 	lib.control("world", '{"store":"up"}')
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -65,6 +65,7 @@
 {
 	const std::string &target = exchange->head.target;
 	if (target == "/-/report") {
+		this->record.reports++;
 		Json report{{"running", this->running.size()},
 		            {"queued", 0},
 		            {"kvUsed", 0},
@@ -193,6 +194,7 @@
 			Json told{{"runs", this->record.runs},
 			          {"late", this->record.late},
 			          {"overlaps", this->record.overlaps},
+			          {"reports", this->record.reports},
 			          {"store_calls", this->store.calls}};
 			for (const auto &[id, target] : this->targets) told["targets"][id] = target->Address();
 			return exchange->Respond(200, {}, told.dump());
--- a/tests/standins/world_base.h
+++ b/tests/standins/world_base.h
@@ -71,6 +71,7 @@
 	std::map<std::string, std::pair<std::string, uint64_t>> copies; ///< Copies by handle: request and events made.
 	std::map<std::string, int64_t> resumed_at;                      ///< When another engine was asked to go on, by request.
 	Json overlaps = Json::array();                                  ///< Milliseconds for which an old engine still made events then.
+	uint64_t reports = 0;                                           ///< Reports told.
 	uint64_t next_handle = 1;                                       ///< Number of the next copy.
 };
 
