--- /dev/null
+++ b/src/decision/target_health.cpp
@@ -0,0 +1,95 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file target_health.cpp Which targets are well: those that fail, cannot be reached or are slow. */
+
+#include "decision/target_table.h"
+#include <algorithm>
+
+namespace cottonspool {
+
+static constexpr size_t SLOW_MIN_TARGETS = 3; ///< Fewest measured targets from which a median says something.
+static constexpr double INTERVAL_AGING = 0.1; ///< Part of the way to the median that an idle target's figure goes in a second.
+
+uint32_t TargetTable::OnEnded(TargetNumber number, CallId call, TargetConduct conduct, TimePoint now)
+{
+	TargetState &target = this->targets[number.value];
+	if (!target.in_flight.contains(call)) return 0;
+	uint32_t generated = this->TakeOut(target, call, now);
+	target.probing = false;
+	target.unreached = conduct == TargetConduct::Unreachable ? target.unreached + 1 : 0;
+	if (conduct == TargetConduct::Well) {
+		target.failures = target.ejections = 0;
+		target.ejected_until = TimePoint{};
+	} else if (target.unreached >= this->limits.eject_unreached) {
+		this->EjectUnreachable(target, now);
+	} else if (++target.failures >= this->limits.eject_failures && this->MayEject(target, now)) {
+		this->Eject(target, now);
+	}
+	return generated;
+}
+
+void TargetTable::EjectUnreachable(TargetState &target, TimePoint now)
+{
+	// While a hall is cut off, targets that had answered with failures stood ejected, and all calls went to the one that could
+	// not be reached: 174 refused on a day. One that answers at all serves more, so those come back before this one goes.
+	bool others = false;
+	for (ModelNumber model : target.models) {
+		for (TargetNumber number : this->ForModel(model)) {
+			TargetState &other = this->targets[number.value];
+			if (&other == &target || other.leaving || other.unreached >= this->limits.eject_unreached) continue;
+			others = true;
+			other.failures = other.ejections = 0;
+			other.ejected_until = TimePoint{};
+		}
+	}
+	if (others) this->Eject(target, now);
+}
+
+bool TargetTable::MayEject(const TargetState &target, TimePoint now) const
+{
+	for (ModelNumber model : target.models) {
+		const std::vector<TargetNumber> &alike = this->ForModel(model);
+		auto out = std::count_if(alike.begin(), alike.end(), [&](TargetNumber other) {
+			const TargetState &state = this->Get(other);
+			return &state == &target || now < state.ejected_until || state.leaving;
+		});
+		if (static_cast<size_t>(out) * 2 > alike.size()) return false;
+	}
+	return true;
+}
+
+void TargetTable::Eject(TargetState &target, TimePoint now)
+{
+	auto length = this->limits.eject_base * (1U << std::min<uint32_t>(target.ejections, 10));
+	target.ejected_until = now + std::min<Duration>(length, this->limits.eject_max);
+	target.ejections++;
+}
+
+bool TargetTable::IsUsable(const TargetState &target, ModelNumber model, TimePoint now) const
+{
+	if (!target.known || !target.ready || target.leaving) return false;
+	if (now < target.ejected_until || target.probing) return false;
+	return target.models.contains(model);
+}
+
+void TargetTable::RefreshSlow()
+{
+	for (const auto &[model, numbers] : this->by_model) {
+		std::vector<double> intervals;
+		for (TargetNumber number : numbers) {
+			if (this->Get(number).interval > 0) intervals.push_back(this->Get(number).interval);
+		}
+		if (intervals.size() < SLOW_MIN_TARGETS) continue;
+		auto middle = intervals.begin() + static_cast<long>(intervals.size() / 2);
+		std::nth_element(intervals.begin(), middle, intervals.end());
+		for (TargetNumber number : numbers) {
+			TargetState &target = this->targets[number.value];
+			target.median_interval = *middle;
+			// Without own calls there the figure ages towards the median, so that a target that was slow is tried again.
+			if (target.in_flight.empty() && target.interval > 0) target.interval += INTERVAL_AGING * (*middle - target.interval);
+			target.slow = target.interval > this->limits.slow_factor * *middle;
+		}
+	}
+}
+
+} // namespace cottonspool
--- a/src/decision/target_table.cpp
+++ b/src/decision/target_table.cpp
@@ -9,15 +9,13 @@
 
 namespace cottonspool {
 
-static constexpr uint32_t RESIDUAL_REFRESH_TOKENS = 16; ///< Tokens after which the expected rest of a call is computed anew.
-static constexpr double GROWTH_ON_PREEMPTION = 1.25;    ///< Factor on the reserved growth after a report with preemptions.
-static constexpr double GROWTH_ON_QUIET = 0.98;         ///< Factor on the reserved growth after a report without.
-static constexpr double SHARE_ON_PREEMPTION = 0.5;      ///< Factor on the share factor after a report with preemptions.
-static constexpr double SHARE_ON_QUIET = 1.03;          ///< Factor on the share factor after a report without.
-static constexpr double INTERVAL_SMOOTHING = 0.05;      ///< Weight of the newest time between tokens.
-static constexpr double INTERVAL_AGING = 0.1;           ///< Part of the way to the median that an idle target's figure goes in a second.
-static constexpr double RESIDUAL_SMOOTHING = 0.02;      ///< Weight of the newest residual.
-static constexpr size_t SLOW_MIN_TARGETS = 3;           ///< Fewest measured targets from which a median says something.
+static constexpr uint32_t RESIDUAL_REFRESH_TOKENS = 16;                ///< Tokens after which the expected rest of a call is computed anew.
+static constexpr double GROWTH_ON_PREEMPTION = 1.25;                   ///< Factor on the reserved growth after a report with preemptions.
+static constexpr double GROWTH_ON_QUIET = 0.98;                        ///< Factor on the reserved growth after a report without.
+static constexpr double SHARE_ON_PREEMPTION = 0.5;                     ///< Factor on the share factor after a report with preemptions.
+static constexpr double SHARE_ON_QUIET = 1.03;                         ///< Factor on the share factor after a report without.
+static constexpr double INTERVAL_SMOOTHING = 0.05;                     ///< Weight of the newest time between tokens.
+static constexpr double RESIDUAL_SMOOTHING = 0.02;                     ///< Weight of the newest residual.
 static constexpr Duration SENT_PREFIX_LIFE = std::chrono::seconds(10); ///< Time for which a prefix sent is believed to be cached.
 static constexpr size_t MAX_SENT_PREFIXES = 64;                        ///< Most of them remembered.
 static constexpr uint32_t PROMPT_RATE_LEAST = 256;                     ///< Shortest prompt that tells how fast prompts are read.
@@ -239,68 +237,6 @@
 	return generated;
 }
 
-uint32_t TargetTable::OnEnded(TargetNumber number, CallId call, TargetConduct conduct, TimePoint now)
-{
-	TargetState &target = this->targets[number.value];
-	if (!target.in_flight.contains(call)) return 0;
-	uint32_t generated = this->TakeOut(target, call, now);
-	target.probing = false;
-	target.unreached = conduct == TargetConduct::Unreachable ? target.unreached + 1 : 0;
-	if (conduct == TargetConduct::Well) {
-		target.failures = target.ejections = 0;
-		target.ejected_until = TimePoint{};
-	} else if (target.unreached >= this->limits.eject_unreached) {
-		this->EjectUnreachable(target, now);
-	} else if (++target.failures >= this->limits.eject_failures && this->MayEject(target, now)) {
-		this->Eject(target, now);
-	}
-	return generated;
-}
-
-void TargetTable::EjectUnreachable(TargetState &target, TimePoint now)
-{
-	// While a hall is cut off, targets that had answered with failures stood ejected, and all calls went to the one that could
-	// not be reached: 174 refused on a day. One that answers at all serves more, so those come back before this one goes.
-	bool others = false;
-	for (ModelNumber model : target.models) {
-		for (TargetNumber number : this->ForModel(model)) {
-			TargetState &other = this->targets[number.value];
-			if (&other == &target || other.leaving || other.unreached >= this->limits.eject_unreached) continue;
-			others = true;
-			other.failures = other.ejections = 0;
-			other.ejected_until = TimePoint{};
-		}
-	}
-	if (others) this->Eject(target, now);
-}
-
-bool TargetTable::MayEject(const TargetState &target, TimePoint now) const
-{
-	for (ModelNumber model : target.models) {
-		const std::vector<TargetNumber> &alike = this->ForModel(model);
-		auto out = std::count_if(alike.begin(), alike.end(), [&](TargetNumber other) {
-			const TargetState &state = this->Get(other);
-			return &state == &target || now < state.ejected_until || state.leaving;
-		});
-		if (static_cast<size_t>(out) * 2 > alike.size()) return false;
-	}
-	return true;
-}
-
-void TargetTable::Eject(TargetState &target, TimePoint now)
-{
-	auto length = this->limits.eject_base * (1U << std::min<uint32_t>(target.ejections, 10));
-	target.ejected_until = now + std::min<Duration>(length, this->limits.eject_max);
-	target.ejections++;
-}
-
-bool TargetTable::IsUsable(const TargetState &target, ModelNumber model, TimePoint now) const
-{
-	if (!target.known || !target.ready || target.leaving) return false;
-	if (now < target.ejected_until || target.probing) return false;
-	return target.models.contains(model);
-}
-
 double TargetTable::Need(const TargetState &target, const CallSpec &call) const
 {
 	if (!call.generated) return 1;
@@ -351,26 +287,6 @@
 	return std::min(free, at_report * std::min(share, 1.0) - target.sent_since_report);
 }
 
-void TargetTable::RefreshSlow()
-{
-	for (const auto &[model, numbers] : this->by_model) {
-		std::vector<double> intervals;
-		for (TargetNumber number : numbers) {
-			if (this->Get(number).interval > 0) intervals.push_back(this->Get(number).interval);
-		}
-		if (intervals.size() < SLOW_MIN_TARGETS) continue;
-		auto middle = intervals.begin() + static_cast<long>(intervals.size() / 2);
-		std::nth_element(intervals.begin(), middle, intervals.end());
-		for (TargetNumber number : numbers) {
-			TargetState &target = this->targets[number.value];
-			target.median_interval = *middle;
-			// Without own calls there the figure ages towards the median, so that a target that was slow is tried again.
-			if (target.in_flight.empty() && target.interval > 0) target.interval += INTERVAL_AGING * (*middle - target.interval);
-			target.slow = target.interval > this->limits.slow_factor * *middle;
-		}
-	}
-}
-
 void TargetTable::SetInstances(uint32_t new_rank, uint32_t count)
 {
 	this->rank = new_rank;
