--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -4,7 +4,7 @@
 PACKAGES=(cmake ninja-build ccache g++ pkg-config clang-format clang-tidy curl libuv1-dev libh2o-dev libwebsocketpp-dev
 	nlohmann-json3-dev libtomlplusplus-dev libgflags-dev libboost-dev libboost-log-dev libboost-thread-dev libboost-filesystem-dev
 	libboost-system-dev liblua5.4-dev libcurl4-openssl-dev doctest-dev librapidcheck-dev libxxhash-dev libbenchmark-dev libpcg-cpp-dev libhttp-parser-dev
-	libssl-dev zlib1g-dev)
+	libssl-dev zlib1g-dev python3)
 MISSING=()
 for PACKAGE in "${PACKAGES[@]}"; do
 	dpkg-query -W -f='${Status}' "$PACKAGE" 2>/dev/null | grep -q 'ok installed' || MISSING+=("$PACKAGE")
