--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,5 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 [ "${CI:-}" = true ] || scripts/build.sh | tail -1
+scripts/known_red.sh
 cd build
 ctest --output-on-failure -j "$(nproc)" "$@"
--- a/src/decision/call_queue.cpp
+++ b/src/decision/call_queue.cpp
@@ -11,7 +11,7 @@
 {
 	if (this->index.size() >= this->limits.max_calls) return false;
 	ClassLines &lines = this->classes[static_cast<size_t>(call.service_class)];
-	auto line = lines.lines.find(LineKey(this->limits, call.account));
+	auto line = lines.lines.find(KeyOf(this->limits, call));
 	if (line != lines.lines.end() && line->second.calls.size() >= this->limits.max_calls_per_account) return false;
 	this->Insert(call, tokens, false);
 	return true;
@@ -25,48 +25,51 @@
 void CallQueue::Insert(const CallSpec &call, double tokens, bool front)
 {
 	ClassLines &lines = this->classes[static_cast<size_t>(call.service_class)];
-	uint32_t key = LineKey(this->limits, call.account);
+	LineKey key = KeyOf(this->limits, call);
 	Line &line = lines.lines[key];
+	ModelLines &model = lines.models[call.model.value];
 	if (line.calls.empty()) {
 		line.tag = std::max(line.tag, lines.clock);
-		lines.order.emplace(line.tag, key);
+		model.order.emplace(line.tag, key);
 	}
 	Waiting waiting{call, tokens};
 	auto later = [](const Waiting &a, const Waiting &b) { return a.call.priority > b.call.priority; };
 	auto place = front ? line.calls.begin() : std::upper_bound(line.calls.begin(), line.calls.end(), waiting, later);
 	line.calls.insert(place, waiting);
 	line.tokens += tokens;
-	lines.tokens += tokens;
+	model.tokens += tokens;
 	lines.calls++;
 	this->index.emplace(call.id, std::make_pair(call.service_class, key));
 	this->deadlines.emplace(call.deadline, call.id);
 }
 
-void CallQueue::Unlink(ClassLines &lines, uint32_t account)
+void CallQueue::Unlink(ClassLines &lines, LineKey key)
 {
-	auto [first, last] = lines.order.equal_range(lines.lines[account].tag);
+	auto &order = lines.models[ModelOf(key)].order;
+	auto [first, last] = order.equal_range(lines.lines[key].tag);
 	for (auto it = first; it != last; ++it) {
-		if (it->second != account) continue;
-		lines.order.erase(it);
+		if (it->second != key) continue;
+		order.erase(it);
 		return;
 	}
 }
 
-void CallQueue::TakeHead(ClassLines &lines, uint32_t account, bool charge)
+void CallQueue::TakeHead(ClassLines &lines, LineKey key, bool charge)
 {
-	Line &line = lines.lines[account];
+	Line &line = lines.lines[key];
 	Waiting head = line.calls.front();
-	this->Unlink(lines, account);
+	this->Unlink(lines, key);
+	ModelLines &model = lines.models[ModelOf(key)];
 	line.calls.pop_front();
 	line.tokens -= head.tokens;
-	lines.tokens -= head.tokens;
+	model.tokens -= head.tokens;
 	lines.calls--;
 	if (charge) {
 		lines.clock = std::max(lines.clock, line.tag);
 		line.tag += head.tokens / std::max(head.call.account_weight, 1e-6);
 	}
-	if (!line.calls.empty()) lines.order.emplace(line.tag, account);
-	if (lines.calls == 0) lines.tokens = 0;
+	if (!line.calls.empty()) model.order.emplace(line.tag, key);
+	if (model.order.empty()) lines.models.erase(ModelOf(key));
 	this->index.erase(head.call.id);
 	auto [first, last] = this->deadlines.equal_range(head.call.deadline);
 	for (auto it = first; it != last; ++it) {
@@ -74,7 +77,7 @@
 		this->deadlines.erase(it);
 		break;
 	}
-	if (line.calls.empty() && lines.lines.size() > MAX_IDLE_LINES) lines.lines.erase(account);
+	if (line.calls.empty() && lines.lines.size() > MAX_IDLE_LINES) lines.lines.erase(key);
 }
 
 bool CallQueue::Remove(CallId call)
@@ -82,11 +85,11 @@
 	auto found = this->index.find(call);
 	if (found == this->index.end()) return false;
 	ClassLines &lines = this->classes[static_cast<size_t>(found->second.first)];
-	uint32_t account = found->second.second;
-	Line &line = lines.lines[account];
+	LineKey key = found->second.second;
+	Line &line = lines.lines[key];
 	auto waiting = std::find_if(line.calls.begin(), line.calls.end(), [&](const Waiting &w) { return w.call.id == call; });
 	std::rotate(line.calls.begin(), waiting, waiting + 1);
-	this->TakeHead(lines, account, false);
+	this->TakeHead(lines, key, false);
 	return true;
 }
 
@@ -95,8 +98,8 @@
 	std::vector<CallSpec> expired;
 	while (!this->deadlines.empty() && this->deadlines.begin()->first <= now) {
 		CallId call = this->deadlines.begin()->second;
-		auto [service_class, account] = this->index.at(call);
-		const Line &line = this->classes[static_cast<size_t>(service_class)].lines[account];
+		auto [service_class, key] = this->index.at(call);
+		const Line &line = this->classes[static_cast<size_t>(service_class)].lines[key];
 		auto waiting = std::find_if(line.calls.begin(), line.calls.end(), [&](const Waiting &w) { return w.call.id == call; });
 		expired.push_back(waiting->call);
 		this->Remove(call);
@@ -104,28 +107,34 @@
 	return expired;
 }
 
-double CallQueue::TokensAhead(ServiceClass service_class, AccountNumber account) const
+double CallQueue::TokensAhead(const CallSpec &call) const
 {
+	auto own_class = static_cast<size_t>(call.service_class);
 	double ahead = 0;
-	for (size_t i = 0; i < static_cast<size_t>(service_class); i++) ahead += this->classes[i].tokens;
-	const ClassLines &lines = this->classes[static_cast<size_t>(service_class)];
-	if (!this->limits.fair) return ahead + lines.tokens;
-	auto own = lines.lines.find(account.value);
+	for (size_t i = 0; i < own_class; i++) {
+		auto model = this->classes[i].models.find(call.model.value);
+		if (model != this->classes[i].models.end()) ahead += model->second.tokens;
+	}
+	const ClassLines &lines = this->classes[own_class];
+	auto model = lines.models.find(call.model.value);
+	if (model == lines.models.end()) return ahead;
+	if (!this->limits.fair) return ahead + model->second.tokens;
+	auto own = lines.lines.find(KeyOf(this->limits, call));
 	double own_tokens = own == lines.lines.end() ? 0 : own->second.tokens;
-	size_t active = lines.order.size() + (own_tokens > 0 ? 0 : 1);
-	return ahead + std::min(lines.tokens, own_tokens * static_cast<double>(std::max<size_t>(active, 1)));
+	size_t active = model->second.order.size() + (own_tokens > 0 ? 0 : 1);
+	return ahead + std::min(model->second.tokens, own_tokens * static_cast<double>(active));
 }
 
-void CallQueue::Correct(AccountNumber account, ServiceClass service_class, double weight, double tokens)
+void CallQueue::Correct(const CallSpec &call, double tokens)
 {
-	ClassLines &lines = this->classes[static_cast<size_t>(service_class)];
-	uint32_t key = LineKey(this->limits, account);
+	ClassLines &lines = this->classes[static_cast<size_t>(call.service_class)];
+	LineKey key = KeyOf(this->limits, call);
 	auto found = lines.lines.find(key);
 	if (found == lines.lines.end()) return;
 	bool linked = !found->second.calls.empty();
 	if (linked) this->Unlink(lines, key);
-	found->second.tag += tokens / std::max(weight, 1e-6);
-	if (linked) lines.order.emplace(found->second.tag, key);
+	found->second.tag += tokens / std::max(call.account_weight, 1e-6);
+	if (linked) lines.models[call.model.value].order.emplace(found->second.tag, key);
 }
 
 } // namespace cottonspool
--- a/src/decision/call_queue.h
+++ b/src/decision/call_queue.h
@@ -1,10 +1,11 @@
 /* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
 
-/** @file call_queue.h Calls that wait at an instance: by class, then fair by client account in tokens. */
+/** @file call_queue.h Calls that wait at an instance: by class, then fair by client account; none waits behind another model's. */
 
 #pragma once
 
 #include "decision/request_type.h"
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <unordered_map>
@@ -14,7 +15,7 @@
 /** Bounds of the queue. */
 struct QueueLimits {
 	size_t max_calls = 20000;            ///< Most calls waiting at one instance.
-	size_t max_calls_per_account = 2000; ///< Most calls of one account waiting.
+	size_t max_calls_per_account = 2000; ///< Most calls of one account waiting for one model.
 	bool fair = true;                    ///< Order by account; false is one queue a class in order of arrival.
 };
 
@@ -33,7 +34,7 @@
 	bool Remove(CallId call);
 
 	/**
-	 * Call \a visit with the head of each account's line, fairest first, at most \a limit of each class; a call for which
+	 * Call \a visit with the head of each line, fairest first, at most \a limit of each class and model; a call for which
 	 * it returns true is taken out and its account charged.
 	 * @return Calls taken out.
 	 */
@@ -42,11 +43,11 @@
 	/** Take out all calls whose deadline is at or before \a now. */
 	std::vector<CallSpec> TakeExpired(TimePoint now);
 
-	/** @return Tokens expected to go before a new call of \a service_class of \a account. */
-	double TokensAhead(ServiceClass service_class, AccountNumber account) const;
+	/** @return Tokens expected to go before a new call like \a call: those that wait for the same model. */
+	double TokensAhead(const CallSpec &call) const;
 
-	/** Correct what \a account was charged, once the true cost is known. */
-	void Correct(AccountNumber account, ServiceClass service_class, double weight, double tokens);
+	/** Correct by \a tokens what the account of \a call was charged, once the true cost is known. */
+	void Correct(const CallSpec &call, double tokens);
 
 	/** @return Calls waiting. */
 	size_t Size() const { return this->index.size(); }
@@ -61,43 +62,60 @@
 		double tokens; ///< Its expected cost.
 	};
 
-	/** The line of one account in one class. */
+	/** Names the line of an account's calls for a model. */
+	using LineKey = uint64_t;
+
+	/** The line of one account's calls for one model in one class. */
 	struct Line {
 		std::deque<Waiting> calls; ///< In order.
 		double tag = 0;            ///< Virtual start time: tokens charged over weight.
 		double tokens = 0;         ///< Expected cost of all calls in the line.
 	};
 
+	/** The lines of one model in one class. */
+	struct ModelLines {
+		std::multimap<double, LineKey> order; ///< Lines with waiting calls by tag.
+		double tokens = 0;                    ///< Expected cost of all waiting calls.
+	};
+
 	/** All lines of one class. */
 	struct ClassLines {
-		std::unordered_map<uint32_t, Line> lines; ///< By account.
-		std::multimap<double, uint32_t> order;    ///< Accounts with waiting calls by tag.
-		double clock = 0;                         ///< Virtual time: tag of the last line served.
-		double tokens = 0;                        ///< Expected cost of all waiting calls.
-		size_t calls = 0;                         ///< Waiting calls.
+		std::unordered_map<LineKey, Line> lines; ///< By model and account.
+		std::map<uint32_t, ModelLines> models;   ///< By model.
+		double clock = 0;                        ///< Virtual time: tag of the last line served.
+		size_t calls = 0;                        ///< Waiting calls.
 	};
 
-	static uint32_t LineKey(const QueueLimits &limits, AccountNumber account) { return limits.fair ? account.value : 0; }
+	static LineKey KeyOf(const QueueLimits &limits, const CallSpec &call)
+	{
+		return static_cast<LineKey>(call.model.value) << 32 | (limits.fair ? call.account.value : 0);
+	}
+	static uint32_t ModelOf(LineKey key) { return static_cast<uint32_t>(key >> 32); }
 	void Insert(const CallSpec &call, double tokens, bool front);
-	void Unlink(ClassLines &lines, uint32_t account);
-	void TakeHead(ClassLines &lines, uint32_t account, bool charge);
+	void Unlink(ClassLines &lines, LineKey key);
+	void TakeHead(ClassLines &lines, LineKey key, bool charge);
 	static constexpr size_t MAX_IDLE_LINES = 4096; ///< Empty lines kept for their tags.
 
-	QueueLimits limits;                                                                ///< Bounds.
-	std::array<ClassLines, SERVICE_CLASS_COUNT> classes;                               ///< By class.
-	std::unordered_map<CallId, std::pair<ServiceClass, uint32_t>, StrongIdHash> index; ///< Where each call waits.
-	std::multimap<TimePoint, CallId> deadlines;                                        ///< Calls by deadline.
+	QueueLimits limits;                                                               ///< Bounds.
+	std::array<ClassLines, SERVICE_CLASS_COUNT> classes;                              ///< By class.
+	std::unordered_map<CallId, std::pair<ServiceClass, LineKey>, StrongIdHash> index; ///< Where each call waits.
+	std::multimap<TimePoint, CallId> deadlines;                                       ///< Calls by deadline.
 };
 
 template <typename Visit> size_t CallQueue::ForEachHead(size_t limit, Visit visit)
 {
 	size_t taken = 0;
 	for (ClassLines &lines : this->classes) {
-		std::vector<uint32_t> heads;
-		for (auto it = lines.order.begin(); it != lines.order.end() && heads.size() < limit; ++it) heads.push_back(it->second);
-		for (uint32_t account : heads) {
-			if (!visit(lines.lines[account].calls.front().call)) continue;
-			this->TakeHead(lines, account, true);
+		// Lines of each model by themselves: those that wait for a model without room do not use up the others' tries.
+		std::vector<std::pair<double, LineKey>> heads;
+		for (const auto &[model, own] : lines.models) {
+			size_t tried = 0;
+			for (auto it = own.order.begin(); it != own.order.end() && tried < limit; ++it, tried++) heads.push_back(*it);
+		}
+		std::sort(heads.begin(), heads.end());
+		for (const auto &[tag, key] : heads) {
+			if (!visit(lines.lines[key].calls.front().call)) continue;
+			this->TakeHead(lines, key, true);
 			taken++;
 		}
 	}
--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -41,17 +41,17 @@
 	return false;
 }
 
-Duration Dispatcher::RetryAfter(ServiceClass service_class, AccountNumber account) const
+Duration Dispatcher::RetryAfter(const CallSpec &call) const
 {
 	if (this->rate <= 0) return this->limits.retry_after_min;
-	Duration wait = FromSeconds(this->queue.TokensAhead(service_class, account) / this->rate);
+	Duration wait = FromSeconds(this->queue.TokensAhead(call) / this->rate);
 	return std::clamp(wait, this->limits.retry_after_min, this->limits.retry_after_max);
 }
 
 void Dispatcher::GiveUp(const CallSpec &call, GiveUpReason reason, Decisions &decisions)
 {
 	this->counters.given_up[static_cast<size_t>(reason)]++;
-	decisions.give_ups.push_back({call.id, reason, this->RetryAfter(call.service_class, call.account)});
+	decisions.give_ups.push_back({call.id, reason, this->RetryAfter(call)});
 	this->calls.erase(call.id);
 }
 
@@ -64,7 +64,7 @@
 		this->GiveUp(call, GiveUpReason::NoTarget, decisions);
 		return decisions;
 	}
-	double ahead = this->queue.TokensAhead(call.service_class, call.account);
+	double ahead = this->queue.TokensAhead(call);
 	if (this->limits.refuse_early && this->rate > 0 && ahead > 0 && now + FromSeconds(ahead / this->rate) > call.deadline) {
 		this->GiveUp(call, GiveUpReason::WaitTooLong, decisions);
 		return decisions;
@@ -207,7 +207,7 @@
 	this->in_flight--;
 	if (end == SendEnd::Complete && tracked.call.generated) this->lengths.Learn(tracked.call, generated);
 	double cost = tracked.call.generated ? tracked.call.prompt_tokens + generated : 1;
-	this->queue.Correct(tracked.call.account, tracked.call.service_class, tracked.call.account_weight, cost - tracked.charged);
+	this->queue.Correct(tracked.call, cost - tracked.charged);
 	bool failed = end == SendEnd::Lost || end == SendEnd::Failed;
 	bool again = end == SendEnd::NotRun || (failed && tracked.call.repeatable && this->limits.retry_failed);
 	if (end == SendEnd::NotSent) {
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -111,8 +111,8 @@
 	/** @return Expected lengths. */
 	const LengthEstimate &Lengths() const { return this->lengths; }
 
-	/** @return When a caller refused now should come back. */
-	Duration RetryAfter(ServiceClass service_class, AccountNumber account) const;
+	/** @return When the caller of \a call, refused now, should come back. */
+	Duration RetryAfter(const CallSpec &call) const;
 
 private:
 	/** A call that is waiting or sent. */
