Add: [Places] Emptied halls get nothing new, cold targets what they bear from all instances together, requests stay in their homes

Ruled out: news of their own for emptied halls.

Change: PlaceTable (halls, regions, emptied halls, homes) and ColdStart (an instance's share of a cold target's rate, by rendezvous over the listed instances: no talk) in the decision core; one question, TargetTable::MayGet, for first sends, second ones, moves, copies and queued calls. A copy that is done is not resumed at an engine that may not get it any more. Calls that can't run anywhere any more are refused at that moment. Targets of a hall that is taken back count as cold for their start time.

--- a/scripts/play_days.py
+++ b/scripts/play_days.py
@@ -68,6 +68,16 @@
     return sum(machines["count"] for machines in tomllib.loads(site.read_text())["machines"])
 
 
+def halls(site):
+    """Names of the data halls, which own days name @hall1, @hall2 and so on."""
+    return [hall["name"] for hall in tomllib.loads(site.read_text()).get("zones", [])]
+
+
+def has_places(site):
+    """Whether halls of the deployment can be emptied: days of places make sense only there."""
+    return "places" in tomllib.loads(site.read_text()).get("contracts", [])
+
+
 def own_days(site, folder, small, shrink=None):
     """Own days, filled in for one deployment, in a folder that outlives the plays. Of large ones only small twins are played."""
     twin = re.search(r"(?m)^small = .*$", site.read_text())
@@ -76,8 +86,12 @@
         return []
     paths = []
     for template in sorted((ROOT / "tests/days").glob("*.toml")):
+        if template.name.startswith("places_") and not has_places(site):
+            continue
         path = folder / f"{site.stem}-{template.name}"
         text = template.read_text().replace("@engines", engine_pool(site))
+        for number, hall in enumerate(halls(site), start=1):
+            text = text.replace(f"@hall{number}", hall)
         if small and twin:
             text = re.sub(r"(?m)^(seed = .*)$", lambda line: line[1] + "\n" + twin[0], text)
         if shrink:
--- a/src/decision/backup_choice.cpp
+++ b/src/decision/backup_choice.cpp
@@ -20,7 +20,7 @@
 	double best_score = 0;
 	for (TargetNumber number : targets.ForModel(call.model)) {
 		const TargetState &target = targets.Get(number);
-		if (number == holder || !targets.IsUsable(target, call.model, now) || target.report.capacity_tokens == 0) continue;
+		if (number == holder || !targets.MayGet(target, call, now) || target.report.capacity_tokens == 0) continue;
 		double copy = (call.prompt_tokens + rest) / static_cast<double>(target.report.capacity_tokens);
 		double pressure = targets.Pressure(target) + copy;
 		if (pressure > rules.most_pressure) continue;
--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -4,6 +4,7 @@
 
 #include "decision/dispatcher.h"
 #include "core/hash_func.h"
+#include "decision/place_table.h"
 #include <algorithm>
 
 namespace cottonspool {
@@ -36,7 +37,8 @@
 bool Dispatcher::AnyTarget(const CallSpec &call) const
 {
 	for (TargetNumber number : this->targets.ForModel(call.model)) {
-		if (!this->targets.Get(number).leaving) return true;
+		const TargetState &target = this->targets.Get(number);
+		if (!target.leaving && !target.emptied && MayRunIn(call, target.hall)) return true;
 	}
 	return false;
 }
@@ -91,6 +93,27 @@
 	return decisions;
 }
 
+Decisions Dispatcher::OnPlacesChanged(TimePoint now)
+{
+	Decisions decisions;
+	std::vector<CallSpec> unservable;
+	for (const auto &[id, tracked] : this->calls) {
+		if (!tracked.holder && !this->AnyTarget(tracked.call)) unservable.push_back(tracked.call);
+	}
+	for (const CallSpec &call : unservable) {
+		this->queue.Remove(call.id);
+		this->GiveUp(call, GiveUpReason::NoTarget, now, decisions);
+	}
+	this->Drain(now, decisions);
+	return decisions;
+}
+
+void Dispatcher::SetHalls(CallId call, std::vector<HallPreference> halls)
+{
+	auto found = this->calls.find(call);
+	if (found != this->calls.end()) found->second.call.halls = std::move(halls);
+}
+
 void Dispatcher::Withdraw(CallId call)
 {
 	this->queue.Remove(call);
@@ -101,7 +124,8 @@
 {
 	Tracked &tracked = this->calls.at(call.id);
 	if (now < tracked.not_before) return false;
-	std::optional<TargetNumber> target = this->router->Choose(call, this->targets, now);
+	// Its halls may have changed while it waited.
+	std::optional<TargetNumber> target = this->router->Choose(tracked.call, this->targets, now);
 	if (!target) return false;
 	tracked.holder = target;
 	tracked.charged = this->ExpectedTokens(call);
@@ -113,6 +137,7 @@
 	this->counters.sends++;
 	this->in_flight++;
 	this->targets.OnSent(*target, call, now);
+	this->targets.NoteRequest(*target, now);
 	this->target_budgets.try_emplace(target->value, this->limits.retry).first->second.OnFirstAttempt();
 	if (this->account_budgets.size() > MAX_ACCOUNT_BUDGETS) this->account_budgets.clear();
 	this->account_budgets.try_emplace(call.account.value, this->limits.retry).first->second.OnFirstAttempt();
@@ -285,6 +310,7 @@
 	run.avoid = refused;
 	run.avoid.push_back(*tracked.holder);
 	run.avoid_strictly = true;
+	run.avoid_cold = true;
 	run.press_from = now;
 	return this->router->Choose(run, this->targets, now);
 }
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -58,6 +58,12 @@
 	/** A new call has come in. */
 	Decisions Submit(const CallSpec &call, TimePoint now);
 
+	/** Targets, halls or homes have changed: calls that can't be served any more are refused at once, others may be sent. */
+	Decisions OnPlacesChanged(TimePoint now);
+
+	/** \a call may run in \a halls from now on, in this order of preference. */
+	void SetHalls(CallId call, std::vector<HallPreference> halls);
+
 	/** The caller of \a call went away while it waited. */
 	void Withdraw(CallId call);
 
--- a/src/decision/peer_directory.cpp
+++ b/src/decision/peer_directory.cpp
@@ -87,6 +87,13 @@
 	return {halls.begin(), halls.end()};
 }
 
+std::vector<std::string> PeerDirectory::Names() const
+{
+	std::vector<std::string> names;
+	for (const auto &[name, peer] : this->peers) names.push_back(name);
+	return names;
+}
+
 const PeerPlace *PeerDirectory::Find(const std::string &peer) const
 {
 	auto found = this->peers.find(peer);
--- a/src/decision/peer_directory.h
+++ b/src/decision/peer_directory.h
@@ -80,6 +80,9 @@
 	/** @return Data halls with instances, the own one included. */
 	std::vector<std::string> Halls() const;
 
+	/** @return Names of the other instances. */
+	std::vector<std::string> Names() const;
+
 	/** @return Where \a peer is; null if it is not known. */
 	const PeerPlace *Find(const std::string &peer) const;
 
--- a/src/decision/request_type.h
+++ b/src/decision/request_type.h
@@ -58,6 +58,7 @@
 	TimePoint press_from = TimePoint::max();                ///< From then on it goes to a target without room, up to a bound.
 	std::vector<TargetNumber> avoid;                        ///< Targets that get it only if there is no other.
 	bool avoid_strictly = false;                            ///< They don't get it at all.
+	bool avoid_cold = false;                                ///< Targets that are cold don't get it at all.
 };
 
 /** Why a call was given up before it was sent. */
--- a/src/decision/router.cpp
+++ b/src/decision/router.cpp
@@ -15,16 +15,15 @@
 static constexpr double MOST_PRESSURE = 1.5;      ///< Pressure from which even an interactive call waits.
 static constexpr double FIRST_TOKEN_WEIGHT = 1.5; ///< Weight of the wait for the first token, as a part of the objective.
 
-/** @return Penalty of the hall of \a target for \a call, or nothing when the hall gets no new work. */
-static std::optional<double> HallPenalty(const CallSpec &call, const TargetState &target)
+/** @return Penalty of the hall of \a target for \a call, which may run there. */
+static double HallPenalty(const CallSpec &call, const TargetState &target)
 {
-	if (call.halls.empty()) return 0.0;
 	double penalty = 0;
 	for (const HallPreference &preference : call.halls) {
-		if (preference.hall == target.hall) return preference.weight > 0 ? std::optional<double>(penalty) : std::nullopt;
+		if (preference.hall == target.hall) return penalty;
 		penalty += call.other_hall_penalty;
 	}
-	return std::nullopt;
+	return penalty;
 }
 
 /** @return Whether \a call is not to go to \a target again. */
@@ -38,7 +37,7 @@
 {
 	if (call.avoid.empty() || call.avoid_strictly) return std::nullopt;
 	for (TargetNumber number : targets.ForModel(call.model)) {
-		if (!IsAvoided(call, number) && targets.IsUsable(targets.Get(number), call.model, now)) return std::nullopt;
+		if (!IsAvoided(call, number) && targets.MayGet(targets.Get(number), call, now)) return std::nullopt;
 	}
 	CallSpec relaxed = call;
 	relaxed.avoid.clear();
@@ -51,8 +50,7 @@
 	std::vector<TargetNumber> usable;
 	for (TargetNumber number : targets.ForModel(call.model)) {
 		const TargetState &target = targets.Get(number);
-		if (!targets.IsUsable(target, call.model, now) || IsAvoided(call, number)) continue;
-		if (HallPenalty(call, target)) usable.push_back(number);
+		if (targets.MayGet(target, call, now) && !IsAvoided(call, number)) usable.push_back(number);
 	}
 	return usable;
 }
@@ -88,11 +86,10 @@
 		double best_score = std::numeric_limits<double>::max();
 		for (TargetNumber number : targets.ForModel(call.model)) {
 			const TargetState &target = targets.Get(number);
-			if (!targets.IsUsable(target, call.model, now) || IsAvoided(call, number)) continue;
-			std::optional<double> penalty = HallPenalty(call, target);
-			if (!penalty || (with_room && !this->HasRoom(call, target, targets, now))) continue;
+			if (!targets.MayGet(target, call, now) || IsAvoided(call, number)) continue;
+			if (with_room && !this->HasRoom(call, target, targets, now)) continue;
 			if (!with_room && this->rules.use_headroom && targets.Pressure(target) > MOST_PRESSURE) continue;
-			double score = this->Score(call, target, targets, now) + *penalty;
+			double score = this->Score(call, target, targets, now) + HallPenalty(call, target);
 			if (score >= best_score) continue;
 			best = number;
 			best_score = score;
--- a/src/decision/serving_type.h
+++ b/src/decision/serving_type.h
@@ -38,6 +38,7 @@
 	Duration gap_objective{0};          ///< Longest pause between events that is in time; zero if there is none.
 	int rank = 0;                       ///< Order among requests; 0 goes first.
 	bool needs_key = true;              ///< Requests must carry a client account's key.
+	std::vector<std::string> homes;     ///< Regions in which its requests may run; empty for all.
 };
 
 /** What is known of the engines of a pool. */
@@ -66,13 +67,16 @@
 	std::string health_path;          ///< Path of the health check.
 	uint32_t max_connections = 0;     ///< Most connections a target takes from all callers together; 0 if unknown.
 	std::optional<EnginePool> engine; ///< Given for model engines.
+	Duration cold_start{0};           ///< Time for which a target is cold after its start.
+	double cold_per_s = 0;            ///< Requests a second that a cold target bears, from all instances together; 0 for any number.
 };
 
 /** One client account. */
 struct ClientAccount {
-	std::string name;              ///< Name, told to targets.
-	std::vector<std::string> keys; ///< Keys.
-	std::optional<int> rank;       ///< Goes before the route's rank.
+	std::string name;               ///< Name, told to targets.
+	std::vector<std::string> keys;  ///< Keys.
+	std::optional<int> rank;        ///< Goes before the route's rank.
+	std::vector<std::string> homes; ///< Regions in which its requests may run; empty for all.
 };
 
 /** Limits on callers that the operator sets. */
--- a/src/decision/target_health.cpp
+++ b/src/decision/target_health.cpp
@@ -67,7 +67,7 @@
 
 bool TargetTable::IsUsable(const TargetState &target, ModelNumber model, TimePoint now) const
 {
-	if (!target.known || !target.ready || target.leaving) return false;
+	if (!target.known || !target.ready || target.leaving || target.emptied) return false;
 	if (now < target.ejected_until || target.probing) return false;
 	return target.models.contains(model);
 }
--- a/src/decision/target_table.cpp
+++ b/src/decision/target_table.cpp
@@ -34,6 +34,7 @@
 	}
 	TargetState &target = this->targets[entry->second.value];
 	target.hall = hall;
+	target.emptied = this->emptied_halls.contains(target.hall);
 	target.engine = engine;
 	std::set<ModelNumber> wanted(models.begin(), models.end());
 	bool same = target.known && target.models == wanted;
--- a/src/decision/target_table.h
+++ b/src/decision/target_table.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "core/name_table.h"
+#include "decision/cold_start.h"
 #include "decision/length_estimate.h"
 #include <deque>
 #include <set>
@@ -55,6 +56,8 @@
 	bool known = false;                   ///< The configuration in force names it.
 	bool ready = false;                   ///< It has reported at least once, or is a service without reports.
 	bool leaving = false;                 ///< Gets nothing new; see TargetTable::MarkLeaving().
+	bool emptied = false;                 ///< Its hall is emptied: gets nothing new until that is taken back.
+	ColdStart cold;                       ///< Keeps what it gets while it is cold to what it bears.
 	LoadReport report;                    ///< Last report.
 	TimePoint report_at;                  ///< When the last report came.
 	double known_at_report = 0;           ///< Tokens of known calls that the last report already counts.
@@ -97,6 +100,18 @@
 	/** The configuration says that \a target may be used again. */
 	void ClearLeaving(TargetNumber target);
 
+	/** The halls \a halls are emptied, and no others. */
+	void SetEmptiedHalls(const std::set<std::string> &halls);
+
+	/** \a target is cold until \a end at least; meanwhile this instance sends it no more than \a share. */
+	void SetCold(TargetNumber target, TimePoint end, ColdShare share);
+
+	/** @return Whether \a target may get \a call at \a now: it is usable, in a hall where the call may run, and bears one more. */
+	bool MayGet(const TargetState &target, const CallSpec &call, TimePoint now) const;
+
+	/** A request of this instance goes to \a target. */
+	void NoteRequest(TargetNumber target, TimePoint now) { this->targets[target.value].cold.OnSent(now); }
+
 	/** Take in a load report that arrived at \a now. Older ones than the last are dropped. */
 	void OnReport(TargetNumber target, const LoadReport &report, TimePoint now);
 
@@ -185,6 +200,7 @@
 	LengthEstimate &lengths;                                          ///< Expected lengths.
 	std::vector<TargetState> targets;                                 ///< Targets by number.
 	std::unordered_map<std::string, TargetNumber> numbers;            ///< Numbers by name.
+	std::set<std::string> emptied_halls;                              ///< Halls that are emptied.
 	std::unordered_map<uint32_t, std::vector<TargetNumber>> by_model; ///< Targets of each model.
 	uint32_t rank = 0;                                                ///< Rank of this instance.
 	uint32_t instances = 1;                                           ///< Instances that share the targets.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -16,6 +16,8 @@
 
 static constexpr Duration SETTINGS_LOOK = std::chrono::seconds(1);                ///< Time between looks at the settings file.
 static constexpr Duration NOT_READY_RETRY_AFTER = std::chrono::milliseconds(400); ///< When to come back while no configuration is known.
+static constexpr Duration NO_HOME_RETRY_AFTER = std::chrono::seconds(2); ///< When to come back while the homes of a request have no hall:
+                                                                         ///< only another configuration changes that.
 static constexpr Duration STOPPING_RETRY_AFTER =
         std::chrono::milliseconds(50); ///< When to come back, to another instance, while this one stops.
 static constexpr Duration LATEST_WHILE_STOPPING =
@@ -46,7 +48,8 @@
     : limits(limits), upstream(loop), metrics(ACCOUNT_SERIES), dispatcher(limits.dispatch, MakeRouter("headroom", 0, limits.router)),
       loop(loop), settings(std::move(given)), settings_path(std::move(settings_path)), store(this->upstream, this->settings.store),
       configuration_watch(this->store, CONFIGURATION_TABLE, limits.watch), target_watch(this->store, TARGET_TABLE, limits.watch),
-      registry(limits.registry), peer_load(this->dispatcher.Targets(), this->pools, std::chrono::seconds(2)),
+      places(this->settings.hall, this->settings.halls), registry(limits.registry),
+      peer_load(this->dispatcher.Targets(), this->pools, std::chrono::seconds(2)),
       peers(loop, this->store, this->peer_load, this->settings.name, this->settings.hall, limits.exchange,
             [this](const ReportNews &news) { this->OnPeerReport(news); }),
       front(loop, [this](const std::shared_ptr<FrontExchange> &exchange) { this->HandleRequest(exchange); }),
@@ -154,6 +157,11 @@
 	}
 	request->route = *route;
 	request->account = account != nullptr ? account->name : "";
+	request->spec.halls = this->places.HallsFor(*route, account);
+	if (request->spec.halls.empty()) {
+		this->Reject(exchange, info, 503, "no-home", NO_HOME_RETRY_AFTER);
+		return false;
+	}
 	request->rank = account != nullptr && account->rank ? *account->rank : route->rank;
 	request->pool = RouteTable::ChoosePool(*route, std::uniform_real_distribution<double>(0, 1)(this->random));
 	if (const Pool *pool = this->routes.FindPool(request->pool); pool != nullptr && pool->engine) {
@@ -192,10 +200,6 @@
 		spec.prompt_tokens = std::max<uint32_t>(1, request->info.prompt_tokens);
 		spec.max_tokens = request->info.most_output_tokens;
 	}
-	spec.halls.push_back({this->settings.hall, 1});
-	for (const std::string &hall : this->settings.halls) {
-		if (hall != this->settings.hall) spec.halls.push_back({hall, 1});
-	}
 }
 
 void Gateway::HandleRequest(const std::shared_ptr<FrontExchange> &exchange)
@@ -284,6 +288,8 @@
 	// Addresses that are listened on stay as they are until the process starts anew.
 	this->settings.bounds = read.value().bounds;
 	this->settings.halls = read.value().halls;
+	this->places.SetRegions(this->settings.halls);
+	this->RefreshHalls(MonotonicNow());
 	this->settings.heartbeat = read.value().heartbeat;
 	if (!(this->settings.store == read.value().store)) {
 		this->settings.store = read.value().store;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,7 @@
 
 #include "core/name_table.h"
 #include "decision/decision_carrier.h"
+#include "decision/place_table.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/relay_call.h"
 #include "metrics/metrics.h"
@@ -48,6 +49,9 @@
 	/** A generation of this instance is at no target for now. */
 	void OnCallAway(CallId call) { this->peers.TellEnded(call); }
 
+	/** @return Halls in which the run of \a request may go on under the configuration in force. */
+	std::vector<HallPreference> HallsFor(const RelayRequest &request) const;
+
 	/** @return Where \a target is. */
 	const Endpoint &AddressOf(TargetNumber target) const { return this->records[target.value].address; }
 
@@ -87,7 +91,12 @@
 	void Begin(const std::shared_ptr<FrontExchange> &exchange, RelayRequest request);
 
 	void WatchStore();
-	void OnConfigurationRows(const std::vector<StoredRow> &rows, TimePoint now);
+	void OnOperatorRows(const std::vector<StoredRow> &rows, bool all, TimePoint now);
+	void OnConfigurationRows(const std::vector<StoredRow> &rows);
+	void OnEmptiedRows(const std::vector<StoredRow> &rows, bool all, TimePoint now);
+	void OnHallTakenBack(const std::string &hall, TimePoint now);
+	void NoteCold(TargetNumber number, const ListedTarget &listed, Duration cold_left, TimePoint now);
+	void RefreshHalls(TimePoint now);
 	void ApplyConfiguration(ServingConfiguration configuration);
 	void OnTargetRows(const std::vector<StoredRow> &rows, bool all, TimePoint now);
 	void OnTargetEvents(const std::vector<TargetEvent> &events, TimePoint now);
@@ -111,6 +120,7 @@
 	TableWatch configuration_watch;                                             ///< Follows the configuration.
 	TableWatch target_watch;                                                    ///< Follows the targets.
 	RouteTable routes;                                                          ///< Configuration in force.
+	PlaceTable places;                                                          ///< Halls, their regions, those that are emptied.
 	TargetRegistry registry;                                                    ///< Targets as listed.
 	std::vector<TargetRecord> records;                                          ///< Targets by number.
 	std::map<std::string, ListedTarget> usable;                                 ///< Targets in use by name.
--- a/src/gateway/gateway_limits.cpp
+++ b/src/gateway/gateway_limits.cpp
@@ -29,7 +29,7 @@
 	// The one who reads may be cut off right after an answer: its next call hangs for wait and slack, then the others' patience
 	// runs out one after another. All of it has to fit into the time in which a change has to be known everywhere.
 	const PlatformBounds &bounds = settings.bounds;
-	Duration bound = std::min(bounds.in_force, bounds.drain);
+	Duration bound = std::min({bounds.in_force, bounds.drain, bounds.empty});
 	limits.watch.wait = bound * 5 / 20;
 	limits.watch.slack = bound * 2 / 20;
 	limits.watch.patience = bound * 8 / 20;
--- /dev/null
+++ b/src/gateway/gateway_places.cpp
@@ -0,0 +1,85 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file gateway_places.cpp What a gateway learns of places: halls that are emptied, homes that change, targets that come back cold. */
+
+#include "gateway/gateway.h"
+#include "metrics/log.h"
+#include "platform/wire_configuration.h"
+#include <algorithm>
+
+namespace cottonspool {
+
+void Gateway::OnEmptiedRows(const std::vector<StoredRow> &rows, bool all, TimePoint now)
+{
+	std::set<std::string> before = this->places.Emptied();
+	std::set<std::string> after = all ? std::set<std::string>{} : before;
+	for (const StoredRow &row : rows) {
+		std::optional<std::string> hall = EmptiedHallOf(row.key);
+		if (!hall) continue;
+		if (row.deleted) {
+			after.erase(*hall);
+		} else {
+			after.insert(*hall);
+		}
+	}
+	if (after == before) return;
+	for (const std::string &hall : before) {
+		if (!after.contains(hall)) this->places.SetEmptied(hall, false);
+		if (!after.contains(hall)) this->OnHallTakenBack(hall, now);
+	}
+	for (const std::string &hall : after) {
+		if (this->places.SetEmptied(hall, true)) Log(LogLevel::Info, "hall-emptied", {{"hall", hall}});
+	}
+	this->dispatcher.Targets().SetEmptiedHalls(after);
+	this->Carry(this->dispatcher.OnPlacesChanged(now));
+}
+
+void Gateway::OnHallTakenBack(const std::string &hall, TimePoint now)
+{
+	Log(LogLevel::Info, "hall-taken-back", {{"hall", hall}});
+	// Its targets may have turned cold just before, and their rows say so only with their next heartbeat.
+	for (const auto &[id, listed] : this->usable) {
+		const Pool *pool = this->routes.FindPool(listed.pool);
+		std::optional<TargetNumber> number = this->dispatcher.Targets().Find(id);
+		if (listed.hall == hall && pool != nullptr && number) this->NoteCold(*number, listed, pool->cold_start, now);
+	}
+}
+
+void Gateway::NoteCold(TargetNumber number, const ListedTarget &listed, Duration cold_left, TimePoint now)
+{
+	const Pool *pool = this->routes.FindPool(listed.pool);
+	if (pool == nullptr || pool->cold_per_s <= 0 || cold_left <= Duration(0)) return;
+	ColdShare share = ShareColdRate(listed.id, pool->cold_per_s, this->peers.KnownInstances(), this->settings.name);
+	this->dispatcher.Targets().SetCold(number, now + cold_left, share);
+	Log(LogLevel::Info, "target-cold",
+	    {{"target", listed.id},
+	     {"hall", listed.hall},
+	     {"left_ms", FormatMilliseconds(cold_left)},
+	     {"bears_per_s", FormatNumber(pool->cold_per_s)},
+	     {"share", std::to_string(share.most)},
+	     {"window_ms", FormatMilliseconds(share.window)}});
+}
+
+std::vector<HallPreference> Gateway::HallsFor(const RelayRequest &request) const
+{
+	const ServingConfiguration &configuration = this->routes.Configuration();
+	auto route = std::find_if(configuration.routes.begin(), configuration.routes.end(),
+	                          [&](const Route &each) { return each.name == request.route.name; });
+	auto account = std::find_if(configuration.accounts.begin(), configuration.accounts.end(),
+	                            [&](const ClientAccount &each) { return each.name == request.account; });
+	return this->places.HallsFor(route == configuration.routes.end() ? request.route : *route,
+	                             account == configuration.accounts.end() ? nullptr : &*account);
+}
+
+void Gateway::RefreshHalls(TimePoint now)
+{
+	for (const auto &[id, call] : this->calls) {
+		std::vector<HallPreference> halls = this->HallsFor(call->Request());
+		// No halls at all would stand for any: one that there is not stands for none.
+		if (halls.empty()) halls.push_back({std::string(), 0});
+		this->dispatcher.SetHalls(id, std::move(halls));
+	}
+	this->Carry(this->dispatcher.OnPlacesChanged(now));
+}
+
+} // namespace cottonspool
--- a/src/gateway/gateway_targets.cpp
+++ b/src/gateway/gateway_targets.cpp
@@ -32,9 +32,10 @@
 		Log(LogLevel::Info, "store-regained", {{"table", "targets"}, {"away_ms", FormatMilliseconds(away)}});
 		this->registry.OnStoreRegained(at);
 	};
-	auto configuration = [this](const std::vector<StoredRow> &rows, TimePoint at) { this->OnConfigurationRows(rows, at); };
-	this->configuration_watch.on_all = configuration;
-	this->configuration_watch.on_changes = configuration;
+	this->configuration_watch.on_all = [this](const std::vector<StoredRow> &rows, TimePoint at) { this->OnOperatorRows(rows, true, at); };
+	this->configuration_watch.on_changes = [this](const std::vector<StoredRow> &rows, TimePoint at) {
+		this->OnOperatorRows(rows, false, at);
+	};
 	this->target_watch.on_all = [this](const std::vector<StoredRow> &rows, TimePoint at) { this->OnTargetRows(rows, true, at); };
 	this->target_watch.on_changes = [this](const std::vector<StoredRow> &rows, TimePoint at) { this->OnTargetRows(rows, false, at); };
 	this->peers.Share(this->configuration_watch);
@@ -58,7 +59,13 @@
 	Log(LogLevel::Info, "scope", {{"hall_only", only ? "yes" : "no"}, {"engines_in_hall", std::to_string(in_hall)}});
 }
 
-void Gateway::OnConfigurationRows(const std::vector<StoredRow> &rows, TimePoint)
+void Gateway::OnOperatorRows(const std::vector<StoredRow> &rows, bool all, TimePoint now)
+{
+	this->OnEmptiedRows(rows, all, now);
+	this->OnConfigurationRows(rows);
+}
+
+void Gateway::OnConfigurationRows(const std::vector<StoredRow> &rows)
 {
 	// Several versions may come at once: only the newest is worth reading.
 	const StoredRow *newest = nullptr;
@@ -90,6 +97,7 @@
 	     {"routes", std::to_string(now_in_force.routes.size())},
 	     {"accounts", std::to_string(now_in_force.accounts.size())}});
 	this->RefreshTargets();
+	this->RefreshHalls(MonotonicNow());
 }
 
 void Gateway::RefreshTargets()
@@ -120,12 +128,14 @@
 		}
 		this->usable[event.target.id] = event.target;
 		this->UseTarget(event.target);
+		if (std::optional<TargetNumber> number = this->dispatcher.Targets().Find(event.target.id))
+			this->NoteCold(*number, event.target, event.target.cold_left, now);
 		Log(LogLevel::Info, "target-usable",
 		    {{"target", event.target.id}, {"pool", event.target.pool}, {"hall", event.target.hall}, {"source", event.source}});
 	}
 	if (events.empty()) return;
 	this->RefreshScope();
-	this->Carry(this->dispatcher.OnTick(now));
+	this->Carry(this->dispatcher.OnPlacesChanged(now));
 }
 
 void Gateway::UseTarget(const ListedTarget &listed)
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -42,6 +42,7 @@
 	size_t hall_engines_least = 4;   ///< Engines below which they no longer do; lower, so that a few departures change nothing.
 	double other_hall_penalty = 1.2; ///< Pressure by which another hall's target must be better: a cut hall stops what it has elsewhere.
 	bool use_moves = true;           ///< Runs move away from engines that leave.
+	bool move_from_emptied = false;  ///< Runs move away from engines of a hall that is emptied too.
 	bool use_own_notice = true;      ///< An engine's notice in its own report counts.
 	double retry_slack = 50;         ///< Retries beyond their share of the requests that all instances together may make.
 	BackupRules backup;              ///< Copies of runs.
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -196,6 +196,16 @@
 	return std::max<size_t>(this->directory.Size() + 1, this->instances_told);
 }
 
+std::vector<std::string> PeerExchange::KnownInstances() const
+{
+	// One that started among others knows few of them at first: it would take too large a share of what all divide.
+	static constexpr double MOST_OF_THEM = 0.9;
+	std::vector<std::string> names = this->directory.Names();
+	names.push_back(this->name);
+	bool knows = this->watch.IsKnown() && static_cast<double>(names.size()) >= MOST_OF_THEM * this->instances_told;
+	return knows ? names : std::vector<std::string>{};
+}
+
 void PeerExchange::SetHallOnly(bool only)
 {
 	this->directory.SetHallOnly(only);
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -86,6 +86,9 @@
 	/** @return Instances that the store lists, this one included; zero before the list was read. */
 	size_t Instances() const;
 
+	/** @return Names of all instances that the store lists, this one included; none while most of them are not known here. */
+	std::vector<std::string> KnownInstances() const;
+
 	/** @return Open links to others. */
 	size_t Links() const { return this->links.OpenLinks(); }
 
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -185,7 +185,8 @@
 	if (this->over || !this->target || this->link == 0 || !this->request.engines.can_move || !this->gateway.limits.use_moves) return;
 	if (this->move.phase != MovePhase::None || now < this->move.not_before) return;
 	const TargetState &source = this->gateway.dispatcher.Targets().Get(*this->target);
-	if (!source.leaving) return;
+	bool leaves = source.leaving || (source.emptied && this->gateway.limits.move_from_emptied);
+	if (!leaves) return;
 	auto flight = source.in_flight.find(this->request.spec.id);
 	if (flight == source.in_flight.end()) return;
 	// A run that has begun and ends soon is done before a copy of it would be.
@@ -233,6 +234,7 @@
 		this->move.handle = answer.handle;
 		this->move.covers = answer.events;
 		this->LogMove("copy", "done");
+		if (!this->MayResumeAt(this->move.to)) return this->DropCopy();
 		return this->Resume({this->gateway.AddressOf(*this->target).Text(), answer.handle, this->last_event}, MonotonicNow());
 	case MoveAnswer::Kind::NoRoom:
 		this->move.refused.push_back(this->move.to);
@@ -246,6 +248,23 @@
 	}
 }
 
+bool StreamRelay::MayResumeAt(TargetNumber to) const
+{
+	CallSpec run = this->request.spec;
+	run.halls = this->gateway.HallsFor(this->request);
+	if (run.halls.empty()) return false;
+	run.avoid_cold = true;
+	return this->gateway.dispatcher.Targets().MayGet(this->gateway.dispatcher.Targets().Get(to), run, MonotonicNow());
+}
+
+void StreamRelay::DropCopy()
+{
+	const std::string &name = this->gateway.dispatcher.Targets().Get(*this->target).name;
+	this->gateway.upstream.Start(MakeDropCall(this->gateway.AddressOf(*this->target), name, this->move.handle));
+	this->move.refused.push_back(this->move.to);
+	this->DropMove("not-usable-any-more", Duration(0));
+}
+
 void StreamRelay::DropMove(const char *why, Duration pause)
 {
 	this->LogMove("failed", why);
@@ -279,8 +298,7 @@
 	TargetNumber at = *this->backup;
 	// A copy serves once, and one that leaves with its engine is of no use.
 	this->backup.reset();
-	const TargetState &state = this->gateway.dispatcher.Targets().Get(at);
-	if (!this->gateway.dispatcher.Targets().IsUsable(state, this->request.spec.model, now)) return false;
+	if (!this->MayResumeAt(at)) return false;
 	this->move = Move{};
 	this->move.to = at;
 	this->move.begun = now;
--- a/src/gateway/stream_relay.h
+++ b/src/gateway/stream_relay.h
@@ -61,6 +61,9 @@
 	/** @return Time until the copies of other runs that leave the same engine are nearly done. */
 	Duration CopyWait() const;
 	void OnCopied(const MoveAnswer &answer);
+	/** @return Whether the run may still go on at \a to: that engine may have left, turned cold, or its hall been emptied meanwhile. */
+	bool MayResumeAt(TargetNumber to) const;
+	void DropCopy();
 	void GiveUpSource();
 	void Resume(const ResumePoint &point, TimePoint now);
 	bool ResumeFromBackup(const char *why, TimePoint now);
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -85,7 +85,8 @@
 	settings.ready = fields.Address("/listen/ready");
 	settings.store = fields.Address("/platform/address");
 	if (const Json *zones = fields.Find("/zones"); zones != nullptr && zones->is_object()) {
-		for (const auto &[zone, region] : zones->items()) settings.halls.push_back(zone);
+		for (const auto &[zone, region] : zones->items())
+			settings.halls[zone] = region.is_string() ? region.get<std::string>() : std::string();
 	}
 	settings.first_port = static_cast<uint16_t>(fields.Number("/internalPorts/0", 0, 0, UINT16_MAX));
 	settings.last_port = static_cast<uint16_t>(fields.Number("/internalPorts/1", 0, 0, UINT16_MAX));
@@ -95,6 +96,7 @@
 	settings.heartbeat = milliseconds("/heartbeatMs", 1200);
 	settings.bounds.drain = milliseconds("/bounds/drainMs", 2000);
 	settings.bounds.in_force = milliseconds("/bounds/configApplyMs", 2000);
+	settings.bounds.empty = milliseconds("/bounds/evacuateMs", 2000);
 	settings.bounds.contact = milliseconds("/bounds/contactMs", 3000);
 	settings.bounds.stop_grace = seconds("/bounds/graceS", 8);
 	settings.bounds.retry_ratio = fields.Number("/bounds/retryBudgetRatio", 0.2, 0, 10);
--- a/src/platform/node_settings.h
+++ b/src/platform/node_settings.h
@@ -6,7 +6,7 @@
 
 #include "core/error_type.h"
 #include "net/tcp_stream.h"
-#include <vector>
+#include <map>
 
 namespace cottonspool {
 
@@ -14,6 +14,7 @@
 struct PlatformBounds {
 	Duration drain{std::chrono::seconds(2)};      ///< Time after a target's notice from which nothing new may reach it.
 	Duration in_force{std::chrono::seconds(2)};   ///< Time after which a configuration has to be in force.
+	Duration empty{std::chrono::seconds(2)};      ///< Time after which nothing new may reach a hall that is emptied.
 	Duration contact{std::chrono::seconds(3)};    ///< Calm time after which the bounds hold again, also for what the store told meanwhile.
 	Duration stop_grace{std::chrono::seconds(8)}; ///< Time between SIGTERM and SIGKILL.
 	double retry_ratio = 0.2;                     ///< Second sends allowed for each request, all instances together.
@@ -25,7 +26,7 @@
 struct NodeSettings {
 	std::string name;                                    ///< Name of the instance.
 	std::string hall;                                    ///< Data hall it stands in.
-	std::vector<std::string> halls;                      ///< All data halls.
+	std::map<std::string, std::string> halls;            ///< All data halls, each with its region.
 	Endpoint front;                                      ///< Where callers connect.
 	Endpoint ready;                                      ///< Where readiness is asked.
 	std::string ip;                                      ///< Its address.
--- a/src/platform/wire_configuration.cpp
+++ b/src/platform/wire_configuration.cpp
@@ -15,6 +15,23 @@
 	return key == "config";
 }
 
+std::optional<std::string> EmptiedHallOf(std::string_view key)
+{
+	static constexpr std::string_view PREFIX = "evacuate/";
+	if (!key.starts_with(PREFIX)) return std::nullopt;
+	return std::string(key.substr(PREFIX.size()));
+}
+
+/** @return The texts in the list \a name of \a object. */
+static std::vector<std::string> TextsOf(const Json &object, const char *name)
+{
+	std::vector<std::string> texts;
+	for (const Json &item : ListOf(object, name)) {
+		if (item.is_string()) texts.push_back(item.get<std::string>());
+	}
+	return texts;
+}
+
 /** Decode one route. */
 static Route DecodeRoute(const Json &from)
 {
@@ -35,6 +52,7 @@
 	route.gap_objective = MillisecondsOf(from, "gapAimMs");
 	route.rank = static_cast<int>(NumberOf(from, "priority"));
 	route.needs_key = !FlagOf(from, "public");
+	route.homes = TextsOf(from, "allowedRegions");
 	return route;
 }
 
@@ -45,6 +63,8 @@
 	pool.name = TextOf(from, "name");
 	pool.health_path = TextOf(from, "healthPath");
 	pool.max_connections = static_cast<uint32_t>(NumberOf(from, "maxConnections"));
+	pool.cold_start = FromSeconds(NumberOf(from, "coldStartS"));
+	pool.cold_per_s = NumberOf(from, "coldPerS");
 	auto engine = from.find("engine");
 	if (engine == from.end() || !engine->is_object()) return pool;
 	EnginePool &known = pool.engine.emplace();
@@ -83,9 +103,8 @@
 	for (const Json &tenant : ListOf(root, "tenants")) {
 		ClientAccount account;
 		account.name = TextOf(tenant, "name");
-		for (const Json &key : ListOf(tenant, "apiKeys")) {
-			if (key.is_string()) account.keys.push_back(key.get<std::string>());
-		}
+		account.keys = TextsOf(tenant, "apiKeys");
+		account.homes = TextsOf(tenant, "allowedRegions");
 		auto rank = tenant.find("priority");
 		if (rank != tenant.end() && rank->is_number()) account.rank = rank->get<int>();
 		configuration.accounts.push_back(std::move(account));
--- a/src/tests/platform_test.cpp
+++ b/src/tests/platform_test.cpp
@@ -17,7 +17,7 @@
 
 static const char *const SETTINGS = R"({"nodeName":"n1","zone":"hall-a","ip":"127.0.0.1","zones":{"hall-a":"r","hall-b":"r"},
 "listen":{"front":"127.0.0.1:80","ready":"127.0.0.1:81"},"internalPorts":[7200,7215],"heartbeatMs":900,"unknown":{"x":1},
-"limits":{"memoryMb":110},"bounds":{"drainMs":1500,"graceS":7,"retryBudgetRatio":0.3,"retrySlack":40},"platform":{"address":"127.0.0.1:90"}})";
+"limits":{"memoryMb":110},"bounds":{"drainMs":1500,"evacuateMs":4000,"graceS":7,"retryBudgetRatio":0.3,"retrySlack":40},"platform":{"address":"127.0.0.1:90"}})";
 
 TEST_CASE("Platform settings - are read, and unknown fields are passed over")
 {
@@ -25,6 +25,8 @@
 	REQUIRE(read);
 	CHECK(read.value().name == "n1");
 	CHECK(read.value().halls.size() == 2);
+	CHECK(read.value().halls.at("hall-b") == "r");
+	CHECK(read.value().bounds.empty == std::chrono::milliseconds(4000));
 	CHECK(read.value().store.port == 90);
 	CHECK(read.value().first_port == 7200);
 	CHECK(read.value().bounds.drain == std::chrono::milliseconds(1500));
@@ -47,10 +49,10 @@
 {
 	Result<ServingConfiguration> read = DecodeConfiguration(R"({"version":7,"routes":[
 	{"name":"s","host":"h","pathPrefix":"/a/","routeType":"streaming","timeoutMs":39000,"targetLatencyMs":1800,"priority":1,
-	 "weightedServices":[{"service":"p","weight":90},{"service":"q","weight":10}],"maxAttempts":1,"public":false,"gapAimMs":180},
+	 "weightedServices":[{"service":"p","weight":90},{"service":"q","weight":10}],"maxAttempts":1,"public":false,"gapAimMs":180,"allowedRegions":["r1","r2"]},
 	{"name":"o","host":"h","pathPrefix":"/b/","routeType":"something-new","service":"q","public":true}],
-	"services":[{"name":"p","engine":{"capacity":64,"kvTokenCapacity":34545,"stride":4,"moves":true,"backups":true}},{"name":"q"}],
-	"limits":{"maxBodyBytes":100,"idleTimeoutMs":15000},"tenants":[{"name":"t","apiKeys":["k"],"priority":2}]})");
+	"services":[{"name":"p","coldStartS":1.5,"coldPerS":25.0,"engine":{"capacity":64,"kvTokenCapacity":34545,"stride":4,"moves":true,"backups":true}},{"name":"q"}],
+	"limits":{"maxBodyBytes":100,"idleTimeoutMs":15000},"tenants":[{"name":"t","apiKeys":["k"],"priority":2,"allowedRegions":["r2"]}]})");
 	REQUIRE(read);
 	const ServingConfiguration &configuration = read.value();
 	CHECK(configuration.version == 7);
@@ -64,6 +66,13 @@
 	CHECK(!configuration.pools[1].engine);
 	CHECK(configuration.limits.max_body_bytes == 100);
 	CHECK(configuration.accounts[0].rank == 2);
+	CHECK(configuration.routes[0].homes == std::vector<std::string>{"r1", "r2"});
+	CHECK(configuration.routes[1].homes.empty());
+	CHECK(configuration.accounts[0].homes == std::vector<std::string>{"r2"});
+	CHECK(configuration.pools[0].cold_start == std::chrono::milliseconds(1500));
+	CHECK(configuration.pools[0].cold_per_s == doctest::Approx(25));
+	CHECK(EmptiedHallOf("evacuate/hall-a") == "hall-a");
+	CHECK(!EmptiedHallOf("config"));
 	CHECK(!DecodeConfiguration("no json"));
 }
 
--- a/tests/scenarios/lib.lua
+++ b/tests/scenarios/lib.lua
@@ -200,7 +200,8 @@
 end
 
 -- Puts a configuration in force: streams under /s/, calls that run once under /o/, repeatable ones under /r/, and what extra adds.
-function lib.configure(version, extra, keys)
+-- Fields of the engines' pool and of the account can be added as text.
+function lib.configure(version, extra, keys, engines, account)
 	local function route(name, prefix, kind, service, attempts, timeout)
 		return string.format('{"name":"%s","host":"h.example","pathPrefix":"%s","routeType":"%s","service":"%s","maxAttempts":%d,'
 			.. '"timeoutMs":%d,"targetLatencyMs":1500,"priority":1,"gapAimMs":180}', name, prefix, kind, service, attempts, timeout)
@@ -208,13 +209,13 @@
 	local routes = { route("stream", "/s/", "streaming", "engines", 1, 30000), route("once", "/o/", "non_idempotent", "services", 1, 2000),
 		route("repeat", "/r/", "idempotent", "services", 2, 2000) }
 	if extra then routes[#routes + 1] = route(extra, "/" .. extra .. "/", "idempotent", "services", 2, 2000) end
-	lib.control("world", string.format('{"config":{"version":%d,"routes":[%s],"services":[{"name":"engines","engine":{"capacity":64,'
+	lib.control("world", string.format('{"config":{"version":%d,"routes":[%s],"services":[{"name":"engines",%s"engine":{"capacity":64,'
 		.. '"kvTokenCapacity":40000,"stride":4,"moves":true}},{"name":"services"}],"limits":{"idleTimeoutMs":15000},'
-		.. '"tenants":[{"name":"acme","apiKeys":[%s]}]}}', version, table.concat(routes, ","), keys or '"k1"'))
+		.. '"tenants":[{"name":"acme","apiKeys":[%s]%s}]}}', version, table.concat(routes, ","), engines or "", keys or '"k1"', account or ""))
 end
 
 function lib.gateway(name, hall)
-	local settings = string.format('{"nodeName":"%s","zone":"%s","ip":"127.0.0.1","zones":{"hall-a":"r","hall-b":"r"},"listen":{"front":'
+	local settings = string.format('{"nodeName":"%s","zone":"%s","ip":"127.0.0.1","zones":{"hall-a":"r","hall-b":"r2"},"listen":{"front":'
 		.. '"127.0.0.1:0","ready":"127.0.0.1:0"},"internalPorts":[0,1],"platform":{"address":"%s"},"bounds":{"graceS":8}}',
 		name, hall or "hall-a", lib.ports.world)
 	spawn(name, { BIN .. "/cottonspool", "gateway", "--settings", write_file(name .. ".json", settings) })
--- a/tests/scripts/play_days_test.py
+++ b/tests/scripts/play_days_test.py
@@ -51,6 +51,14 @@
         for path in play_days.own_days(self.site, self.folder, small=True, shrink=5.0):
             self.assertEqual(tomllib.loads(Path(path).read_text())["small"]["shrink"], 5.0)
 
+    def test_days_of_places_are_played_where_halls_can_be_emptied(self):
+        named = lambda: [path for path in play_days.own_days(self.site, self.folder, small=True) if "places_" in path]
+        self.assertEqual(named(), [])
+        self.site.write_text('contracts = ["places"]\nzones = [{ name = "east" }, { name = "west" }]\n' + SITE)
+        self.assertGreater(len(named()), 3)
+        for path in named():
+            self.assertNotIn("@", Path(path).read_text())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -40,7 +40,7 @@
 	         {"zone", this->hall},
 	         {"capacity", 64},
 	         {"state", this->leaving ? "draining" : "ready"},
-	         {"coldRemainingMs", 0},
+	         {"coldRemainingMs", this->cold_ms},
 	         {"sequence", ++this->answers}};
 	this->store.Put("servers", this->id, row.dump());
 }
@@ -85,7 +85,10 @@
 void WorldTarget::Serve(const Exchange &exchange, const std::string &attempt)
 {
 	this->answers++;
-	this->record.runs.push_back({{"request", attempt}, {"target", this->id}, {"account", FindHeader(exchange->head.headers, "X-Tenant")}});
+	this->record.runs.push_back({{"request", attempt},
+	                             {"target", this->id},
+	                             {"hall", this->hall},
+	                             {"account", FindHeader(exchange->head.headers, "X-Tenant")}});
 	HttpHeaders headers{{"X-Attempt-Id", attempt}, {"X-Server-Stamp", "stamp"}, {"X-Server-Load", "1,0,6"}};
 	std::string body = "answer to " + attempt;
 	bool fails = static_cast<double>(this->answers % 10) < this->fail_part * 10;
@@ -112,7 +115,8 @@
 		this->record.copies.erase(copy);
 		run.made = strtoull(std::string(FindHeader(exchange->head.headers, "Last-Event-Id")).c_str(), nullptr, 10);
 	}
-	this->record.runs.push_back({{"request", attempt}, {"target", this->id}, {"resumed", !from.empty()}});
+	this->record.runs.push_back(
+	        {{"request", attempt}, {"target", this->id}, {"hall", this->hall}, {"resumed", !from.empty()}, {"at", NowMs()}});
 	if (!from.empty()) this->record.resumed_at[attempt] = NowMs();
 	// A run that goes on elsewhere takes a moment to begin there: its old engine makes further events meanwhile.
 	if (from.empty()) return this->Begin(std::move(run));
@@ -210,6 +214,8 @@
 		std::string act = control.value("do", "");
 		if (control.contains("config")) this->store.Put("op", "config", control["config"].dump());
 		if (control.contains("store")) this->store.mode = control["store"];
+		if (control.contains("put")) this->store.Put("op", control["put"], "{}");
+		if (control.contains("drop")) this->store.Remove("op", control["drop"]);
 		this->store.slow_ms = control.value("slow_ms", this->store.slow_ms);
 		if (control.contains("shown_as")) this->store.shown_as = control["shown_as"].get<std::map<std::string, std::string>>();
 		if (act == "leave") this->targets.at(id)->Leave(false);
@@ -225,6 +231,10 @@
 				if (target->IsAlive()) target->Beat();
 			}
 		}
+		if (act == "cold") {
+			this->targets.at(id)->cold_ms = control.value("ms", 0);
+			this->targets.at(id)->Beat();
+		}
 		if (act == "fail") this->targets.at(id)->fail_part = control.value("part", 0.0);
 		if (act == "garble") this->targets.at(id)->garble = control.value("how", "");
 		exchange->Respond(200, {}, "{}");
--- a/tests/standins/world_base.h
+++ b/tests/standins/world_base.h
@@ -99,6 +99,7 @@
 	void Beat();
 
 	std::string id;       ///< Name of its incarnation.
+	int64_t cold_ms = 0;  ///< How much longer it says that it is cold, in milliseconds.
 	double fail_part = 0; ///< Part of the answers that are 500.
 	std::string garble;   ///< "reset", "extra" or empty.
 
