--- a/src/tests/places_test.cpp
+++ b/src/tests/places_test.cpp
@@ -130,7 +130,7 @@
 
 TEST_CASE("Places - whatever homes a route and an account have, the halls are those in the regions of both")
 {
-	rc::check("", [] {
+	bool good = rc::check("homes", [] {
 		std::map<std::string, std::string> regions;
 		for (const char *hall : {"a", "b", "c", "d", "e"}) regions[hall] = *rc::gen::element<std::string>("r1", "r2", "r3");
 		PlaceTable places("c", regions);
@@ -150,6 +150,7 @@
 		}
 		if (!halls.empty() && has(route.homes, regions["c"]) && has(account.homes, regions["c"])) RC_ASSERT(halls.front().hall == "c");
 	});
+	CHECK(good);
 }
 
 /** Most requests that arrived within a second at a target, of \a arrivals in any order. */
@@ -166,7 +167,7 @@
 
 TEST_CASE("Cold start - however many instances send all they may, a cold target gets no more in any second than it bears")
 {
-	rc::check("", [] {
+	bool good = rc::check("rates", [] {
 		size_t count = *rc::gen::element<size_t>(1, 6, 62, 300);
 		double per_second = *rc::gen::element(0.4, 1.0, 7.0, 25.0, 400.0);
 		pcg32 random(*rc::gen::arbitrary<uint32_t>());
@@ -190,6 +191,7 @@
 		double tried = static_cast<double>(count) * 90;
 		RC_ASSERT(static_cast<double>(arrivals.size()) >= 5 * std::min(per_second, tried) / 2);
 	});
+	CHECK(good);
 }
 
 TEST_CASE("Cold start - an instance that knows no others sends nothing, and a warm target is not held back")
--- a/src/tests/sharing_property_test.cpp
+++ b/src/tests/sharing_property_test.cpp
@@ -50,7 +50,7 @@
 
 TEST_CASE("Sharing - a change is known in time at all who reach the store, whoever ends, is cut off or turned away")
 {
-	rc::check("", [] {
+	bool good = rc::check("whatever fails", [] {
 		SharingLayout layout{*rc::gen::inRange<size_t>(2, 6), *rc::gen::inRange<size_t>(2, 10)};
 		SharingWorld world(layout);
 		world.Pass(SETTLED);
@@ -95,4 +95,5 @@
 		world.Pass(SETTLED);
 		RC_ASSERT(world.OnlyReader() >= 0);
 	});
+	CHECK(good);
 }
