Fix: [Targets] Only own calls find out whether an ejected target is well again

Ruled out: leaving copies alone only; peers' calls did the same before. Change: OnForeignSent for calls of peers and copies, OnSent for own ones; a probe whose run moves away ends. Test: Targets - one that was ejected is tried again.

--- a/src/decision/peer_load.cpp
+++ b/src/decision/peer_load.cpp
@@ -34,7 +34,7 @@
 		spec.prompt_tokens = news.prompt_tokens;
 		spec.max_tokens = news.max_tokens;
 		known = peer.calls.emplace(news.call, PeerCall{spec.id, *target, news.generated}).first;
-		this->targets.OnSent(*target, spec, now, news.generated);
+		this->targets.OnForeignSent(*target, spec, now, news.generated);
 	}
 	if (news.generated <= known->second.generated) return;
 	this->targets.OnForeignToken(*target, known->second.id, now, news.generated - known->second.generated);
--- a/src/decision/target_health.cpp
+++ b/src/decision/target_health.cpp
@@ -28,6 +28,14 @@
 	return generated;
 }
 
+void TargetTable::OnSent(TargetNumber number, const CallSpec &call, TimePoint now)
+{
+	this->OnForeignSent(number, call, now);
+	// Only own calls find out whether it is well again: how those of peers end is not told here, and they would be waited for for ever.
+	TargetState &target = this->targets[number.value];
+	if (target.ejections > 0) target.probing = true;
+}
+
 void TargetTable::EjectUnreachable(TargetState &target, TimePoint now)
 {
 	// While a hall is cut off, targets that had answered with failures stood ejected, and all calls went to the one that could
--- a/src/decision/target_table.cpp
+++ b/src/decision/target_table.cpp
@@ -116,7 +116,7 @@
 	if (target.report.capacity_tokens == 0) target.report.capacity_tokens = slots;
 }
 
-void TargetTable::OnSent(TargetNumber number, const CallSpec &call, TimePoint now, uint32_t generated)
+void TargetTable::OnForeignSent(TargetNumber number, const CallSpec &call, TimePoint now, uint32_t generated)
 {
 	TargetState &target = this->targets[number.value];
 	InFlightCall flight{call, generated, call.generated ? this->lengths.Residual(call, generated) : 0, now, now};
@@ -125,7 +125,6 @@
 	if (call.prefix != 0) target.sent_prefixes.emplace_back(call.prefix, now);
 	if (target.sent_prefixes.size() > MAX_SENT_PREFIXES) target.sent_prefixes.pop_front();
 	target.sent_since_report += call.prompt_tokens + generated + target.growth * flight.residual;
-	if (target.ejections > 0) target.probing = true;
 	this->NotePromptSent(target, flight, now);
 	target.in_flight.emplace(call.id, std::move(flight));
 }
@@ -176,6 +175,8 @@
 	if (found == source.in_flight.end() || from == to) return;
 	InFlightCall flight = std::move(found->second);
 	source.in_flight.erase(found);
+	// How its run would have ended there is not told any more.
+	source.probing = false;
 	if (flight.generated == 0) this->NotePromptRead(source, flight, now);
 	double held = flight.call.prompt_tokens + flight.generated;
 	source.known_tokens -= held;
--- a/src/decision/target_table.h
+++ b/src/decision/target_table.h
@@ -133,8 +133,14 @@
 	/** A service that never reports is usable with \a slots calls at once. */
 	void SetUnreported(TargetNumber target, uint64_t slots);
 
-	/** \a call is at \a target from now on. @param generated Tokens that it has made elsewhere: its prompt needn't be read then. */
-	void OnSent(TargetNumber target, const CallSpec &call, TimePoint now, uint32_t generated = 0);
+	/** This instance sends \a call to \a target. */
+	void OnSent(TargetNumber target, const CallSpec &call, TimePoint now);
+
+	/**
+	 * A call of a peer, or a copy of a run, is at \a target from now on.
+	 * @param generated Tokens that it has made elsewhere: its prompt needn't be read then.
+	 */
+	void OnForeignSent(TargetNumber target, const CallSpec &call, TimePoint now, uint32_t generated = 0);
 
 	/** \a tokens of \a call came at once. */
 	void OnToken(TargetNumber target, CallId call, TimePoint now, uint32_t tokens = 1);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -256,7 +256,7 @@
 	CallSpec copy = request.spec;
 	copy.id = CallId{request.spec.id.value | COPY_BIT};
 	uint32_t generated = std::max<uint32_t>(1, flight->second.generated);
-	targets.OnSent(target, copy, MonotonicNow(), generated);
+	targets.OnForeignSent(target, copy, MonotonicNow(), generated);
 	this->peers.TellAt(copy, request.pool, targets.Get(target).name, generated, true);
 }
 
--- a/src/tests/hall_load_test.cpp
+++ b/src/tests/hall_load_test.cpp
@@ -201,7 +201,7 @@
 	copy.id = CallId{77};
 	copy.prompt_tokens = 3000;
 	copy.max_tokens = 1000;
-	targets.OnSent(engine, copy, now, 400);
+	targets.OnForeignSent(engine, copy, now, 400);
 	CHECK(targets.HeldAt(targets.Get(engine), now).tokens == doctest::Approx(3400));
 	CHECK(targets.ReadingWait(targets.Get(engine), now) == Duration(0));
 	targets.OnForeignEnded(engine, copy.id, now);
--- a/src/tests/target_health_test.cpp
+++ b/src/tests/target_health_test.cpp
@@ -68,3 +68,24 @@
 	CHECK_FALSE(world.IsUsable(2));
 	CHECK(world.IsUsable(0));
 }
+
+TEST_CASE("Targets - one that was ejected is tried again, whatever calls of peers, copies and moves pass there meanwhile")
+{
+	HealthWorld world;
+	world.Calls(0, TargetConduct::Failed, 3);
+	CHECK_FALSE(world.IsUsable(0));
+	CallSpec foreign;
+	foreign.id = CallId{1ULL << 62};
+	world.targets.OnForeignSent(world.all[0], foreign, world.now);
+	world.now += std::chrono::seconds(2);
+	CHECK(world.IsUsable(0));
+	world.targets.OnForeignEnded(world.all[0], foreign.id, world.now);
+	CHECK(world.IsUsable(0));
+	// An own call finds out; until then no other goes there.
+	CallSpec own;
+	own.id = CallId{77};
+	world.targets.OnSent(world.all[0], own, world.now);
+	CHECK_FALSE(world.IsUsable(0));
+	world.targets.OnMoved(world.all[0], world.all[1], own.id, world.now);
+	CHECK(world.IsUsable(0));
+}
