--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -25,9 +25,9 @@
 	bool tell_calls = true;                                ///< Tell the others where own calls run.
 	bool tell_halls = true;                                ///< Halls tell each other sums of their targets' load.
 	Duration hall_load_period = std::chrono::milliseconds(150); ///< Least time between such sums.
-	Duration hall_load_each = std::chrono::microseconds(2500);  ///< Time between them for each sum: some 10 KB a second from each hall at
-	                                                           ///< most, of 25 bytes a sum; with 1,000 engines a hall, and 100 instances
-	                                                           ///< that a relay passes them on to, 8 Mbit/s from each hall (by arithmetic).
+	/** Time between sums for each of them: some 10 KB a second from each hall at most, of 25 bytes a sum. With 1,000 engines a hall and
+	 *  100 instances that a relay passes them on to, 8 Mbit/s from each hall (by arithmetic). */
+	Duration hall_load_each = std::chrono::microseconds(2500);
 	bool share_reports = true;    ///< One instance reads an engine's reports for all.
 	double pass_on_bytes = 256e3; ///< Bytes of rows that may be passed on in a second; beyond, each one reads them itself.
 	Duration settle = std::chrono::milliseconds(600); ///< Time after the start in which this instance doesn't read for others: those that
