Add: [Gateway] Fingerprints of requests and checks of targets that break sends off, in the logs

Cause looked for: the logs could not tell whether requests under which targets end are the same one, nor whether a target that closed had ended. Change: a hash of method, host, path, account and body in received lines; a target that breaks off a send that it had not begun, or only just, is asked for a sign of life on a fresh connection. Nothing is decided by it yet.

--- a/src/decision/request_type.h
+++ b/src/decision/request_type.h
@@ -6,6 +6,7 @@
 
 #include "core/id_type.h"
 #include "core/time_type.h"
+#include "decision/request_print.h"
 #include <array>
 #include <optional>
 #include <string>
@@ -59,6 +60,7 @@
 	std::vector<TargetNumber> avoid;                        ///< Targets that get it only if there is no other.
 	bool avoid_strictly = false;                            ///< They don't get it at all.
 	bool avoid_cold = false;                                ///< Targets that are cold don't get it at all.
+	RequestPrint print;                                     ///< Its fingerprint; zero for none.
 };
 
 /** Why a call was given up before it was sent. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -51,6 +51,7 @@
       places(this->settings.hall, this->settings.halls), registry(limits.registry),
       peer_load(this->dispatcher.Targets(), this->pools, std::chrono::seconds(2)),
       hall_load(this->dispatcher.Targets(), this->settings.hall),
+      end_watch(this->upstream, limits.life_check, [this](const TargetCheck &check) { this->OnTargetChecked(check); }),
       peers(loop, this->store, this->peer_load, this->settings.name, this->settings.hall, limits.exchange,
             [this](const ReportNews &news) { this->OnPeerReport(news); }),
       front(loop, [this](const std::shared_ptr<FrontExchange> &exchange) { this->HandleRequest(exchange); }),
@@ -209,6 +210,9 @@
 	request.info = ReadRequest(exchange->head);
 	if (!this->Admit(exchange, &request)) return;
 	this->FillSpec(&request, exchange->read_at);
+	std::string_view host = FindHeader(exchange->head.headers, "host");
+	host = host.substr(0, host.find(':'));
+	request.spec.print = PrintRequest({exchange->head.method, host, exchange->head.target, request.account, exchange->body});
 	this->Begin(exchange, std::move(request));
 }
 
@@ -221,6 +225,8 @@
 	     {"account", request.account},
 	     {"rank", std::to_string(request.rank)},
 	     {"prompt_tokens", std::to_string(request.info.prompt_tokens)},
+	     {"print", PrintText(request.spec.print)},
+	     {"body_bytes", std::to_string(exchange->body.size())},
 	     {"limit_ms", FormatMilliseconds(request.ends_at - request.spec.arrived)},
 	     {"configuration", std::to_string(this->routes.Configuration().version)}});
 	CallId id = request.spec.id;
@@ -282,6 +288,7 @@
 {
 	TimePoint now = MonotonicNow();
 	this->upstream.OnTick(now);
+	this->end_watch.OnTick(now);
 	this->front.OnTick(now);
 	this->readiness.OnTick(now);
 	if (now >= this->next_look) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "core/name_table.h"
 #include "decision/decision_carrier.h"
 #include "decision/place_table.h"
+#include "gateway/end_watch.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/relay_call.h"
 #include "metrics/metrics.h"
@@ -62,6 +63,9 @@
 	/** @return Halls in which the run of \a request may go on under the configuration in force. */
 	std::vector<HallPreference> HallsFor(const RelayRequest &request) const;
 
+	/** \a target broke off the send of \a request, whose run \a begun tells to have begun only just before, or not yet. */
+	void OnSendBroken(const RelayRequest &request, TargetNumber target, bool begun, TimePoint now);
+
 	/** @return Where \a target is. */
 	const Endpoint &AddressOf(TargetNumber target) const { return this->records[target.value].address; }
 
@@ -77,6 +81,7 @@
 	Dispatcher dispatcher; ///< Decisions.
 
 private:
+	void OnTargetChecked(const TargetCheck &check);
 	void OnPeerReport(const ReportNews &news);
 	void LogReport(TargetNumber target, const LoadReport &report);
 	void OnHallLoad(const HallLoadMessage &message);
@@ -140,6 +145,7 @@
 	NameTable<AccountNumber> accounts;                                          ///< Numbers of client accounts.
 	PeerLoad peer_load;                                                         ///< Calls of other instances.
 	HallLoad hall_load;                                                         ///< Load of other halls' targets.
+	EndWatch end_watch;                                                         ///< Finds out which targets have ended.
 	PeerExchange peers;                                                         ///< Exchange with other instances.
 	HttpFront front;                                                            ///< Callers.
 	HttpFront readiness;                                                        ///< Platform's balancer.
--- a/src/gateway/relay_call.cpp
+++ b/src/gateway/relay_call.cpp
@@ -241,6 +241,7 @@
 	     {"sent", end == UpstreamEnd::NotSent ? "no" : "maybe"},
 	     {"cause", cause}});
 	if (end == UpstreamEnd::NotSent) return this->EndSend(SendEnd::NotSent);
+	this->gateway.OnSendBroken(this->request, *this->target, false, MonotonicNow());
 	this->EndSend(SendEnd::Lost);
 	if (this->request.spec.repeatable && !this->passing) return;
 	this->Fail(502, "answer-lost");
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -18,6 +18,7 @@
 	if (info.load) this->gateway.OnLoadTold(*this->target, *info.load);
 	this->streaming = head.status == 200 && info.stamped;
 	this->answer_head = head;
+	if (this->streaming) this->streaming_at = MonotonicNow();
 	if (this->streaming) this->StartAnswer(head);
 	return true;
 }
@@ -103,12 +104,20 @@
 	if (end == UpstreamEnd::NotSent) return this->EndSend(SendEnd::NotSent);
 	if (end == UpstreamEnd::Complete && this->streaming) return this->Finish();
 	if (end == UpstreamEnd::Complete) return this->RelayRefusal();
+	this->NoteBroken();
 	// A run whose memory has been, or is being, copied goes on from the copy.
 	if (this->move.phase != MovePhase::None) return this->LogMove("source-lost", cause);
 	if (this->ResumeFromBackup(cause, MonotonicNow())) return;
 	this->LoseRun(cause);
 }
 
+void StreamRelay::NoteBroken()
+{
+	TimePoint now = MonotonicNow();
+	bool lately = !this->streaming || now - this->streaming_at < this->gateway.limits.begun_lately;
+	if (lately) this->gateway.OnSendBroken(this->request, *this->target, this->streaming, now);
+}
+
 void StreamRelay::RelayRefusal()
 {
 	AnswerInfo info = ReadAnswer(this->answer_head);
--- a/src/gateway/stream_relay.h
+++ b/src/gateway/stream_relay.h
@@ -57,6 +57,8 @@
 	void PassEvent(const RawEvent &event, TimePoint now);
 	void Finish();
 	void StartAnswer(const HttpHead &head);
+	/** The engine broke the run off: if it had not begun it, or only just, the request may be what ended the engine. */
+	void NoteBroken();
 	void RelayRefusal();
 	void TryMove(TimePoint now);
 	/** @return Time until the copies of other runs that leave the same engine are nearly done. */
@@ -83,6 +85,7 @@
 	HttpHead answer_head;    ///< Head of an answer that is no stream.
 	std::string answer_body; ///< Its body.
 	bool streaming = false;  ///< The engine is sending events.
+	TimePoint streaming_at;  ///< Since when: it has begun the run then.
 	bool has_event = false;  ///< An event was passed on.
 	uint64_t last_event = 0; ///< Number of the last one.
 	uint64_t events = 0;     ///< Events passed on.
--- a/src/platform/wire_engine.cpp
+++ b/src/platform/wire_engine.cpp
@@ -51,6 +51,14 @@
 	return answer;
 }
 
+const char *const REPORT_PATH = "/-/report";
+
+const char *LifeSignName(LifeSign sign)
+{
+	static constexpr const char *NAMES[] = {"answered", "other-life", "refused", "broken"};
+	return NAMES[static_cast<size_t>(sign)];
+}
+
 /** Collects a whole answer: its status and body. */
 struct WholeAnswer {
 	int status = 0;   ///< Status.
@@ -77,13 +85,33 @@
 	UpstreamCall call;
 	call.to = to;
 	call.peer = peer;
-	call.target = "/-/report";
+	call.target = REPORT_PATH;
 	call.headers = {{"Host", to.Text()}};
 	Collect(call,
 	        [done = std::move(done)](const WholeAnswer &answer) { done(answer.status == 200 ? DecodeReport(answer.body) : std::nullopt); });
 	return call;
 }
 
+UpstreamCall MakeLifeCall(const Endpoint &to, const std::string &peer, const std::string &path, std::function<void(LifeSign)> done)
+{
+	auto sign = std::make_shared<LifeSign>(LifeSign::Broken);
+	UpstreamCall call;
+	call.to = to;
+	call.peer = peer;
+	call.target = path;
+	call.headers = {{"Host", to.Text()}};
+	call.reuse_rest = Duration(0);
+	call.on_head = [sign, peer](const HttpHead &head) {
+		std::string_view id = FindHeader(head.headers, "X-Instance-Id");
+		*sign = id.empty() || id == peer ? LifeSign::Answered : LifeSign::OtherLife;
+		return true;
+	};
+	call.on_end = [sign, done = std::move(done)](UpstreamEnd end, const char *) {
+		done(end == UpstreamEnd::NotSent ? LifeSign::Refused : *sign);
+	};
+	return call;
+}
+
 UpstreamCall MakeMoveCall(const Endpoint &to, const std::string &peer, const std::string &attempt, const std::string &copy_to, bool stop,
                           std::function<void(const MoveAnswer &)> done)
 {
--- a/src/platform/wire_engine.h
+++ b/src/platform/wire_engine.h
@@ -46,6 +46,26 @@
 /** @return The call that frees the copy \a handle at its source and at the other end. */
 UpstreamCall MakeDropCall(const Endpoint &to, const std::string &peer, const std::string &handle);
 
+/** What came of asking whether a target still lives. */
+enum class LifeSign : uint8_t {
+	Answered,  ///< It answers.
+	OtherLife, ///< Another target has the address, or this one has started again.
+	Refused,   ///< Nobody listens there any more.
+	Broken,    ///< The connection came up and broke.
+};
+
+/** @return The name of \a sign for logs. */
+const char *LifeSignName(LifeSign sign);
+
+/**
+ * @return The call that asks, on a fresh connection, whether the target \a peer at \a to still lives.
+ * @param path What it answers without doing work: a report, or the health check of a plain service.
+ */
+UpstreamCall MakeLifeCall(const Endpoint &to, const std::string &peer, const std::string &path, std::function<void(LifeSign)> done);
+
+/** Path of an engine's report. */
+extern const char *const REPORT_PATH;
+
 /** Decode a report. */
 std::optional<EngineReport> DecodeReport(const std::string &text);
 
