--- a/tests/scenarios/lib.lua
+++ b/tests/scenarios/lib.lua
@@ -232,10 +232,10 @@
 	return lib.http{ url = "http://" .. lib.ports[name .. ".ready"] .. "/-/readyz", limit_ms = limit_ms }.status == 200
 end
 
--- Begins a request on the platform's form; options: key, events, deadline, limit_ms.
+-- Begins a request on the platform's form; options: key, events, deadline, limit_ms, body.
 function lib.ask(name, path, id, options)
 	options = options or {}
-	return http_start{ url = "http://" .. lib.ports[name] .. path, method = "POST", body = "body", limit_ms = options.limit_ms or 20000, headers = {
+	return http_start{ url = "http://" .. lib.ports[name] .. path, method = "POST", body = options.body or "body", limit_ms = options.limit_ms or 20000, headers = {
 		"Host: h.example", "X-Attempt-Id: " .. id, "X-Deadline-Ms: " .. (options.deadline or 15000), "X-Model: m",
 		"X-Token-Count: 100," .. 4 * (options.events or 40), "Authorization: Bearer " .. (options.key or "k1") } }
 end
--- a/tests/standins/standin_func.h
+++ b/tests/standins/standin_func.h
@@ -32,6 +32,13 @@
 	return std::chrono::duration_cast<std::chrono::milliseconds>(MonotonicNow().time_since_epoch()).count();
 }
 
+/** @return Milliseconds since the epoch. */
+inline int64_t WallMs()
+{
+	auto now = std::chrono::system_clock::now().time_since_epoch();
+	return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 /** Call \a run every \a period_ms on \a loop, for good. */
 void Every(uv_loop_t *loop, uint64_t period_ms, std::function<void()> run);
 
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -17,6 +17,9 @@
 static constexpr uint64_t COPY_MS = 40;          ///< Time that a copy of a run's memory takes.
 static constexpr uint64_t RESUME_MS = 80;        ///< Time until a run that was moved makes its next event.
 static constexpr uint64_t MEMORY_TOKENS = 40000; ///< Memory told in reports.
+static constexpr uint64_t CRASH_MS = 40;         ///< Time for which a target lives that has begun a request that ends it.
+static constexpr uint64_t BACK_MS = 1500;        ///< Time until it is back.
+static const char *const CRASHER = "crash";      ///< Body that such a request begins with.
 static const char *const HALLS[] = {"hall-a", "hall-b"};
 
 WorldTarget::WorldTarget(uv_loop_t *loop, WorldStore &store, WorldRecord &record, std::string id, std::string pool, std::string hall,
@@ -27,12 +30,36 @@
 
 void WorldTarget::Start()
 {
-	this->front = std::make_unique<HttpFront>(this->loop, [this](const Exchange &exchange) { this->Handle(exchange); });
-	this->port = this->front->Listen({"127.0.0.1", 0}).value();
+	this->Listen();
 	if (this->engine) Every(this->loop, STEP_MS, [this] { this->Step(); });
+}
+
+void WorldTarget::Listen()
+{
+	this->born = WallMs();
+	this->front = std::make_unique<HttpFront>(this->loop, [this](const Exchange &exchange) { this->Handle(exchange); });
+	this->port = this->front->Listen({"127.0.0.1", this->port}).value();
 	this->Beat();
 }
 
+void WorldTarget::Crash(uint64_t back_ms)
+{
+	if (!this->IsAlive()) return;
+	std::list<Run> ended = std::move(this->running);
+	this->running.clear();
+	for (const Run &run : ended) run.exchange->Abort();
+	this->front.reset();
+	After(this->loop, back_ms, [this] { this->Listen(); });
+}
+
+void WorldTarget::CrashUnder(const std::string &attempt)
+{
+	After(this->loop, CRASH_MS, [this, attempt] {
+		if (this->IsAlive()) this->record.crashes.push_back({{"request", attempt}, {"target", this->id}, {"at", NowMs()}});
+		this->Crash(BACK_MS);
+	});
+}
+
 void WorldTarget::Beat()
 {
 	Json row{{"service", this->pool},
@@ -41,6 +68,7 @@
 	         {"capacity", 64},
 	         {"state", this->leaving ? "draining" : "ready"},
 	         {"coldRemainingMs", this->cold_ms},
+	         {"born", this->born},
 	         {"sequence", ++this->answers}};
 	this->store.Put("servers", this->id, row.dump());
 }
@@ -66,11 +94,8 @@
 	const std::string &target = exchange->head.target;
 	if (target == "/-/report") {
 		this->record.reports++;
-		Json report{{"running", this->running.size()},
-		            {"queued", 0},
-		            {"kvUsed", 0},
-		            {"kvTotal", MEMORY_TOKENS},
-		            {"state", this->leaving ? "draining" : "ready"}};
+		Json report{{"running", this->running.size()}, {"queued", 0},        {"kvUsed", 0},
+		            {"kvTotal", MEMORY_TOKENS},        {"born", this->born}, {"state", this->leaving ? "draining" : "ready"}};
 		return exchange->Respond(200, {}, report.dump());
 	}
 	if (target == "/-/kv-move") return this->Move(exchange);
@@ -93,6 +118,7 @@
 	std::string body = "answer to " + attempt;
 	bool fails = static_cast<double>(this->answers % 10) < this->fail_part * 10;
 	std::string how = this->garble;
+	if (exchange->body.starts_with(CRASHER)) return this->CrashUnder(attempt);
 	After(this->loop, 5, [exchange, headers, body, fails, how] {
 		if (how == "reset") {
 			exchange->Start(200, headers, body.size());
@@ -129,6 +155,7 @@
 {
 	std::string attempt = run.attempt;
 	int64_t begun = NowMs();
+	if (run.exchange->body.starts_with(CRASHER)) this->CrashUnder(attempt);
 	run.exchange->on_gone = [this, attempt, begun] {
 		auto resumed = this->record.resumed_at.find(attempt);
 		if (resumed != this->record.resumed_at.end() && begun < resumed->second) this->record.overlaps.push_back(NowMs() - resumed->second);
@@ -195,11 +222,8 @@
 	void Handle(const Exchange &exchange)
 	{
 		if (exchange->head.target == "/record") {
-			Json told{{"runs", this->record.runs},
-			          {"late", this->record.late},
-			          {"overlaps", this->record.overlaps},
-			          {"reports", this->record.reports},
-			          {"store_calls", this->store.calls}};
+			Json told{{"runs", this->record.runs},       {"late", this->record.late},       {"overlaps", this->record.overlaps},
+			          {"crashes", this->record.crashes}, {"reports", this->record.reports}, {"store_calls", this->store.calls}};
 			for (const auto &[id, target] : this->targets) told["targets"][id] = target->Address();
 			return exchange->Respond(200, {}, told.dump());
 		}
@@ -221,6 +245,7 @@
 		if (act == "leave") this->targets.at(id)->Leave(false);
 		if (act == "vanish") this->targets.at(id)->Leave(true);
 		if (act == "kill") this->targets.at(id)->Kill();
+		if (act == "crash") this->targets.at(id)->Crash(control.value("back_ms", BACK_MS));
 		if (act == "add")
 			this->Add(id, control.value("pool", "engines"), HALLS[this->targets.size() % 2], control.value("pool", "engines") == "engines");
 		if (act == "lapse") {
--- a/tests/standins/world_base.h
+++ b/tests/standins/world_base.h
@@ -72,6 +72,7 @@
 	std::map<std::string, int64_t> resumed_at;                      ///< When another engine was asked to go on, by request.
 	Json overlaps = Json::array();                                  ///< Milliseconds for which an old engine still made events then.
 	uint64_t reports = 0;                                           ///< Reports told.
+	Json crashes = Json::array();                                   ///< Crashes: request, target, when.
 	uint64_t next_handle = 1;                                       ///< Number of the next copy.
 };
 
@@ -95,6 +96,9 @@
 	/** End at once: every connection is reset. */
 	void Kill();
 
+	/** Crash: every connection is reset, the row lapses later, and it starts again after \a back_ms under the same name and address. */
+	void Crash(uint64_t back_ms);
+
 	/** Write the row again, as a heartbeat does. */
 	void Beat();
 
@@ -113,6 +117,8 @@
 		int64_t next_at = 0; ///< When the next one is due.
 	};
 
+	void Listen();
+	void CrashUnder(const std::string &attempt);
 	void Handle(const Exchange &exchange);
 	void Generate(const Exchange &exchange, const std::string &attempt);
 	void Begin(Run run);
@@ -132,6 +138,7 @@
 	bool leaving = false;             ///< Said that it leaves.
 	int64_t left_at = 0;              ///< When.
 	uint64_t answers = 0;             ///< Answers given.
+	int64_t born = 0;                 ///< When this life began.
 };
 
 } // namespace cottonspool
