Fix: [Gateway] A send taken back from a target that ends just after is held against its request

Also: how long a run has gone on is told by its events, not by the clock, since an instance that was suspended finds the break long after it. Change: sends taken back are remembered for two seconds; other sends of the instance that break at that life of the target bring the check.

--- a/src/gateway/end_watch.cpp
+++ b/src/gateway/end_watch.cpp
@@ -7,12 +7,35 @@
 
 namespace cottonspool {
 
-void EndWatch::OnBroken(const BrokenTarget &target, BrokenSend send, TimePoint now)
+static constexpr size_t MOST_WITHDRAWN = 256; ///< Sends taken back that are remembered: those of two seconds of an instance.
+
+bool EndWatch::HasWithdrawn(const std::string &life) const
+{
+	return std::any_of(this->withdrawn.begin(), this->withdrawn.end(), [&](const Withdrawn &each) { return each.life == life; });
+}
+
+void EndWatch::OnWithdrawn(const std::string &life, BrokenSend send, TimePoint now)
+{
+	this->withdrawn.push_back({life, std::move(send), now});
+	if (this->withdrawn.size() > MOST_WITHDRAWN) this->withdrawn.pop_front();
+}
+
+void EndWatch::TakeWithdrawn(TargetCheck &check)
+{
+	for (const Withdrawn &each : this->withdrawn) {
+		if (each.life == check.target.life) check.sends.push_back(each.send);
+	}
+	std::erase_if(this->withdrawn, [&](const Withdrawn &each) { return each.life == check.target.life; });
+}
+
+bool EndWatch::OnBroken(const BrokenTarget &target, BrokenSend send, TimePoint now)
 {
+	bool suspect = send.stage != RunStage::RunsWell;
+	if (!suspect && !this->HasWithdrawn(target.life)) return false;
 	auto [found, added] = this->pending.try_emplace(target.name);
 	Pending &check = found->second;
-	check.check.sends.push_back(std::move(send));
-	if (!added) return;
+	if (suspect) check.check.sends.push_back(std::move(send));
+	if (!added) return suspect;
 	check.check.target = target;
 	check.begun = now;
 	check.token = this->next_token++;
@@ -21,6 +44,7 @@
 	// This watch has a limit of its own, behind which the target counts as silent, not as refusing.
 	call.connect_limit = 2 * this->limit;
 	check.call = this->upstream.Start(std::move(call));
+	return suspect;
 }
 
 void EndWatch::OnSign(const std::string &name, uint64_t token, LifeSign sign)
@@ -37,10 +61,12 @@
 	TargetCheck check = std::move(found->second.check);
 	check.took = now - found->second.begun;
 	this->pending.erase(found);
+	if (check.HasEnded()) this->TakeWithdrawn(check);
 	// Where some are known to have begun, those that still waited there have not ended it.
-	bool any_begun = std::any_of(check.sends.begin(), check.sends.end(), [](const BrokenSend &send) { return send.begun; });
-	auto waited =
-	        std::stable_partition(check.sends.begin(), check.sends.end(), [&](const BrokenSend &send) { return send.begun || !any_begun; });
+	auto begun = [](const BrokenSend &send) { return send.stage == RunStage::Begun; };
+	bool any_begun = std::any_of(check.sends.begin(), check.sends.end(), begun);
+	auto suspect = [&](const BrokenSend &send) { return !any_begun || begun(send); };
+	auto waited = std::stable_partition(check.sends.begin(), check.sends.end(), suspect);
 	check.clear.assign(waited, check.sends.end());
 	check.sends.erase(waited, check.sends.end());
 	this->handler(check);
@@ -48,6 +74,7 @@
 
 void EndWatch::OnTick(TimePoint now)
 {
+	std::erase_if(this->withdrawn, [&](const Withdrawn &each) { return now - each.at > this->lately; });
 	std::vector<std::string> late;
 	for (const auto &[name, check] : this->pending) {
 		if (now - check.begun > this->limit) late.push_back(name);
--- a/src/gateway/end_watch.h
+++ b/src/gateway/end_watch.h
@@ -5,16 +5,18 @@
 #pragma once
 
 #include "decision/request_print.h"
+#include "gateway/run_stage_type.h"
 #include "platform/wire_engine.h"
+#include <deque>
 #include <map>
 
 namespace cottonspool {
 
-/** A send that its target broke off. */
+/** A send that ended before its answer was whole. */
 struct BrokenSend {
-	RequestPrint print;  ///< The request.
-	std::string request; ///< Id of this try, for logs.
-	bool begun = false;  ///< The target had begun to run it, shortly before.
+	RequestPrint print;                 ///< The request.
+	std::string request;                ///< Id of this try, for logs.
+	RunStage stage = RunStage::Waiting; ///< How far it had come.
 };
 
 /** Target that broke a send off. */
@@ -42,10 +44,20 @@
 public:
 	using Handler = std::function<void(const TargetCheck &)>;
 
-	EndWatch(HttpUpstream &upstream, Duration limit, Handler handler) : upstream(upstream), limit(limit), handler(std::move(handler)) {}
+	/** @param lately Time for which a send that was taken back may still end its target. */
+	EndWatch(HttpUpstream &upstream, Duration limit, Duration lately, Handler handler)
+	    : upstream(upstream), limit(limit), lately(lately), handler(std::move(handler))
+	{
+	}
 
-	/** \a target broke \a send off. */
-	void OnBroken(const BrokenTarget &target, BrokenSend send, TimePoint now);
+	/** \a target broke \a send off. @return Whether it counts as ended under it until it has answered. */
+	bool OnBroken(const BrokenTarget &target, BrokenSend send, TimePoint now);
+
+	/**
+	 * \a send was taken back from the life \a life of a target, as its caller left: should it be found to have ended shortly after,
+	 * this may be what ended it.
+	 */
+	void OnWithdrawn(const std::string &life, BrokenSend send, TimePoint now);
 
 	/** Time has passed; to be called some times a second. */
 	void OnTick(TimePoint now);
@@ -59,11 +71,22 @@
 		uint64_t token = 0; ///< Tells its answer from that of an earlier check of the same target.
 	};
 
+	/** A send that was taken back. */
+	struct Withdrawn {
+		std::string life; ///< Where it was.
+		BrokenSend send;  ///< Send.
+		TimePoint at;     ///< When.
+	};
+
+	bool HasWithdrawn(const std::string &life) const;
+	void TakeWithdrawn(TargetCheck &check);
 	void OnSign(const std::string &name, uint64_t token, LifeSign sign);
 	void Conclude(const std::string &name, TimePoint now);
 
 	HttpUpstream &upstream;                 ///< Calls to targets.
 	Duration limit;                         ///< Longest wait for a sign of life.
+	Duration lately;                        ///< Time for which a send that was taken back may end its target.
+	std::deque<Withdrawn> withdrawn;        ///< Sends taken back lately, oldest first.
 	Handler handler;                        ///< Gets what was found out.
 	std::map<std::string, Pending> pending; ///< Checks under way by target.
 	uint64_t next_token = 1;                ///< Number of the next check.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -64,8 +64,11 @@
 	/** @return Halls in which the run of \a request may go on under the configuration in force. */
 	std::vector<HallPreference> HallsFor(const RelayRequest &request) const;
 
-	/** \a target broke off the send of \a request, whose run \a begun tells to have begun only just before, or not yet. */
-	void OnSendBroken(const RelayRequest &request, TargetNumber target, bool begun, TimePoint now);
+	/** \a target broke off the send of \a request, with which it had come as far as \a stage. */
+	void OnSendBroken(const RelayRequest &request, TargetNumber target, RunStage stage, TimePoint now);
+
+	/** The send of \a request to \a target was taken back, as its caller left. */
+	void OnSendWithdrawn(const RelayRequest &request, TargetNumber target, RunStage stage, TimePoint now);
 
 	/** The run of \a request ended well: it is not what ended the targets that ended under it. */
 	void OnAnsweredWell(const RelayRequest &request);
--- a/src/gateway/gateway_ends.cpp
+++ b/src/gateway/gateway_ends.cpp
@@ -9,15 +9,22 @@
 
 static constexpr Duration ENDS_LOOK = std::chrono::seconds(1); ///< Time between looks for ends that are no longer held against anybody.
 
-void Gateway::OnSendBroken(const RelayRequest &request, TargetNumber number, bool begun, TimePoint now)
+void Gateway::OnSendBroken(const RelayRequest &request, TargetNumber number, RunStage stage, TimePoint now)
 {
 	const TargetRecord &record = this->records[number.value];
 	const Pool *pool = this->routes.FindPool(record.pool);
 	BrokenTarget target{this->dispatcher.Targets().Get(number).name, record.address, REPORT_PATH, record.life};
 	if (!record.engine && pool != nullptr) target.path = pool->health_path;
-	this->end_watch.OnBroken(target, {request.spec.print, request.info.attempt, begun}, now);
 	// Until the target has answered it counts as ended: a second send of this very request is decided before that.
-	if (this->dispatcher.Suspicions().Add({request.spec.print, record.life}, now)) this->OnSuspicionChanged(now);
+	bool suspect = this->end_watch.OnBroken(target, {request.spec.print, request.info.attempt, stage}, now);
+	bool added = suspect && this->dispatcher.Suspicions().Add({request.spec.print, record.life}, now);
+	if (added) this->OnSuspicionChanged(now);
+}
+
+void Gateway::OnSendWithdrawn(const RelayRequest &request, TargetNumber number, RunStage stage, TimePoint now)
+{
+	if (stage == RunStage::RunsWell) return;
+	this->end_watch.OnWithdrawn(this->records[number.value].life, {request.spec.print, request.info.attempt, stage}, now);
 }
 
 void Gateway::OnTargetChecked(const TargetCheck &check)
@@ -26,6 +33,7 @@
 	for (const BrokenSend &send : check.sends) {
 		EndRecord end{send.print, check.target.life};
 		bool held = check.HasEnded() && this->ends.Add(end);
+		if (held) this->dispatcher.Suspicions().Add(end, now);
 		if (!held && !this->ends.Holds(end)) this->dispatcher.Suspicions().Remove(end);
 		Log(LogLevel::Info, "target-check",
 		    {{"request", send.request},
@@ -34,7 +42,7 @@
 		     {"life", check.target.life},
 		     {"sign", check.sign ? LifeSignName(*check.sign) : "none"},
 		     {"ended", check.HasEnded() ? "yes" : "no"},
-		     {"begun", send.begun ? "yes" : "no"},
+		     {"begun", send.stage == RunStage::Begun ? "yes" : "no"},
 		     {"suspects", std::to_string(check.sends.size())},
 		     {"held", held ? "yes" : "no"},
 		     {"ms", FormatMilliseconds(check.took)}});
@@ -69,7 +77,7 @@
 		for (const auto &[id, call] : this->calls) {
 			if (call->Spec().print == print) same.push_back(call);
 		}
-		for (const auto &call : same) call->OnQuarantined(now);
+		for (const auto &call : same) call->OnQuarantined();
 	}
 	for (RequestPrint print : before) Log(LogLevel::Info, "quarantine-ended", {{"print", PrintText(print)}});
 	this->Carry(this->dispatcher.OnSuspicionChanged(now));
--- a/src/gateway/relay_call.cpp
+++ b/src/gateway/relay_call.cpp
@@ -148,9 +148,9 @@
 	this->Fail(may_have_run ? 504 : 503, "time-limit", may_have_run ? std::nullopt : std::optional(this->RetryAfter(LEAST_RETRY_AFTER)));
 }
 
-void RelayCall::OnQuarantined(TimePoint now)
+void RelayCall::OnQuarantined()
 {
-	if (this->over || !this->target || !this->HasSend() || this->RunsWell(now)) return;
+	if (this->over || !this->target || !this->HasSend() || this->Stage() == RunStage::RunsWell) return;
 	auto keep = this->shared_from_this();
 	if (this->link != 0) this->gateway.upstream.Cancel(this->link);
 	this->link = 0;
@@ -213,6 +213,7 @@
 {
 	if (this->over) return;
 	auto keep = this->shared_from_this();
+	if (this->target && this->link != 0) this->gateway.OnSendWithdrawn(this->request, *this->target, this->Stage(), MonotonicNow());
 	if (this->link != 0) this->gateway.upstream.Cancel(this->link);
 	this->link = 0;
 	this->OnGone();
@@ -258,7 +259,7 @@
 	     {"sent", end == UpstreamEnd::NotSent ? "no" : "maybe"},
 	     {"cause", cause}});
 	if (end == UpstreamEnd::NotSent) return this->EndSend(SendEnd::NotSent);
-	this->gateway.OnSendBroken(this->request, *this->target, false, MonotonicNow());
+	this->gateway.OnSendBroken(this->request, *this->target, this->Stage(), MonotonicNow());
 	this->EndSend(SendEnd::Lost);
 	if (this->request.spec.repeatable && !this->passing) return;
 	this->Fail(502, "answer-lost");
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "gateway/gateway_type.h"
+#include "gateway/run_stage_type.h"
 #include "net/http_front.h"
 #include "net/http_upstream.h"
 
@@ -34,7 +35,7 @@
 	virtual void OnTargetLeaving(TimePoint) {}
 
 	/** Its request is quarantined: unless the target runs it well already, it is taken back from there. */
-	void OnQuarantined(TimePoint now);
+	void OnQuarantined();
 
 	/** The process ends: break off what cannot be finished. */
 	void Cut();
@@ -61,8 +62,8 @@
 	/** @return Whether a send is under way. */
 	virtual bool HasSend() const { return this->link != 0; }
 
-	/** @return Whether the target has run it for longer than it takes to end under it. */
-	virtual bool RunsWell(TimePoint) const { return false; }
+	/** @return How far the target has come with it. */
+	virtual RunStage Stage() const { return RunStage::Waiting; }
 
 	/** It was given up while an answer of a target is at hand: @return Whether that was delivered instead. */
 	virtual bool DeliverInstead() { return false; }
--- /dev/null
+++ b/src/gateway/run_stage_type.h
@@ -0,0 +1,18 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file run_stage_type.h How far a target has come with a send. */
+
+#pragma once
+
+#include <cstdint>
+
+namespace cottonspool {
+
+/** How far a target has come with a send. */
+enum class RunStage : uint8_t {
+	Waiting,  ///< Not known to have begun it.
+	Begun,    ///< It has begun it, shortly before.
+	RunsWell, ///< It has run it for longer than it takes to end under it.
+};
+
+} // namespace cottonspool
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -104,7 +104,7 @@
 	if (end == UpstreamEnd::NotSent) return this->EndSend(SendEnd::NotSent);
 	if (end == UpstreamEnd::Complete && this->streaming) return this->Finish();
 	if (end == UpstreamEnd::Complete) return this->RelayRefusal();
-	this->NoteBroken();
+	this->gateway.OnSendBroken(this->request, *this->target, this->Stage(), MonotonicNow());
 	if (this->IsQuarantined()) return this->LoseRun(cause);
 	// A run whose memory has been, or is being, copied goes on from the copy.
 	if (this->move.phase != MovePhase::None) return this->LogMove("source-lost", cause);
@@ -112,15 +112,12 @@
 	this->LoseRun(cause);
 }
 
-void StreamRelay::NoteBroken()
+RunStage StreamRelay::Stage() const
 {
-	TimePoint now = MonotonicNow();
-	if (!this->RunsWell(now)) this->gateway.OnSendBroken(this->request, *this->target, this->streaming, now);
-}
-
-bool StreamRelay::RunsWell(TimePoint now) const
-{
-	return this->streaming && now - this->streaming_at >= this->gateway.limits.begun_lately;
+	if (!this->streaming) return RunStage::Waiting;
+	// What counts is for how long events came: an instance that was suspended finds the break long after it.
+	bool well = this->has_event && this->last_at - this->streaming_at >= this->gateway.limits.begun_lately;
+	return well ? RunStage::RunsWell : RunStage::Begun;
 }
 
 void StreamRelay::RelayRefusal()
@@ -372,7 +369,7 @@
 
 void StreamRelay::OnResumeEnd(UpstreamEnd end, const char *cause)
 {
-	if (end == UpstreamEnd::Broken) this->gateway.OnSendBroken(this->request, this->move.to, false, MonotonicNow());
+	if (end == UpstreamEnd::Broken) this->gateway.OnSendBroken(this->request, this->move.to, RunStage::Waiting, MonotonicNow());
 	this->move.refused.push_back(this->move.to);
 	this->DropMove(cause, Duration(0));
 }
--- a/src/gateway/stream_relay.h
+++ b/src/gateway/stream_relay.h
@@ -28,7 +28,7 @@
 	void OnEnd(uint64_t from, UpstreamEnd end, const char *cause) override;
 	void OnGone() override;
 	bool HasSend() const override { return this->link != 0 || this->move.resume_link != 0; }
-	bool RunsWell(TimePoint now) const override;
+	RunStage Stage() const override;
 
 private:
 	/** How far a move to another engine has come. */
@@ -59,8 +59,6 @@
 	void PassEvent(const RawEvent &event, TimePoint now);
 	void Finish();
 	void StartAnswer(const HttpHead &head);
-	/** The engine broke the run off: if it had not begun it, or only just, the request may be what ended the engine. */
-	void NoteBroken();
 	void RelayRefusal();
 	void TryMove(TimePoint now);
 	/** @return Time until the copies of other runs that leave the same engine are nearly done. */
--- a/tests/scenarios/platform_quarantine.lua
+++ b/tests/scenarios/platform_quarantine.lua
@@ -69,6 +69,18 @@
 ended = crashes_of("badcall")
 lib.check(ended >= 2 and ended <= 3, ended .. " services ended under one repeatable call")
 
+-- A caller who leaves before its engine ends does not take the evidence with it, where other streams of the instance end with that engine.
+local beside = {}
+for i = 1, 48 do beside[i] = lib.ask(names[i % 3 + 1], "/s/x", "beside" .. i, { body = "beside" .. i, events = 200 }) end
+sleep_ms(2600)
+for i = 1, 6 do
+	http_wait(lib.ask(names[i % 3 + 1], "/s/x", "gone" .. i, { body = "crash three", deadline = 3000, limit_ms = 25 }))
+	sleep_ms(300)
+end
+ended = crashes_of("gone")
+lib.check(ended >= 2 and ended <= 3, ended .. " engines ended under a request whose caller left")
+for _, call in ipairs(beside) do http_wait(call) end
+
 -- A request that was only there when targets ended for other reasons is cleared once it is answered well.
 for round = 1, 2 do
 	local call = lib.ask("g1", "/s/x", "unlucky" .. round, { body = "unlucky", events = 60 })
