Change: [Targets] What is known of a target belongs to one life of it; a target that starts again under its id is another one

Change: TargetLife (id and start, decoded at the edge) names every target in the core and in news between instances; another life ends the former one, whatever its connections look like: what was under way there has failed and may have run. Reports and checks that another life answers end it too. Targets that tell no start keep working as before. Ruled out: a wide change of all tables; naming lives makes each of them start anew by itself.

--- a/src/decision/quarantine.cpp
+++ b/src/decision/quarantine.cpp
@@ -7,11 +7,6 @@
 
 namespace cottonspool {
 
-std::string LifeText(const std::string &id, uint64_t born)
-{
-	return born == 0 ? id : id + "@" + std::to_string(born);
-}
-
 bool Quarantine::Add(const EndRecord &end, TimePoint now)
 {
 	if (end.print.value == 0 || this->IsFull()) return false;
--- a/src/decision/quarantine.h
+++ b/src/decision/quarantine.h
@@ -15,15 +15,11 @@
 /** A target's life that ended under a request which it had just begun, or not begun yet. */
 struct EndRecord {
 	RequestPrint print; ///< The request.
-	std::string life;   ///< The target and the start of its life; see LifeText().
+	std::string life;   ///< The target and the start of its life; see TargetLife::Name().
 
 	auto operator<=>(const EndRecord &) const = default;
 };
 
-/** @return The name of one life of the target \a id, the same at all instances. @param born Its start as it tells it; 0 if it tells none.
- */
-std::string LifeText(const std::string &id, uint64_t born);
-
 /** When a request is not sent any more. */
 struct QuarantineLimits {
 	/** Ends from which a request is not sent any more until they are forgotten; the operators allow three and a few sends more. */
--- a/src/decision/serving_type.h
+++ b/src/decision/serving_type.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "core/time_type.h"
+#include "decision/target_life.h"
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -99,7 +100,7 @@
 
 /** A target as its own heartbeat shows it. */
 struct ListedTarget {
-	std::string id;        ///< Name of this incarnation; never used again.
+	TargetLife life;       ///< Its id and the start of its life.
 	std::string pool;      ///< Pool it belongs to.
 	std::string address;   ///< IP:PORT.
 	std::string hall;      ///< Data hall.
@@ -107,7 +108,6 @@
 	bool leaving = false;  ///< Gets nothing new.
 	uint64_t sequence = 0; ///< Rises with each heartbeat.
 	Duration cold_left{0}; ///< How much longer it is slow from its start.
-	uint64_t born = 0;     ///< When its life began, in milliseconds since the epoch by its own clock; 0 if it tells none.
 
 	/** @return Whether \a other says the same but for the heartbeat's number. */
 	bool SaysSameAs(const ListedTarget &other) const
--- /dev/null
+++ b/src/decision/target_life.cpp
@@ -0,0 +1,21 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file target_life.cpp Names of targets' lives. */
+
+#include "decision/target_life.h"
+
+namespace cottonspool {
+
+std::string TargetLife::Name() const
+{
+	static constexpr char DIGITS[] = "0123456789abcdefghijklmnopqrstuvwxyz";
+	static constexpr uint64_t BASE = 36;
+	static constexpr int PLACES = 6;
+	if (this->born == 0) return this->id;
+	std::string start(PLACES, '0');
+	uint64_t rest = this->born;
+	for (int i = PLACES - 1; i >= 0; i--, rest /= BASE) start[static_cast<size_t>(i)] = DIGITS[rest % BASE];
+	return this->id + "@" + start;
+}
+
+} // namespace cottonspool
--- a/src/decision/target_registry.cpp
+++ b/src/decision/target_registry.cpp
@@ -17,9 +17,29 @@
 	events.push_back({usable ? TargetChange::Usable : TargetChange::Leaving, entry.target, source});
 }
 
+void TargetRegistry::End(Entry &entry, const char *source, TimePoint now, std::vector<TargetEvent> &events)
+{
+	if (!entry.missing) entry.missing_since = now;
+	bool was_usable = entry.usable;
+	entry.missing = entry.departed = true;
+	entry.usable = false;
+	entry.usable_until = TimePoint{};
+	// One that left is still finishing what it has, until it ends.
+	if (was_usable || !entry.ended) events.push_back({TargetChange::Ended, entry.target, source});
+	entry.ended = true;
+}
+
 void TargetRegistry::Note(const ListedTarget &target, TimePoint now, std::vector<TargetEvent> &events)
 {
-	auto [found, added] = this->entries.try_emplace(target.id);
+	std::string name = target.life.Name();
+	// A row of a life that has ended, told late: the one that followed it stays.
+	auto known = this->entries.find(name);
+	if (known != this->entries.end() && known->second.ended) return;
+	std::string &newest = this->newest[target.life.id];
+	auto former = newest == name ? this->entries.end() : this->entries.find(newest);
+	if (former != this->entries.end()) this->End(former->second, "other-life", now, events);
+	newest = name;
+	auto [found, added] = this->entries.try_emplace(name);
 	Entry &entry = found->second;
 	bool changed = added || !entry.target.SaysSameAs(target);
 	bool was_departed = entry.departed;
@@ -59,12 +79,12 @@
 	std::set<std::string> seen;
 	for (const TargetRow &row : rows) {
 		if (!row.target) continue;
-		seen.insert(row.id);
+		seen.insert(row.target->life.Name());
 		this->Note(*row.target, now, events);
 	}
 	std::vector<Entry *> gone;
-	for (auto &[id, entry] : this->entries) {
-		if (!seen.contains(id)) gone.push_back(&entry);
+	for (auto &[name, entry] : this->entries) {
+		if (!seen.contains(name)) gone.push_back(&entry);
 	}
 	this->NoteAllMissing(gone, "not-listed", now, events);
 	return events;
@@ -75,24 +95,36 @@
 	std::vector<TargetEvent> events;
 	std::vector<Entry *> gone;
 	for (const TargetRow &row : rows) {
-		auto found = this->entries.find(row.id);
-		if (row.target) this->Note(*row.target, now, events);
-		if (!row.target && found != this->entries.end()) gone.push_back(&found->second);
+		if (row.target) {
+			this->Note(*row.target, now, events);
+			continue;
+		}
+		auto newest = this->newest.find(row.id);
+		auto found = newest == this->newest.end() ? this->entries.end() : this->entries.find(newest->second);
+		if (found != this->entries.end()) gone.push_back(&found->second);
 	}
 	this->NoteAllMissing(gone, "removed", now, events);
 	return events;
 }
 
-std::vector<TargetEvent> TargetRegistry::OnOwnNotice(const std::string &id, TimePoint now)
+std::vector<TargetEvent> TargetRegistry::OnOwnNotice(const std::string &name, TimePoint now)
 {
 	std::vector<TargetEvent> events;
-	auto found = this->entries.find(id);
+	auto found = this->entries.find(name);
 	if (found == this->entries.end()) return events;
 	found->second.departed = true;
 	this->Judge(found->second, "own-notice", false, now, events);
 	return events;
 }
 
+std::vector<TargetEvent> TargetRegistry::OnOtherLife(const std::string &name, TimePoint now)
+{
+	std::vector<TargetEvent> events;
+	auto found = this->entries.find(name);
+	if (found != this->entries.end()) this->End(found->second, "other-life", now, events);
+	return events;
+}
+
 void TargetRegistry::OnStoreRegained(TimePoint now)
 {
 	this->lapse_until = now + this->limits.lapse_grace;
@@ -105,6 +137,7 @@
 		Entry &entry = it->second;
 		if (entry.missing) this->Judge(entry, "lapsed", false, now, events);
 		bool forget = entry.missing && !entry.usable && now - entry.missing_since > this->limits.remembered;
+		if (forget && this->newest[entry.target.life.id] == it->first) this->newest.erase(entry.target.life.id);
 		it = forget ? this->entries.erase(it) : std::next(it);
 	}
 	return events;
--- a/src/decision/target_registry.h
+++ b/src/decision/target_registry.h
@@ -13,6 +13,7 @@
 enum class TargetChange : uint8_t {
 	Usable,  ///< New, changed or back: may be used as described.
 	Leaving, ///< Gets nothing new; what runs there may still finish or move.
+	Ended,   ///< Has ended: what was under way there has failed, and may have run.
 };
 
 /** One change of the registry. */
@@ -24,7 +25,7 @@
 
 /** One row of the list: what a target says of itself, or that its row is gone. */
 struct TargetRow {
-	std::string id;                     ///< Name of the incarnation.
+	std::string id;                     ///< Id under which it is listed.
 	std::optional<ListedTarget> target; ///< What it says; nothing when the row is gone.
 };
 
@@ -37,8 +38,9 @@
 };
 
 /**
- * Targets as the list shows them. A target that said it leaves never becomes usable again under the same name. One whose
- * row is missing is gone, unless the store was away just before: rows lapse then, and live targets write theirs again.
+ * Targets as the list shows them, each life by itself. One that said it leaves never becomes usable again, nor does one after which
+ * another life of its id was listed. One whose row is missing is gone, unless the store was away just before: rows lapse then, and live
+ * targets write theirs again.
  */
 class TargetRegistry {
 public:
@@ -50,8 +52,11 @@
 	/** Rows were written or removed. */
 	std::vector<TargetEvent> OnChanges(const std::vector<TargetRow> &rows, TimePoint now);
 
-	/** The target \a id itself says that it leaves, ahead of the list. */
-	std::vector<TargetEvent> OnOwnNotice(const std::string &id, TimePoint now);
+	/** The life \a name of a target itself says that it leaves, ahead of the list. */
+	std::vector<TargetEvent> OnOwnNotice(const std::string &name, TimePoint now);
+
+	/** Another life answers where the life \a name of a target was. */
+	std::vector<TargetEvent> OnOtherLife(const std::string &name, TimePoint now);
 
 	/** The store answers again. */
 	void OnStoreRegained(TimePoint now);
@@ -66,21 +71,24 @@
 	/** One target. */
 	struct Entry {
 		ListedTarget target;     ///< As last seen.
-		bool departed = false;   ///< Said that it leaves: final.
+		bool departed = false;   ///< Said that it leaves, or has ended: final.
+		bool ended = false;      ///< Its end was told.
 		bool missing = false;    ///< Its row is gone.
 		bool usable = true;      ///< As last told.
 		TimePoint missing_since; ///< When its row went.
 		TimePoint usable_until;  ///< While its row is missing after an outage: used until then.
 	};
 
+	void End(Entry &entry, const char *source, TimePoint now, std::vector<TargetEvent> &events);
 	void Judge(Entry &entry, const char *source, bool changed, TimePoint now, std::vector<TargetEvent> &events);
 	void NoteMissing(Entry &entry, const char *source, TimePoint now, std::vector<TargetEvent> &events);
 	void Note(const ListedTarget &target, TimePoint now, std::vector<TargetEvent> &events);
 	void NoteAllMissing(const std::vector<Entry *> &gone, const char *source, TimePoint now, std::vector<TargetEvent> &events);
 
-	RegistryLimits limits;                ///< Times.
-	std::map<std::string, Entry> entries; ///< Targets by name.
-	TimePoint lapse_until;                ///< Until then missing rows may come back.
+	RegistryLimits limits;                     ///< Times.
+	std::map<std::string, Entry> entries;      ///< Lives of targets by name.
+	std::map<std::string, std::string> newest; ///< The life that was listed last, by id.
+	TimePoint lapse_until;                     ///< Until then missing rows may come back.
 };
 
 } // namespace cottonspool
--- a/src/gateway/end_watch.cpp
+++ b/src/gateway/end_watch.cpp
@@ -23,24 +23,24 @@
 void EndWatch::TakeWithdrawn(TargetCheck &check)
 {
 	for (const Withdrawn &each : this->withdrawn) {
-		if (each.life == check.target.life) check.sends.push_back(each.send);
+		if (each.life == check.target.life.Name()) check.sends.push_back(each.send);
 	}
-	std::erase_if(this->withdrawn, [&](const Withdrawn &each) { return each.life == check.target.life; });
+	std::erase_if(this->withdrawn, [&](const Withdrawn &each) { return each.life == check.target.life.Name(); });
 }
 
 bool EndWatch::OnBroken(const BrokenTarget &target, BrokenSend send, TimePoint now)
 {
 	bool suspect = send.stage != RunStage::RunsWell;
-	if (!suspect && !this->HasWithdrawn(target.life)) return false;
-	auto [found, added] = this->pending.try_emplace(target.name);
+	if (!suspect && !this->HasWithdrawn(target.life.Name())) return false;
+	auto [found, added] = this->pending.try_emplace(target.life.Name());
 	Pending &check = found->second;
 	if (suspect) check.check.sends.push_back(std::move(send));
 	if (!added) return suspect;
 	check.check.target = target;
 	check.begun = now;
 	check.token = this->next_token++;
-	auto done = [this, name = target.name, token = check.token](LifeSign sign) { this->OnSign(name, token, sign); };
-	UpstreamCall call = MakeLifeCall(target.address, target.name, target.path, done);
+	auto done = [this, name = target.life.Name(), token = check.token](LifeSign sign) { this->OnSign(name, token, sign); };
+	UpstreamCall call = MakeLifeCall(target.address, target.life, target.path, done);
 	// This watch has a limit of its own, behind which the target counts as silent, not as refusing.
 	call.connect_limit = 2 * this->limit;
 	check.call = this->upstream.Start(std::move(call));
@@ -55,6 +55,15 @@
 	this->Conclude(name, MonotonicNow());
 }
 
+void EndWatch::OnOtherLife(const std::string &life, TimePoint now)
+{
+	auto found = this->pending.find(life);
+	if (found == this->pending.end()) return;
+	this->upstream.Cancel(found->second.call);
+	found->second.check.sign = LifeSign::OtherLife;
+	this->Conclude(life, now);
+}
+
 void EndWatch::Conclude(const std::string &name, TimePoint now)
 {
 	auto found = this->pending.find(name);
--- a/src/gateway/end_watch.h
+++ b/src/gateway/end_watch.h
@@ -21,10 +21,9 @@
 
 /** Target that broke a send off. */
 struct BrokenTarget {
-	std::string name; ///< Name.
+	TargetLife life;  ///< Which life of which target.
 	Endpoint address; ///< Where it was.
 	std::string path; ///< What it answers without doing work.
-	std::string life; ///< Its life, as told to other instances.
 };
 
 /** What was found out about a target that broke sends off. */
@@ -59,6 +58,9 @@
 	 */
 	void OnWithdrawn(const std::string &life, BrokenSend send, TimePoint now);
 
+	/** The life \a life of a target has ended, as another one is listed or answers in its place. */
+	void OnOtherLife(const std::string &life, TimePoint now);
+
 	/** Time has passed; to be called some times a second. */
 	void OnTick(TimePoint now);
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -73,6 +73,9 @@
 	/** The run of \a request ended well: it is not what ended the targets that ended under it. */
 	void OnAnsweredWell(const RelayRequest &request);
 
+	/** @return Which life of which target \a target is. */
+	const TargetLife &LifeOf(TargetNumber target) const { return this->records[target.value].life; }
+
 	/** @return Where \a target is. */
 	const Endpoint &AddressOf(TargetNumber target) const { return this->records[target.value].address; }
 
@@ -100,7 +103,7 @@
 	struct TargetRecord {
 		Endpoint address;         ///< Where it is.
 		std::string pool;         ///< Its pool.
-		std::string life;         ///< Its life, as told to other instances.
+		TargetLife life;          ///< Which life of which target it is.
 		bool engine = false;      ///< It tells reports.
 		uint64_t reports = 0;     ///< Reports taken in.
 		TimePoint next_report;    ///< When the next one is asked for.
@@ -130,6 +133,8 @@
 	void OnTargetEvents(const std::vector<TargetEvent> &events, TimePoint now);
 	void UseTarget(const ListedTarget &target);
 	void LeaveTarget(const ListedTarget &target, const char *source, TimePoint now);
+	/** The life \a name of a target has ended: what was under way there has failed. */
+	void EndTarget(const std::string &name, TimePoint now);
 	void RefreshTargets();
 	void RefreshScope();
 	void PollReports(TimePoint now);
--- a/src/gateway/gateway_ends.cpp
+++ b/src/gateway/gateway_ends.cpp
@@ -13,33 +13,32 @@
 {
 	const TargetRecord &record = this->records[number.value];
 	const Pool *pool = this->routes.FindPool(record.pool);
-	BrokenTarget target{this->dispatcher.Targets().Get(number).name, record.address, REPORT_PATH, record.life};
+	BrokenTarget target{record.life, record.address, REPORT_PATH};
 	if (!record.engine && pool != nullptr) target.path = pool->health_path;
 	// Until the target has answered it counts as ended: a second send of this very request is decided before that.
 	bool suspect = this->end_watch.OnBroken(target, {request.spec.print, request.info.attempt, stage}, now);
-	bool added = suspect && this->dispatcher.Suspicions().Add({request.spec.print, record.life}, now);
+	bool added = suspect && this->dispatcher.Suspicions().Add({request.spec.print, record.life.Name()}, now);
 	if (added) this->OnSuspicionChanged(now);
 }
 
 void Gateway::OnSendWithdrawn(const RelayRequest &request, TargetNumber number, RunStage stage, TimePoint now)
 {
 	if (stage == RunStage::RunsWell) return;
-	this->end_watch.OnWithdrawn(this->records[number.value].life, {request.spec.print, request.info.attempt, stage}, now);
+	this->end_watch.OnWithdrawn(this->records[number.value].life.Name(), {request.spec.print, request.info.attempt, stage}, now);
 }
 
 void Gateway::OnTargetChecked(const TargetCheck &check)
 {
 	TimePoint now = MonotonicNow();
 	for (const BrokenSend &send : check.sends) {
-		EndRecord end{send.print, check.target.life};
+		EndRecord end{send.print, check.target.life.Name()};
 		bool held = check.HasEnded() && this->ends.Add(end);
 		if (held) this->dispatcher.Suspicions().Add(end, now);
 		if (!held && !this->ends.Holds(end)) this->dispatcher.Suspicions().Remove(end);
 		Log(LogLevel::Info, "target-check",
 		    {{"request", send.request},
 		     {"print", PrintText(send.print)},
-		     {"target", check.target.name},
-		     {"life", check.target.life},
+		     {"target", check.target.life.Name()},
 		     {"sign", check.sign ? LifeSignName(*check.sign) : "none"},
 		     {"ended", check.HasEnded() ? "yes" : "no"},
 		     {"begun", send.stage == RunStage::Begun ? "yes" : "no"},
@@ -48,7 +47,7 @@
 		     {"ms", FormatMilliseconds(check.took)}});
 	}
 	for (const BrokenSend &send : check.clear) {
-		EndRecord end{send.print, check.target.life};
+		EndRecord end{send.print, check.target.life.Name()};
 		if (!this->ends.Holds(end)) this->dispatcher.Suspicions().Remove(end);
 	}
 	this->OnSuspicionChanged(now);
--- a/src/gateway/gateway_places.cpp
+++ b/src/gateway/gateway_places.cpp
@@ -49,10 +49,10 @@
 {
 	const Pool *pool = this->routes.FindPool(listed.pool);
 	if (pool == nullptr || pool->cold_per_s <= 0 || cold_left <= Duration(0)) return;
-	ColdShare share = ShareColdRate(listed.id, pool->cold_per_s, this->peers.KnownInstances(), this->settings.name);
+	ColdShare share = ShareColdRate(listed.life.Name(), pool->cold_per_s, this->peers.KnownInstances(), this->settings.name);
 	this->dispatcher.Targets().SetCold(number, now + cold_left, share);
 	Log(LogLevel::Info, "target-cold",
-	    {{"target", listed.id},
+	    {{"target", listed.life.Name()},
 	     {"hall", listed.hall},
 	     {"left_ms", FormatMilliseconds(cold_left)},
 	     {"bears_per_s", FormatNumber(pool->cold_per_s)},
--- a/src/gateway/gateway_targets.cpp
+++ b/src/gateway/gateway_targets.cpp
@@ -126,16 +126,18 @@
 void Gateway::OnTargetEvents(const std::vector<TargetEvent> &events, TimePoint now)
 {
 	for (const TargetEvent &event : events) {
-		if (event.change == TargetChange::Leaving) {
+		std::string name = event.target.life.Name();
+		if (event.change != TargetChange::Usable) {
 			this->LeaveTarget(event.target, event.source, now);
+			if (event.change == TargetChange::Ended) this->EndTarget(name, now);
 			continue;
 		}
-		this->usable[event.target.id] = event.target;
+		this->usable[name] = event.target;
 		this->UseTarget(event.target);
-		if (std::optional<TargetNumber> number = this->dispatcher.Targets().Find(event.target.id))
+		if (std::optional<TargetNumber> number = this->dispatcher.Targets().Find(name))
 			this->NoteCold(*number, event.target, event.target.cold_left, now);
 		Log(LogLevel::Info, "target-usable",
-		    {{"target", event.target.id}, {"pool", event.target.pool}, {"hall", event.target.hall}, {"source", event.source}});
+		    {{"target", name}, {"pool", event.target.pool}, {"hall", event.target.hall}, {"source", event.source}});
 	}
 	if (events.empty()) return;
 	this->RefreshScope();
@@ -145,11 +147,12 @@
 void Gateway::UseTarget(const ListedTarget &listed)
 {
 	Result<Endpoint> address = ParseEndpoint(listed.address);
-	if (!address) return Log(LogLevel::Warning, "target-unreadable", {{"target", listed.id}, {"error", FormatError(address.error())}});
+	if (!address)
+		return Log(LogLevel::Warning, "target-unreadable", {{"target", listed.life.Name()}, {"error", FormatError(address.error())}});
 	const Pool *pool = this->routes.FindPool(listed.pool);
 	bool engine = pool != nullptr && pool->engine;
 	TargetTable &targets = this->dispatcher.Targets();
-	TargetNumber number = targets.Configure(listed.id, listed.hall, {this->pools.Intern(listed.pool)}, engine);
+	TargetNumber number = targets.Configure(listed.life.Name(), listed.hall, {this->pools.Intern(listed.pool)}, engine);
 	targets.ClearLeaving(number);
 	targets.SetUnreported(number, engine ? pool->engine->memory_tokens : listed.slots);
 	if (this->records.size() <= number.value) this->records.resize(number.value + 1);
@@ -158,23 +161,24 @@
 	if (record.reported_at == TimePoint{}) record.reported_at = MonotonicNow();
 	record.address = address.value();
 	record.pool = listed.pool;
-	record.life = LifeText(listed.id, listed.born);
+	record.life = listed.life;
 	record.engine = engine;
 }
 
 void Gateway::LeaveTarget(const ListedTarget &listed, const char *source, TimePoint now)
 {
-	this->usable.erase(listed.id);
-	std::optional<TargetNumber> number = this->dispatcher.Targets().Find(listed.id);
+	std::string name = listed.life.Name();
+	this->usable.erase(name);
+	std::optional<TargetNumber> number = this->dispatcher.Targets().Find(name);
 	Log(LogLevel::Info, "target-leaving",
-	    {{"target", listed.id},
+	    {{"target", name},
 	     {"pool", listed.pool},
 	     {"source", source},
 	     {"own_calls", number ? std::to_string(this->dispatcher.Targets().Get(*number).in_flight.size()) : "0"}});
 	if (!number) return;
 	this->dispatcher.Targets().MarkLeaving(*number);
 	this->dispatcher.Targets().Forget(*number);
-	this->upstream.Drop(listed.id);
+	this->upstream.Drop(name);
 	for (CallId id : this->dispatcher.CallsAt(*number)) {
 		auto found = this->calls.find(id);
 		std::shared_ptr<RelayCall> call = found == this->calls.end() ? nullptr : found->second;
@@ -182,6 +186,19 @@
 	}
 }
 
+void Gateway::EndTarget(const std::string &name, TimePoint now)
+{
+	std::optional<TargetNumber> number = this->dispatcher.Targets().Find(name);
+	if (!number) return;
+	// Connections to a life that has ended may hang, if it ended behind a cut: nothing more comes on them.
+	for (CallId id : this->dispatcher.CallsAt(*number)) {
+		auto found = this->calls.find(id);
+		std::shared_ptr<RelayCall> call = found == this->calls.end() ? nullptr : found->second;
+		if (call) call->OnTargetEnded();
+	}
+	this->end_watch.OnOtherLife(name, now);
+}
+
 void Gateway::OnLoadTold(TargetNumber number, const TargetLoad &load)
 {
 	TargetRecord &record = this->records[number.value];
@@ -239,6 +256,10 @@
 	TargetRecord &record = this->records[number.value];
 	record.report_call = 0;
 	if (!told || told->memory_tokens == 0) return;
+	if (record.life.IsOther(told->born)) {
+		TimePoint now = MonotonicNow();
+		return this->OnTargetEvents(this->registry.OnOtherLife(record.life.Name(), now), now);
+	}
 	LoadReport report;
 	report.capacity_tokens = told->memory_tokens;
 	report.used_tokens = told->used_tokens;
--- a/src/gateway/relay_call.cpp
+++ b/src/gateway/relay_call.cpp
@@ -71,7 +71,7 @@
 	const TargetState &state = this->gateway.dispatcher.Targets().Get(number);
 	SendInfo info;
 	info.remaining = this->request.ends_at - now;
-	info.target = state.name;
+	info.target = this->gateway.LifeOf(number).id;
 	info.account = this->request.account;
 	if (state.engine) info.urgency = this->Urgency();
 	info.resume = std::move(resume);
@@ -148,6 +148,15 @@
 	this->Fail(may_have_run ? 504 : 503, "time-limit", may_have_run ? std::nullopt : std::optional(this->RetryAfter(LEAST_RETRY_AFTER)));
 }
 
+void RelayCall::OnTargetEnded()
+{
+	if (this->over || !this->target || this->link == 0) return;
+	auto keep = this->shared_from_this();
+	uint64_t ended = this->link;
+	this->gateway.upstream.Cancel(ended);
+	this->OnEnd(ended, UpstreamEnd::Broken, "its target has ended");
+}
+
 void RelayCall::OnQuarantined()
 {
 	if (this->over || !this->target || !this->HasSend() || this->Stage() == RunStage::RunsWell) return;
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -34,6 +34,9 @@
 	/** The target that holds it gets nothing new any more. */
 	virtual void OnTargetLeaving(TimePoint) {}
 
+	/** The target that holds it has ended, whatever its connection looks like: the run has failed, and may have run. */
+	void OnTargetEnded();
+
 	/** Its request is quarantined: unless the target runs it well already, it is taken back from there. */
 	void OnQuarantined();
 
--- a/src/platform/wire_configuration.cpp
+++ b/src/platform/wire_configuration.cpp
@@ -118,7 +118,7 @@
 	Json root = Json::parse(row.value, nullptr, false);
 	if (!root.is_object()) return Error{Step::Table, row.key, "the heartbeat is not a JSON object"};
 	ListedTarget target;
-	target.id = row.key;
+	target.life = {row.key, CountOf(root, "born")};
 	target.pool = TextOf(root, "service");
 	target.address = TextOf(root, "address");
 	target.hall = TextOf(root, "zone");
@@ -126,7 +126,6 @@
 	target.leaving = TextOf(root, "state") == "draining";
 	target.sequence = CountOf(root, "sequence");
 	target.cold_left = MillisecondsOf(root, "coldRemainingMs");
-	target.born = CountOf(root, "born");
 	if (target.pool.empty() || target.address.empty()) return Error{Step::Table, row.key, "the heartbeat names no pool or address"};
 	return TargetRow{row.key, std::move(target)};
 }
--- a/src/platform/wire_engine.cpp
+++ b/src/platform/wire_engine.cpp
@@ -19,6 +19,7 @@
 	// Here this name holds the prompt tokens of the first request that waits.
 	report.waiting_tokens = CountOf(root, "nextPageToken");
 	report.leaving = TextOf(root, "state") == "draining";
+	report.born = CountOf(root, "born");
 	if (root.contains("leaves_ms")) report.leaves_in = MillisecondsOf(root, "leaves_ms");
 	return report;
 }
@@ -51,6 +52,8 @@
 	return answer;
 }
 
+static constexpr size_t MAX_REPORT_BYTES = 64U << 10; ///< Part of an answer that is looked at.
+
 const char *const REPORT_PATH = "/-/report";
 
 const char *LifeSignName(LifeSign sign)
@@ -92,22 +95,32 @@
 	return call;
 }
 
-UpstreamCall MakeLifeCall(const Endpoint &to, const std::string &peer, const std::string &path, std::function<void(LifeSign)> done)
+UpstreamCall MakeLifeCall(const Endpoint &to, const TargetLife &life, const std::string &path, std::function<void(LifeSign)> done)
 {
-	auto sign = std::make_shared<LifeSign>(LifeSign::Broken);
+	/** What the answer tells of who gave it. */
+	struct Told {
+		LifeSign sign = LifeSign::Broken; ///< Finding so far.
+		std::string body;                 ///< Body.
+	};
+	auto told = std::make_shared<Told>();
 	UpstreamCall call;
 	call.to = to;
-	call.peer = peer;
+	call.peer = life.Name();
 	call.target = path;
 	call.headers = {{"Host", to.Text()}};
 	call.reuse_rest = Duration(0);
-	call.on_head = [sign, peer](const HttpHead &head) {
+	call.on_head = [told, life](const HttpHead &head) {
 		std::string_view id = FindHeader(head.headers, "X-Instance-Id");
-		*sign = id.empty() || id == peer ? LifeSign::Answered : LifeSign::OtherLife;
+		told->sign = id.empty() || id == life.id ? LifeSign::Answered : LifeSign::OtherLife;
 		return true;
 	};
-	call.on_end = [sign, done = std::move(done)](UpstreamEnd end, const char *) {
-		done(end == UpstreamEnd::NotSent ? LifeSign::Refused : *sign);
+	call.on_body = [told](std::string_view bytes) {
+		if (told->body.size() < MAX_REPORT_BYTES) told->body.append(bytes);
+	};
+	call.on_end = [told, life, done = std::move(done)](UpstreamEnd end, const char *) {
+		Json root = Json::parse(told->body, nullptr, false);
+		if (root.is_object() && life.IsOther(CountOf(root, "born"))) told->sign = LifeSign::OtherLife;
+		done(end == UpstreamEnd::NotSent ? LifeSign::Refused : told->sign);
 	};
 	return call;
 }
--- a/src/platform/wire_engine.h
+++ b/src/platform/wire_engine.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include "decision/target_life.h"
 #include "net/http_upstream.h"
 
 namespace cottonspool {
@@ -16,6 +17,7 @@
 	uint64_t memory_tokens = 0;        ///< Memory in all.
 	uint64_t waiting_tokens = 0;       ///< Prompt tokens of the first that waits.
 	bool leaving = false;              ///< It leaves.
+	uint64_t born = 0;                 ///< Start of its life, in milliseconds since the epoch by its own clock; 0 if it tells none.
 	std::optional<Duration> leaves_in; ///< How soon, if it knows.
 };
 
@@ -58,10 +60,10 @@
 const char *LifeSignName(LifeSign sign);
 
 /**
- * @return The call that asks, on a fresh connection, whether the target \a peer at \a to still lives.
+ * @return The call that asks, on a fresh connection, whether \a life of a target, which was at \a to, still lasts.
  * @param path What it answers without doing work: a report, or the health check of a plain service.
  */
-UpstreamCall MakeLifeCall(const Endpoint &to, const std::string &peer, const std::string &path, std::function<void(LifeSign)> done);
+UpstreamCall MakeLifeCall(const Endpoint &to, const TargetLife &life, const std::string &path, std::function<void(LifeSign)> done);
 
 /** Path of an engine's report. */
 extern const char *const REPORT_PATH;
--- a/src/tests/peer_load_test.cpp
+++ b/src/tests/peer_load_test.cpp
@@ -4,6 +4,7 @@
 
 #include "decision/backup_choice.h"
 #include "decision/peer_load.h"
+#include "decision/target_life.h"
 #include "decision/reader_order.h"
 #include "peer/peer_message.h"
 #include <algorithm>
@@ -168,3 +169,40 @@
 	std::erase_if(readers, [&](const Reader &reader) { return reader.name == order[0]; });
 	CHECK(ReaderOrder("table", readers) == std::vector<std::string>(order.begin() + 1, order.end()));
 }
+
+TEST_CASE("Peers - news of a former life of a target say nothing of its next one")
+{
+	LengthEstimate lengths{LengthEstimateLimits{}};
+	TargetTable targets{TargetLimits{}, lengths};
+	NameTable<ModelNumber> pools;
+	PeerLoad load{targets, pools, std::chrono::seconds(2)};
+	TimePoint now{std::chrono::seconds(100)};
+	TargetLife former{"engine", 1000};
+	TargetLife next{"engine", 2000};
+	TargetNumber old_number = targets.Configure(former.Name(), "hall", {pools.Intern("pool")});
+	TargetNumber new_number = targets.Configure(next.Name(), "hall", {pools.Intern("pool")});
+	CallNews news;
+	news.call = 1;
+	news.target = former.Name();
+	news.prompt_tokens = 500;
+	news.pool = "pool";
+	load.OnMessage({"peer", 1, false, {news}, {}}, now);
+	CHECK(targets.Get(old_number).in_flight.size() == 1);
+	CHECK(targets.Get(new_number).in_flight.empty());
+	// An instance that knows only the next life leaves such news out.
+	news.target = TargetLife{"engine", 3000}.Name();
+	news.call = 2;
+	load.OnMessage({"peer", 1, false, {news}, {}}, now);
+	CHECK(load.Calls() == 1);
+}
+
+TEST_CASE("Lives - names tell them apart, and a target that tells no start keeps its id")
+{
+	CHECK(TargetLife{"i-1", 0}.Name() == "i-1");
+	CHECK(TargetLife{"i-1", 1764723600123}.Name() != TargetLife{"i-1", 1764723600124}.Name());
+	CHECK(TargetLife{"i-1", 1764723600123}.Name().size() <= std::string("i-1").size() + 7);
+	CHECK_FALSE(TargetLife{"i-1", 0}.IsOther(5));
+	CHECK_FALSE(TargetLife{"i-1", 5}.IsOther(0));
+	CHECK_FALSE(TargetLife{"i-1", 5}.IsOther(5));
+	CHECK(TargetLife{"i-1", 5}.IsOther(6));
+}
--- a/src/tests/target_registry_test.cpp
+++ b/src/tests/target_registry_test.cpp
@@ -4,21 +4,23 @@
 
 #include "decision/target_registry.h"
 #include <doctest/doctest.h>
+#include <map>
 #include <rapidcheck.h>
+#include <set>
 
 using namespace cottonspool;
 using std::chrono::milliseconds;
 
 namespace {
 
-TargetRow Row(int i, bool leaving = false)
+TargetRow Row(int i, bool leaving = false, uint64_t born = 0)
 {
 	ListedTarget target;
-	target.id = "target-" + std::to_string(i);
+	target.life = {"target-" + std::to_string(i), born};
 	target.pool = "pool";
 	target.address = "127.0.0.1:" + std::to_string(8000 + i);
 	target.leaving = leaving;
-	return {target.id, target};
+	return {target.life.id, target};
 }
 
 TargetRow Gone(int i)
@@ -67,7 +69,7 @@
 			}
 			departed = departed || step % 6 == 1 || step % 6 == 4;
 			for (const TargetEvent &event : events) {
-				if (departed && event.target.id == "target-0") RC_ASSERT(event.change == TargetChange::Leaving);
+				if (departed && event.target.life.id == "target-0") RC_ASSERT(event.change == TargetChange::Leaving);
 			}
 		}
 	});
@@ -82,7 +84,7 @@
 	std::vector<TargetEvent> events = registry.OnChanges({Gone(3)}, now + milliseconds(10));
 	REQUIRE(events.size() == 1);
 	CHECK(events[0].change == TargetChange::Leaving);
-	CHECK(events[0].target.id == "target-3");
+	CHECK(events[0].target.life.id == "target-3");
 }
 
 TEST_CASE("Registry - rows that lapsed while the store was away keep their targets for the grace, and no longer")
@@ -136,3 +138,65 @@
 	again.target->address = "127.0.0.1:9999";
 	CHECK(registry.OnChanges({again}, now).size() == 1);
 }
+
+TEST_CASE("Registry - a target that starts again under its id is another one: usable at once, whatever its former life said")
+{
+	static constexpr uint64_t FIRST = 1000;
+	static constexpr uint64_t SECOND = 2000;
+	TimePoint now{std::chrono::seconds(100)};
+	TargetRegistry registry({});
+	registry.OnAll({Row(0, false, FIRST), Row(1, false, FIRST)}, now);
+	// It said that it leaves, and its row went; the next life is usable, the former one stays departed.
+	registry.OnChanges({Row(0, true, FIRST)}, now);
+	registry.OnChanges({Gone(0)}, now);
+	std::vector<TargetEvent> events = registry.OnChanges({Row(0, false, SECOND)}, now);
+	REQUIRE(events.size() == 2);
+	CHECK(events[0].change == TargetChange::Ended);
+	CHECK(events[0].target.life.born == FIRST);
+	CHECK(events[1].change == TargetChange::Usable);
+	CHECK(events[1].target.life.born == SECOND);
+	// A row of the former life that is told late changes nothing.
+	CHECK(registry.OnChanges({Row(0, false, FIRST)}, now).empty());
+	// One that crashed comes back before its row lapsed: the former life has ended, and that is told before the new one is used.
+	events = registry.OnChanges({Row(1, false, SECOND)}, now);
+	REQUIRE(events.size() == 2);
+	CHECK(events[0].change == TargetChange::Ended);
+	CHECK(events[0].target.life.born == FIRST);
+	CHECK(events[1].change == TargetChange::Usable);
+	CHECK(events[1].target.life.born == SECOND);
+	// What is still said of the former life changes nothing for the new one.
+	CHECK(registry.OnOwnNotice(TargetLife{"target-1", FIRST}.Name(), now).empty());
+	CHECK(registry.OnTick(now + milliseconds(10)).empty());
+	// Its own notice does.
+	CHECK(registry.OnOwnNotice(TargetLife{"target-1", SECOND}.Name(), now).size() == 1);
+	CHECK(registry.OnChanges({Row(1, false, SECOND)}, now).empty());
+}
+
+TEST_CASE("Registry - whatever lives follow each other, only the one that was listed last is used, and no life that ended comes back")
+{
+	CHECK(rc::check("lives", [](const std::vector<uint8_t> &steps) {
+		TargetRegistry registry({});
+		TimePoint now{std::chrono::seconds(100)};
+		std::map<std::string, bool> usable;
+		std::set<std::string> over;
+		uint64_t born = 1;
+		registry.OnAll({Row(0, false, born)}, now);
+		usable[TargetLife{"target-0", born}.Name()] = true;
+		for (uint8_t step : steps) {
+			now += milliseconds(step);
+			std::vector<TargetEvent> events;
+			if (step % 5 == 0) events = registry.OnChanges({Row(0, false, ++born)}, now);
+			if (step % 5 == 1) events = registry.OnChanges({Row(0, step % 2 == 0, born)}, now);
+			if (step % 5 == 2) events = registry.OnChanges({Gone(0)}, now);
+			if (step % 5 == 3) events = registry.OnAll({Row(0, false, born)}, now);
+			if (step % 5 == 4) events = registry.OnTick(now);
+			for (const TargetEvent &event : events) {
+				std::string name = event.target.life.Name();
+				RC_ASSERT(event.change != TargetChange::Usable || !over.contains(name));
+				usable[name] = event.change == TargetChange::Usable;
+				if (event.change == TargetChange::Ended) over.insert(name);
+			}
+			for (const auto &[name, used] : usable) RC_ASSERT(!used || name == (TargetLife{"target-0", born}.Name()));
+		}
+	}));
+}
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -37,6 +37,7 @@
 void WorldTarget::Listen()
 {
 	this->born = WallMs();
+	this->leaving = false;
 	this->front = std::make_unique<HttpFront>(this->loop, [this](const Exchange &exchange) { this->Handle(exchange); });
 	this->port = this->front->Listen({"127.0.0.1", this->port}).value();
 	this->Beat();
@@ -52,6 +53,15 @@
 	After(this->loop, back_ms, [this] { this->Listen(); });
 }
 
+void WorldTarget::Hang()
+{
+	this->running.clear();
+	this->front->StopListening();
+	this->silent.push_back(std::move(this->front));
+	this->port = 0;
+	this->Listen();
+}
+
 void WorldTarget::CrashUnder(const std::string &attempt)
 {
 	After(this->loop, CRASH_MS, [this, attempt] {
@@ -245,6 +255,7 @@
 		if (act == "leave") this->targets.at(id)->Leave(false);
 		if (act == "vanish") this->targets.at(id)->Leave(true);
 		if (act == "kill") this->targets.at(id)->Kill();
+		if (act == "hang") this->targets.at(id)->Hang();
 		if (act == "crash") this->targets.at(id)->Crash(control.value("back_ms", BACK_MS));
 		if (act == "add")
 			this->Add(id, control.value("pool", "engines"), HALLS[this->targets.size() % 2], control.value("pool", "engines") == "engines");
--- a/tests/standins/world_base.h
+++ b/tests/standins/world_base.h
@@ -99,6 +99,9 @@
 	/** Crash: every connection is reset, the row lapses later, and it starts again after \a back_ms under the same name and address. */
 	void Crash(uint64_t back_ms);
 
+	/** Start again under the same name while the connections of the former life stay open and say nothing more. */
+	void Hang();
+
 	/** Write the row again, as a heartbeat does. */
 	void Beat();
 
@@ -126,19 +129,20 @@
 	void Move(const Exchange &exchange);
 	void Step();
 
-	uv_loop_t *loop;                  ///< Loop.
-	WorldStore &store;                ///< Store.
-	WorldRecord &record;              ///< Record.
-	std::string pool;                 ///< Pool.
-	std::string hall;                 ///< Data hall.
-	bool engine;                      ///< Streams.
-	std::unique_ptr<HttpFront> front; ///< Listener.
-	uint16_t port = 0;                ///< Port.
-	std::list<Run> running;           ///< Generations.
-	bool leaving = false;             ///< Said that it leaves.
-	int64_t left_at = 0;              ///< When.
-	uint64_t answers = 0;             ///< Answers given.
-	int64_t born = 0;                 ///< When this life began.
+	uv_loop_t *loop;                                ///< Loop.
+	WorldStore &store;                              ///< Store.
+	WorldRecord &record;                            ///< Record.
+	std::string pool;                               ///< Pool.
+	std::string hall;                               ///< Data hall.
+	bool engine;                                    ///< Streams.
+	std::unique_ptr<HttpFront> front;               ///< Listener.
+	std::vector<std::unique_ptr<HttpFront>> silent; ///< Listeners of former lives whose connections stay open.
+	uint16_t port = 0;                              ///< Port.
+	std::list<Run> running;                         ///< Generations.
+	bool leaving = false;                           ///< Said that it leaves.
+	int64_t left_at = 0;                            ///< When.
+	uint64_t answers = 0;                           ///< Answers given.
+	int64_t born = 0;                               ///< When this life began.
 };
 
 } // namespace cottonspool
