--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -130,6 +130,8 @@
 	void RefreshHalls(TimePoint now);
 	void ApplyConfiguration(ServingConfiguration configuration);
 	void OnTargetRows(const std::vector<StoredRow> &rows, bool all, TimePoint now);
+	/** The row \a key of the list of targets could not be read: logged once for each cause, counted each time. */
+	void NoteUnreadable(const std::string &key, const Error &error);
 	void OnTargetEvents(const std::vector<TargetEvent> &events, TimePoint now);
 	void UseTarget(const ListedTarget &target);
 	void LeaveTarget(const ListedTarget &target, const char *source, TimePoint now);
@@ -143,6 +145,9 @@
 	void OnReport(TargetNumber target, const std::optional<EngineReport> &report);
 
 	void OnTick();
+	/** The process may have stood still: look at the age of everything before anything is decided. */
+	void CheckWake(TimePoint now);
+	void OnWake(Duration still);
 	void FinishStopping(TimePoint now);
 	bool IsReady() const;
 
@@ -157,6 +162,7 @@
 	TargetRegistry registry;                                                    ///< Targets as listed.
 	std::vector<TargetRecord> records;                                          ///< Targets by number.
 	std::map<std::string, ListedTarget> usable;                                 ///< Targets in use by name.
+	std::map<std::string, std::string> unreadable;                              ///< Rows that could not be read, with the fault told last.
 	NameTable<ModelNumber> pools;                                               ///< Numbers of pools.
 	NameTable<AccountNumber> accounts;                                          ///< Numbers of client accounts.
 	PeerLoad peer_load;                                                         ///< Calls of other instances.
@@ -176,6 +182,7 @@
 	uint64_t next_call = 1;                                                     ///< Number of the next request.
 	bool stopping = false;                                                      ///< Stop() was called.
 	TimePoint stop_begun;                                                       ///< When.
+	TimePoint ticked_at;                                                        ///< When time last passed.
 	TimePoint next_look;                                                        ///< When all targets are next looked through.
 	TimePoint settings_checked;                                                 ///< When the settings file was last looked at.
 	std::string settings_text;                                                  ///< Its content.
--- a/src/gateway/gateway_targets.cpp
+++ b/src/gateway/gateway_targets.cpp
@@ -117,12 +117,24 @@
 		if (target) {
 			decoded.push_back(std::move(target.value()));
 		} else {
-			Log(LogLevel::Warning, "target-unreadable", {{"error", FormatError(target.error())}});
+			// It names no target to use, also if it named one before.
+			decoded.push_back({row.key, std::nullopt});
+			this->NoteUnreadable(row.key, target.error());
 		}
 	}
 	this->OnTargetEvents(all ? this->registry.OnAll(decoded, now) : this->registry.OnChanges(decoded, now), now);
 }
 
+void Gateway::NoteUnreadable(const std::string &key, const Error &error)
+{
+	static constexpr size_t MOST_NAMED = 256; ///< Rows whose fault is remembered: whoever writes more of them is told of no more.
+	this->metrics.Count("cottonspool_unreadable_rows_total");
+	std::string &told = this->unreadable[key];
+	if (told == error.message || this->unreadable.size() > MOST_NAMED) return;
+	told = error.message;
+	Log(LogLevel::Warning, "target-unreadable", {{"target", key}, {"error", FormatError(error)}});
+}
+
 void Gateway::OnTargetEvents(const std::vector<TargetEvent> &events, TimePoint now)
 {
 	for (const TargetEvent &event : events) {
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -197,7 +197,8 @@
 		// The removal that an earlier life of this instance asked for may be done late: the row is then written again at a tick,
 		// with a pause after a failure, however often news come.
 		if (own) this->registered = !row.deleted && place.address == this->address && place.hall == this->hall;
-		if (row.deleted) {
+		// A row that names no address is another writer's: it names nobody to talk to.
+		if (row.deleted || !ParseEndpoint(place.address)) {
 			this->directory.Remove(row.key);
 		} else {
 			this->directory.Note(row.key, place);
--- a/src/instance/target_watch.cpp
+++ b/src/instance/target_watch.cpp
@@ -24,6 +24,16 @@
 {
 	Json object = Json::parse(body, nullptr, false);
 	if (!object.is_object()) return std::nullopt;
+	// A fraction, or a number out of range, is none of these: converting it would be undefined.
+	for (const char *name :
+	     {"sequence", "capacity_tokens", "used_tokens", "running", "waiting", "waiting_tokens", "preemptions", "age_ms"}) {
+		auto found = object.find(name);
+		if (found != object.end() && !found->is_number_integer()) return std::nullopt;
+	}
+	auto prefixes = object.find("prefixes");
+	if (prefixes != object.end() &&
+	    !std::all_of(prefixes->begin(), prefixes->end(), [](const Json &each) { return each.is_number_integer(); }))
+		return std::nullopt;
 	LoadReport report;
 	try {
 		report.sequence = object.at("sequence").get<uint64_t>();
--- a/src/metrics/log.cpp
+++ b/src/metrics/log.cpp
@@ -4,6 +4,7 @@
 
 #include "metrics/log.h"
 #include "metrics/line_buffer.h"
+#include <algorithm>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/basic_sink_backend.hpp>
@@ -99,10 +100,12 @@
 	return text;
 }
 
-/** @return \a value, in quotes when it has spaces. */
+/** @return \a value, in quotes when it has anything but plain letters, digits and marks: others wrote some of what is logged. */
 static std::string Quoted(const std::string &value)
 {
-	return value.find_first_of(" =\"") == std::string::npos ? value : nlohmann::json(value).dump();
+	auto plain = [](unsigned char c) { return c > ' ' && c < 0x7f && c != '=' && c != '"' && c != '\\'; };
+	if (std::all_of(value.begin(), value.end(), plain)) return value;
+	return nlohmann::json(value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 void Log(LogLevel level, const char *event, std::initializer_list<LogField> fields)
--- a/src/platform/wire_configuration.cpp
+++ b/src/platform/wire_configuration.cpp
@@ -3,6 +3,7 @@
 /** @file wire_configuration.cpp Decodes configurations and heartbeats. */
 
 #include "platform/wire_configuration.h"
+#include "net/tcp_stream.h"
 #include "platform/json_func.h"
 
 namespace cottonspool {
@@ -46,11 +47,11 @@
 		route.pools.push_back({TextOf(share, "service"), NumberOf(share, "weight", 1)});
 	}
 	if (route.pools.empty()) route.pools.push_back({TextOf(from, "service"), 1});
-	route.max_attempts = static_cast<uint32_t>(std::max(1.0, NumberOf(from, "maxAttempts", 1)));
+	route.max_attempts = SmallCountOf(from, "maxAttempts", 1);
 	route.timeout = MillisecondsOf(from, "timeoutMs", 60000);
 	route.objective = MillisecondsOf(from, "targetLatencyMs", 1000);
 	route.gap_objective = MillisecondsOf(from, "gapAimMs");
-	route.rank = static_cast<int>(NumberOf(from, "priority"));
+	route.rank = ToWhole<int>(NumberOf(from, "priority"));
 	route.needs_key = !FlagOf(from, "public");
 	route.homes = TextsOf(from, "allowedRegions");
 	return route;
@@ -62,17 +63,17 @@
 	Pool pool;
 	pool.name = TextOf(from, "name");
 	pool.health_path = TextOf(from, "healthPath");
-	pool.max_connections = static_cast<uint32_t>(NumberOf(from, "maxConnections"));
-	pool.cold_start = FromSeconds(NumberOf(from, "coldStartS"));
+	pool.max_connections = SmallCountOf(from, "maxConnections");
+	pool.cold_start = SecondsOf(from, "coldStartS");
 	pool.cold_per_s = NumberOf(from, "coldPerS");
 	auto engine = from.find("engine");
 	if (engine == from.end() || !engine->is_object()) return pool;
 	EnginePool &known = pool.engine.emplace();
-	known.slots = static_cast<uint32_t>(NumberOf(*engine, "capacity", 1));
+	known.slots = SmallCountOf(*engine, "capacity", 1);
 	known.memory_tokens = CountOf(*engine, "kvTokenCapacity");
 	known.bytes_per_token = NumberOf(*engine, "kvTokenBytes");
 	known.link_mbps = NumberOf(*engine, "linkMbps");
-	known.tokens_per_event = static_cast<uint32_t>(std::max(1.0, NumberOf(*engine, "stride", 1)));
+	known.tokens_per_event = SmallCountOf(*engine, "stride", 1);
 	known.can_move = FlagOf(*engine, "moves");
 	known.can_back_up = FlagOf(*engine, "backups");
 	return pool;
@@ -82,8 +83,8 @@
 static CallerLimits DecodeLimits(const Json &from)
 {
 	CallerLimits limits;
-	limits.max_head_bytes = static_cast<size_t>(NumberOf(from, "maxHeaderBytes", static_cast<double>(limits.max_head_bytes)));
-	limits.max_body_bytes = static_cast<size_t>(NumberOf(from, "maxBodyBytes", static_cast<double>(limits.max_body_bytes)));
+	limits.max_head_bytes = ToWhole<size_t>(NumberOf(from, "maxHeaderBytes", static_cast<double>(limits.max_head_bytes)));
+	limits.max_body_bytes = ToWhole<size_t>(NumberOf(from, "maxBodyBytes", static_cast<double>(limits.max_body_bytes)));
 	limits.head_timeout = MillisecondsOf(from, "headerTimeoutMs", 3000);
 	limits.idle_timeout = MillisecondsOf(from, "idleTimeoutMs", 15000);
 	return limits;
@@ -93,6 +94,9 @@
 {
 	Json root = Json::parse(text, nullptr, false);
 	if (!root.is_object()) return Error{Step::Configuration, "store", "the configuration is not a JSON object"};
+	bool whole = CountOf(root, "version") > 0 && root.contains("routes") && root["routes"].is_array() && root.contains("services") &&
+	             root["services"].is_array();
+	if (!whole) return Error{Step::Configuration, "store", "the configuration lacks its version, routes or services"};
 	ServingConfiguration configuration;
 	configuration.version = CountOf(root, "version");
 	for (const Json &route : ListOf(root, "routes")) configuration.routes.push_back(DecodeRoute(route));
@@ -106,27 +110,44 @@
 		account.keys = TextsOf(tenant, "apiKeys");
 		account.homes = TextsOf(tenant, "allowedRegions");
 		auto rank = tenant.find("priority");
-		if (rank != tenant.end() && rank->is_number()) account.rank = rank->get<int>();
+		if (rank != tenant.end() && rank->is_number()) account.rank = ToWhole<int>(rank->get<double>());
 		configuration.accounts.push_back(std::move(account));
 	}
 	return configuration;
 }
 
+/** @return What is wrong with \a row as a heartbeat; null if each field that is used is there and of its type. */
+static const char *FaultOf(const Json &row)
+{
+	if (!row.is_object()) return "no object";
+	for (const char *name : {"service", "address", "zone"}) {
+		if (TextOf(row, name).empty()) return "no service, address or zone";
+	}
+	if (!ParseEndpoint(TextOf(row, "address"))) return "no address";
+	std::string state = TextOf(row, "state");
+	if (state != "ready" && state != "draining") return "no known state";
+	if (NumberOf(row, "capacity") < 1) return "no capacity";
+	if (!row.contains("coldRemainingMs") || !row["coldRemainingMs"].is_number()) return "no time for which it is cold";
+	if (!row.contains("sequence") || !row["sequence"].is_number()) return "no sequence";
+	if (row.contains("born") && !row["born"].is_number_unsigned()) return "no start";
+	return nullptr;
+}
+
 Result<TargetRow> DecodeTargetRow(const StoredRow &row)
 {
 	if (row.deleted) return TargetRow{row.key, std::nullopt};
+	if (row.unreadable) return Error{Step::Table, row.key, "no bytes"};
 	Json root = Json::parse(row.value, nullptr, false);
-	if (!root.is_object()) return Error{Step::Table, row.key, "the heartbeat is not a JSON object"};
+	if (const char *fault = FaultOf(root)) return Error{Step::Table, row.key, fault};
 	ListedTarget target;
 	target.life = {row.key, CountOf(root, "born")};
 	target.pool = TextOf(root, "service");
 	target.address = TextOf(root, "address");
 	target.hall = TextOf(root, "zone");
-	target.slots = static_cast<uint32_t>(std::max(1.0, NumberOf(root, "capacity", 1)));
+	target.slots = SmallCountOf(root, "capacity", 1);
 	target.leaving = TextOf(root, "state") == "draining";
 	target.sequence = CountOf(root, "sequence");
 	target.cold_left = MillisecondsOf(root, "coldRemainingMs");
-	if (target.pool.empty() || target.address.empty()) return Error{Step::Table, row.key, "the heartbeat names no pool or address"};
 	return TargetRow{row.key, std::move(target)};
 }
 
--- a/src/platform/wire_engine.cpp
+++ b/src/platform/wire_engine.cpp
@@ -12,8 +12,8 @@
 	Json root = Json::parse(text, nullptr, false);
 	if (!root.is_object()) return std::nullopt;
 	EngineReport report;
-	report.running = static_cast<uint32_t>(CountOf(root, "running"));
-	report.waiting = static_cast<uint32_t>(CountOf(root, "queued"));
+	report.running = SmallCountOf(root, "running");
+	report.waiting = SmallCountOf(root, "queued");
 	report.used_tokens = CountOf(root, "kvUsed");
 	report.memory_tokens = CountOf(root, "kvTotal");
 	// Here this name holds the prompt tokens of the first request that waits.
--- a/src/platform/wire_request.cpp
+++ b/src/platform/wire_request.cpp
@@ -19,6 +19,12 @@
 	return value;
 }
 
+/** @return The number at the start of \a text, the largest that 32 bits hold if it is larger, or 0. */
+static uint32_t SmallNumber(std::string_view text)
+{
+	return static_cast<uint32_t>(std::min<uint64_t>(LeadingNumber(text).value_or(0), UINT32_MAX));
+}
+
 /** Split \a text at commas. */
 static std::vector<std::string_view> Split(std::string_view text)
 {
@@ -36,16 +42,18 @@
 	static constexpr std::string_view SCHEME = "bearer ";
 	RequestInfo info;
 	info.attempt = FindHeader(head.headers, "X-Attempt-Id");
-	if (auto ms = LeadingNumber(FindHeader(head.headers, "X-Deadline-Ms"))) info.deadline = std::chrono::milliseconds(*ms);
+	static constexpr uint64_t MOST_MS = 1000ULL * 86400 * 365; ///< A year: longer limits mean none, and their sums still fit.
+	if (auto ms = LeadingNumber(FindHeader(head.headers, "X-Deadline-Ms")))
+		info.deadline = std::chrono::milliseconds(std::min(*ms, MOST_MS));
 	std::string_view authorization = FindHeader(head.headers, "Authorization");
 	bool bearer = authorization.size() > SCHEME.size() && strncasecmp(authorization.data(), SCHEME.data(), SCHEME.size()) == 0;
 	if (bearer) info.key = authorization.substr(SCHEME.size());
 	info.model = FindHeader(head.headers, "X-Model");
 	// "IN,OUT": tokens of the prompt, and the most that may be generated.
 	std::vector<std::string_view> tokens = Split(FindHeader(head.headers, "X-Token-Count"));
-	if (!tokens.empty()) info.prompt_tokens = static_cast<uint32_t>(LeadingNumber(tokens[0]).value_or(0));
-	if (tokens.size() > 1) info.most_output_tokens = static_cast<uint32_t>(LeadingNumber(tokens[1]).value_or(0));
-	info.hinted_tokens = static_cast<uint32_t>(LeadingNumber(FindHeader(head.headers, "X-Length-Hint")).value_or(0));
+	if (!tokens.empty()) info.prompt_tokens = SmallNumber(tokens[0]);
+	if (tokens.size() > 1) info.most_output_tokens = SmallNumber(tokens[1]);
+	info.hinted_tokens = SmallNumber(FindHeader(head.headers, "X-Length-Hint"));
 	// "ID:TOKENS,…": the last part is the request's own, the one before it the last that others may share.
 	std::vector<std::string_view> parts = Split(FindHeader(head.headers, "X-Prompt-Prefix"));
 	if (parts.size() > 1) info.shared_prefix = parts[parts.size() - 2].substr(0, parts[parts.size() - 2].find(':'));
@@ -98,8 +106,7 @@
 	info.stamped = !FindHeader(head.headers, "X-Server-Stamp").empty();
 	std::vector<std::string_view> load = Split(FindHeader(head.headers, "X-Server-Load"));
 	if (load.size() == 3) {
-		auto number = [&](size_t i) { return static_cast<uint32_t>(LeadingNumber(load[i]).value_or(0)); };
-		info.load = TargetLoad{number(0), number(1), number(2)};
+		info.load = TargetLoad{SmallNumber(load[0]), SmallNumber(load[1]), SmallNumber(load[2])};
 	}
 	return info;
 }
--- a/src/platform/wire_store.cpp
+++ b/src/platform/wire_store.cpp
@@ -51,19 +51,19 @@
 	return out;
 }
 
-/** Decode one row. */
+/** Decode one row. @return Nothing if it doesn't even say which one it is. */
 static std::optional<StoredRow> DecodeRow(const Json &from)
 {
-	if (!from.is_object()) return std::nullopt;
-	StoredRow row;
 	// The row's key, whatever the name suggests.
+	if (!from.is_object() || TextOf(from, "tlsKey").empty()) return std::nullopt;
+	StoredRow row;
 	row.key = TextOf(from, "tlsKey");
 	row.version = CountOf(from, "ver");
 	row.deleted = FlagOf(from, "deleted");
 	if (row.deleted) return row;
 	std::optional<std::string> value = DecodeBase64(TextOf(from, "value"));
-	if (!value) return std::nullopt;
-	row.value = std::move(*value);
+	row.unreadable = !value || from.find("value") == from.end();
+	if (value) row.value = std::move(*value);
 	return row;
 }
 
@@ -78,9 +78,8 @@
 	page.version = CountOf(root, "ver");
 	page.more = FlagOf(root, "hasMore");
 	for (const Json &row : ListOf(root, "rows")) {
-		std::optional<StoredRow> decoded = DecodeRow(row);
-		if (!decoded) return {std::nullopt, StoreFailure::Malformed, "a row that cannot be read"};
-		page.rows.push_back(std::move(*decoded));
+		// One that can't be read takes nothing from the others.
+		if (std::optional<StoredRow> decoded = DecodeRow(row)) page.rows.push_back(std::move(*decoded));
 	}
 	return {std::move(page), StoreFailure::NoAnswer, {}};
 }
--- a/src/store/table_store_base.h
+++ b/src/store/table_store_base.h
@@ -15,10 +15,11 @@
 
 /** One row, or the news that it is gone. */
 struct StoredRow {
-	std::string key;      ///< Key inside the table.
-	std::string value;    ///< Content; empty when deleted.
-	uint64_t version = 0; ///< Version of the store at which it was written.
-	bool deleted = false; ///< It is gone.
+	std::string key;         ///< Key inside the table.
+	std::string value;       ///< Content; empty when deleted.
+	uint64_t version = 0;    ///< Version of the store at which it was written.
+	bool deleted = false;    ///< It is gone.
+	bool unreadable = false; ///< Its content could not be decoded.
 };
 
 /** A part of a table as of one version of the store, or what has changed since one. */
--- a/src/tests/peer_load_test.cpp
+++ b/src/tests/peer_load_test.cpp
@@ -4,8 +4,8 @@
 
 #include "decision/backup_choice.h"
 #include "decision/peer_load.h"
-#include "decision/target_life.h"
 #include "decision/reader_order.h"
+#include "decision/target_life.h"
 #include "peer/peer_message.h"
 #include <algorithm>
 #include <doctest/doctest.h>
--- a/src/tests/platform_test.cpp
+++ b/src/tests/platform_test.cpp
@@ -4,6 +4,7 @@
 
 #include "generation/event_splitter.h"
 #include "metrics/line_buffer.h"
+#include "platform/json_func.h"
 #include "platform/node_settings.h"
 #include "platform/wire_configuration.h"
 #include "platform/wire_engine.h"
@@ -74,6 +75,9 @@
 	CHECK(EmptiedHallOf("evacuate/hall-a") == "hall-a");
 	CHECK(!EmptiedHallOf("config"));
 	CHECK(!DecodeConfiguration("no json"));
+	for (const char *text :
+	     {"{}", R"({"version":3})", R"({"version":3,"routes":{},"services":[]})", R"({"version":"3","routes":[],"services":[]})"})
+		CHECK_FALSE(DecodeConfiguration(text));
 }
 
 TEST_CASE("Platform decoders - whatever bytes come, they end with a value or an error")
@@ -95,6 +99,47 @@
 	CHECK(good);
 }
 
+TEST_CASE("Platform rows - an entry of another writer names no target, and takes nothing from the others")
+{
+	const std::string good =
+	        R"({"service":"a","address":"10.0.0.1:80","zone":"z","capacity":4,"state":"ready","coldRemainingMs":0,"sequence":1})";
+	CHECK(DecodeTargetRow({"i-1", good, 1, false}).value().target->life == TargetLife{"i-1", 0});
+	auto changed = [&](const std::string &from, const std::string &to) {
+		std::string text = good;
+		text.replace(text.find(from), from.size(), to);
+		return text;
+	};
+	for (const std::string &strange :
+	     {changed("\"a\"", "5"), changed("\"service\":\"a\",", ""), changed("10.0.0.1:80", "nowhere"), changed("\"z\"", "null"),
+	      changed("4", "\"4\""), changed("4", "0"), changed("ready", "warming"), changed("\"ready\"", "true"),
+	      changed(",\"sequence\":1", ""), changed("Ms\":0", "Ms\":[]"), changed("}", ",\"born\":\"x\"}"), changed("}", ",\"born\":-5}"),
+	      changed("}", ",\"born\":1.5}"), std::string("\xff\x00\x01", 3), std::string("[]")}) {
+		CAPTURE(strange);
+		CHECK_FALSE(DecodeTargetRow({"i-1", strange, 1, false}));
+	}
+	CHECK(DecodeTargetRow({"i-1", changed("}", ",\"born\":1764723600123,\"new\":[1]}"), 1, false}).value().target->life.born ==
+	      1764723600123);
+	// In one answer: bytes that are no base64, no value at all, no object, no key.
+	RowsAnswer answer = DecodeRows(200, R"({"rows":[{"tlsKey":"a","value":"!!","ver":5},{"tlsKey":"b","ver":6},7,{"ver":8},
+	{"tlsKey":"c","value":"e30=","ver":9}],"hasMore":false,"ver":9})");
+	REQUIRE(answer.page);
+	REQUIRE(answer.page->rows.size() == 3);
+	CHECK(answer.page->rows[0].unreadable);
+	CHECK(answer.page->rows[1].unreadable);
+	CHECK_FALSE(answer.page->rows[2].unreadable);
+	CHECK_FALSE(DecodeTargetRow(answer.page->rows[0]));
+}
+
+TEST_CASE("Platform numbers - those out of range become the nearest there is, and nothing is undefined")
+{
+	CHECK(ToWhole<uint32_t>(1e308) == UINT32_MAX);
+	CHECK(ToWhole<uint32_t>(-5) == 0);
+	CHECK(ToWhole<uint64_t>(1e23) == UINT64_MAX);
+	CHECK(ToWhole<int>(-1e308) == INT32_MIN);
+	CHECK(ToWhole<int>(std::nan("")) == 0);
+	CHECK(ToWhole<uint32_t>(7.9) == 7);
+}
+
 TEST_CASE("Platform rows - are decoded from the store's answer")
 {
 	RowsAnswer answer = DecodeRows(200, R"({"rows":[{"table":"t","part":"","tlsKey":"a","value":"eyJ4IjoxfQ==","ver":5},
