--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -143,7 +143,8 @@
 bool Dispatcher::TrySend(const CallSpec &call, TimePoint now, Decisions &decisions)
 {
 	Tracked &tracked = this->calls.at(call.id);
-	if (now < tracked.not_before) return false;
+	// Time may have jumped since the last tick, which gives up what is late: a machine that was suspended reads what came in first.
+	if (now < tracked.not_before || now > tracked.call.deadline) return false;
 	// Its halls may have changed while it waited.
 	std::optional<TargetNumber> target = this->router->Choose(tracked.call, this->targets, now);
 	if (!target) return false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -212,6 +212,7 @@
 
 void Gateway::HandleRequest(const std::shared_ptr<FrontExchange> &exchange)
 {
+	this->CheckWake(MonotonicNow());
 	RelayRequest request;
 	request.info = ReadRequest(exchange->head);
 	if (!this->Admit(exchange, &request)) return;
@@ -290,9 +291,27 @@
 	this->calls.erase(call);
 }
 
+void Gateway::CheckWake(TimePoint now)
+{
+	Duration still = now - this->ticked_at;
+	if (this->ticked_at != TimePoint{} && still >= this->limits.wake_after) this->OnTick();
+}
+
+void Gateway::OnWake(Duration still)
+{
+	Log(LogLevel::Warning, "woke", {{"still_ms", FormatMilliseconds(still)}, {"in_flight", std::to_string(this->calls.size())}});
+	// What was told meanwhile is not here yet: targets may have left, halls been emptied, configurations followed each other.
+	this->configuration_watch.CatchUp();
+	this->target_watch.CatchUp();
+	this->ends.Watch().CatchUp();
+}
+
 void Gateway::OnTick()
 {
 	TimePoint now = MonotonicNow();
+	bool woke = this->ticked_at != TimePoint{} && now - this->ticked_at >= this->limits.wake_after;
+	if (woke) this->OnWake(now - this->ticked_at);
+	this->ticked_at = now;
 	this->upstream.OnTick(now);
 	this->end_watch.OnTick(now);
 	this->FollowEnds(now);
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -17,7 +17,9 @@
 
 /** Times and bounds of a gateway. */
 struct GatewayLimits {
-	Duration tick = std::chrono::milliseconds(25);               ///< Time between ticks; bounds how late a time limit is acted on.
+	Duration tick = std::chrono::milliseconds(25); ///< Time between ticks; bounds how late a time limit is acted on.
+	Duration wake_after =
+	        std::chrono::seconds(1); ///< Time without a tick after which the machine was suspended, or the process stood still.
 	Duration report_poll = std::chrono::milliseconds(600);       ///< Time between reports asked of an engine, by one instance for all.
 	Duration report_poll_alone = std::chrono::milliseconds(200); ///< The same while the store is away: only reports tell who leaves.
 	Duration target_look = std::chrono::milliseconds(100);       ///< Time between looks through all targets: there may be thousands.
--- a/tests/scenarios/lib.lua
+++ b/tests/scenarios/lib.lua
@@ -214,11 +214,14 @@
 		.. '"tenants":[{"name":"acme","apiKeys":[%s]%s}]}}', version, table.concat(routes, ","), engines or "", keys or '"k1"', account or ""))
 end
 
-function lib.gateway(name, hall)
+-- Starts an instance on the platform; prefix: words before the program.
+function lib.gateway(name, hall, prefix)
 	local settings = string.format('{"nodeName":"%s","zone":"%s","ip":"127.0.0.1","zones":{"hall-a":"r","hall-b":"r2"},"listen":{"front":'
 		.. '"127.0.0.1:0","ready":"127.0.0.1:0"},"internalPorts":[0,1],"platform":{"address":"%s"},"bounds":{"graceS":8}}',
 		name, hall or "hall-a", lib.ports.world)
-	spawn(name, { BIN .. "/cottonspool", "gateway", "--settings", write_file(name .. ".json", settings) })
+	local words = prefix or {}
+	for _, word in ipairs{ BIN .. "/cottonspool", "gateway", "--settings", write_file(name .. ".json", settings) } do words[#words + 1] = word end
+	spawn(name, words)
 	lib.until_true(10000, name .. " starts", function()
 		lib.ports[name] = output(name):match('"front":"([%d.:]+)"')
 		lib.ports[name .. ".ready"] = output(name):match('"ready":"([%d.:]+)"')
