--- a/scripts/play_days.py
+++ b/scripts/play_days.py
@@ -59,18 +59,17 @@
     return paths
 
 
-def engine_pool(site):
-    """The pool of model engines, which own days name @engines."""
-    return next(service["name"] for service in tomllib.loads(site.read_text())["services"] if "llm" in service)
-
-
 def machine_count(site):
     return sum(machines["count"] for machines in tomllib.loads(site.read_text())["machines"])
 
 
-def halls(site):
-    """Names of the data halls, which own days name @hall1, @hall2 and so on."""
-    return [hall["name"] for hall in tomllib.loads(site.read_text()).get("zones", [])]
+def fill_in(text, site):
+    """An own day for one deployment: @c0, @s0 and @z0 stand for its first kind of request, pool and data hall, @z1 for the next hall."""
+    parsed = tomllib.loads(site.read_text())
+    for sign, table in (("c", "classes"), ("s", "services"), ("z", "zones")):
+        for number, each in enumerate(parsed.get(table, [])):
+            text = re.sub(rf"@{sign}{number}\b", each["name"], text)
+    return text
 
 
 def has_places(site):
@@ -85,13 +84,11 @@
         print(f"own days of {site.stem} left out: too large to be played side by side; --small plays its twins", file=sys.stderr)
         return []
     paths = []
-    for template in sorted((ROOT / "tests/days").glob("*.toml")):
+    for template in sorted((ROOT / "deploy/days").glob("*.toml")):
         if template.name.startswith("places_") and not has_places(site):
             continue
         path = folder / f"{site.stem}-{template.name}"
-        text = template.read_text().replace("@engines", engine_pool(site))
-        for number, hall in enumerate(halls(site), start=1):
-            text = text.replace(f"@hall{number}", hall)
+        text = fill_in(template.read_text(), site)
         if small and twin:
             text = re.sub(r"(?m)^(seed = .*)$", lambda line: line[1] + "\n" + twin[0], text)
         if shrink:
