--- a/src/configuration/change_file.cpp
+++ b/src/configuration/change_file.cpp
@@ -34,13 +34,7 @@
 
 Result<Change> ParseChangeFile(std::string_view text, const std::string &file)
 {
-	BOOST_OUTCOME_TRYV(CheckPlainToml(text, file));
-	toml::table document;
-	try {
-		document = toml::parse(text, file);
-	} catch (const toml::parse_error &error) {
-		return Error{Step::Configuration, file + ":" + std::to_string(error.source().begin.line), std::string(error.description())};
-	}
+	BOOST_OUTCOME_TRY(document, ParseToml(text, file));
 	Change change;
 	change.id = document["id"].value_or(std::string());
 	change.author = document["author"].value_or(std::string());
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -113,13 +113,7 @@
 {
 	Settings settings;
 	std::vector<SettingField> fields = DescribeSettings(settings);
-	BOOST_OUTCOME_TRYV(CheckPlainToml(text, file));
-	toml::table document;
-	try {
-		document = toml::parse(text, file);
-	} catch (const toml::parse_error &error) {
-		return Error{Step::Settings, file + ":" + std::to_string(error.source().begin.line), std::string(error.description())};
-	}
+	BOOST_OUTCOME_TRY(document, ParseToml(text, file));
 	BOOST_OUTCOME_TRYV(RejectUnknown(document, fields, file));
 	for (const SettingField &field : fields) {
 		toml::node_view<toml::node> found = document.at_path(field.key);
--- a/src/tests/settings_test.cpp
+++ b/src/tests/settings_test.cpp
@@ -3,6 +3,7 @@
 /** @file settings_test.cpp Settings are checked, and their reference cannot drift. */
 
 #include "settings/settings_type.h"
+#include "settings/toml_guard.h"
 #include <doctest/doctest.h>
 #include <fstream>
 #include <rapidcheck.h>
@@ -59,3 +60,19 @@
 	text << page.rdbuf();
 	CHECK_MESSAGE(text.str() == SettingsReference(), "make it anew: build/cottonspool settings > docs/SETTINGS.md");
 }
+
+TEST_CASE("Settings - a table without a name is an error in its line, and arrays over several lines are none")
+{
+	for (const char *text : {"[#", "\n[$", "[]", "[ ", "[[", "a = 1\n [\"", "[[ ]]", "[[[1", "[ [1"}) {
+		CAPTURE(text);
+		CHECK_FALSE(ParseSettings(text, "f"));
+	}
+	CHECK_FALSE(CheckPlainToml("a = 1\n[#", "f"));
+	for (const char *text : {"a = [1}", "a = {b = 1]", "a = [", "a = 1]", "a = }"}) CHECK_FALSE(CheckPlainToml(text, "f"));
+	CHECK(CheckPlainToml("a = {b = [1, {c = 2}]}\n[d.e]\n[[f]]\n", "f"));
+	CHECK_FALSE(CheckPlainToml("a = \"x\nb = 1", "f"));
+	CHECK_FALSE(CheckPlainToml("a = '''x\n", "f"));
+	CHECK(CheckPlainToml("a = \"\"\"x\n\\\"y\"\"\"\nb = ''\n", "f"));
+	CHECK(CheckPlainToml("a = [\n  [1, 2],\n  [],\n]\n[b]\n[[c]]\n [ \"d\" ]\n", "f"));
+	CHECK(CheckPlainToml("a = [1, 2] # [\n[b]\n", "f"));
+}
