--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -4,6 +4,7 @@
 
 #include "peer/peer_message.h"
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace cottonspool {
 
@@ -18,6 +19,15 @@
 static constexpr int PRESENCE = 7;
 static constexpr int HALL_LOAD = 8;
 
+/** @return The whole number in \a item; throws where there is none or it is out of range: converting another number would be undefined. */
+template <typename Number> static Number Whole(const Json &item)
+{
+	if (!item.is_number_integer()) throw std::out_of_range("no whole number");
+	bool fits = item.is_number_unsigned() ? std::in_range<Number>(item.get<uint64_t>()) : std::in_range<Number>(item.get<int64_t>());
+	if (!fits) throw std::out_of_range("a number out of range");
+	return item.get<Number>();
+}
+
 /** @return \a member as an array. */
 static Json WriteMember(const MemberInfo &member)
 {
@@ -31,9 +41,9 @@
 	member.name = item.at(0).get<std::string>();
 	member.hall = item.at(1).get<std::string>();
 	member.address = item.at(2).get<std::string>();
-	member.incarnation = item.at(3).get<uint64_t>();
-	member.counter = item.at(4).get<uint64_t>();
-	member.sequence = item.at(5).get<uint64_t>();
+	member.incarnation = Whole<uint64_t>(item.at(3));
+	member.counter = Whole<uint64_t>(item.at(4));
+	member.sequence = Whole<uint64_t>(item.at(5));
 	member.stopping = item.at(6).get<bool>();
 	return member;
 }
@@ -120,8 +130,8 @@
 {
 	std::vector<TargetSum> sums;
 	for (size_t i = 0; i < flat.size(); i += 4) {
-		sums.push_back({flat.at(i).get<std::string>(), flat.at(i + 1).get<uint32_t>(), flat.at(i + 2).get<uint32_t>(),
-		                flat.at(i + 3).get<uint32_t>()});
+		sums.push_back({flat.at(i).get<std::string>(), Whole<uint32_t>(flat.at(i + 1)), Whole<uint32_t>(flat.at(i + 2)),
+		                Whole<uint32_t>(flat.at(i + 3))});
 	}
 	return sums;
 }
@@ -131,14 +141,14 @@
 {
 	TableNews news;
 	news.table = item.at(0).get<std::string>();
-	news.from = item.at(1).get<uint64_t>();
-	news.to = item.at(2).get<uint64_t>();
+	news.from = Whole<uint64_t>(item.at(1));
+	news.to = Whole<uint64_t>(item.at(2));
 	news.whole = item.at(3).get<bool>();
 	news.healthy = item.at(4).get<bool>();
 	for (const Json &row : item.at(5)) {
 		const Json::binary_t &value = row.at(1).get_binary();
 		news.rows.push_back(
-		        {row.at(0).get<std::string>(), std::string(value.begin(), value.end()), row.at(2).get<uint64_t>(), row.at(3).get<bool>()});
+		        {row.at(0).get<std::string>(), std::string(value.begin(), value.end()), Whole<uint64_t>(row.at(2)), row.at(3).get<bool>()});
 	}
 	return news;
 }
@@ -147,14 +157,14 @@
 static CallNews ReadCallNews(const Json &item)
 {
 	CallNews news;
-	news.kind = static_cast<CallNews::Kind>(item.at(0).get<int>());
-	news.call = item.at(1).get<uint64_t>();
+	news.kind = static_cast<CallNews::Kind>(Whole<int>(item.at(0)));
+	news.call = Whole<uint64_t>(item.at(1));
 	news.target = item.at(2).get<std::string>();
-	news.prompt_tokens = item.at(3).get<uint32_t>();
-	news.generated = item.at(4).get<uint32_t>();
-	news.max_tokens = item.at(5).get<uint32_t>();
+	news.prompt_tokens = Whole<uint32_t>(item.at(3));
+	news.generated = Whole<uint32_t>(item.at(4));
+	news.max_tokens = Whole<uint32_t>(item.at(5));
 	news.pool = item.at(6).get<std::string>();
-	int service_class = item.at(7).get<int>();
+	int service_class = Whole<int>(item.at(7));
 	if (service_class < 0 || service_class >= static_cast<int>(SERVICE_CLASS_COUNT)) throw std::out_of_range("unknown class");
 	news.service_class = static_cast<ServiceClass>(service_class);
 	return news;
@@ -165,11 +175,11 @@
 {
 	ReportNews news;
 	news.target = item.at(0).get<std::string>();
-	news.report.capacity_tokens = item.at(1).get<uint64_t>();
-	news.report.used_tokens = item.at(2).get<uint64_t>();
-	news.report.running = item.at(3).get<uint32_t>();
-	news.report.waiting = item.at(4).get<uint32_t>();
-	news.report.waiting_tokens = item.at(5).get<uint64_t>();
+	news.report.capacity_tokens = Whole<uint64_t>(item.at(1));
+	news.report.used_tokens = Whole<uint64_t>(item.at(2));
+	news.report.running = Whole<uint32_t>(item.at(3));
+	news.report.waiting = Whole<uint32_t>(item.at(4));
+	news.report.waiting_tokens = Whole<uint64_t>(item.at(5));
 	news.report.leaving = item.at(6).get<bool>();
 	return news;
 }
@@ -183,25 +193,25 @@
 /** @return The message in \a array; throws what the library throws when it is none. */
 static PeerMessage Read(const Json &array)
 {
-	switch (array.at(0).get<int>()) {
+	switch (Whole<int>(array.at(0))) {
 	case HEARTBEAT: {
 		HeartbeatMessage message;
 		for (const Json &item : array.at(1)) message.members.push_back(ReadMember(item));
 		for (const Json &item : array.at(2)) message.leaving.push_back({item.at(0).get<std::string>(), item.at(1).get<std::string>()});
-		message.confirmed_age = Duration(array.at(3).get<int64_t>());
-		for (const Json &item : array.at(4)) message.echoes.emplace_back(item.at(0).get<std::string>(), item.at(1).get<uint64_t>());
+		message.confirmed_age = Duration(Whole<int64_t>(array.at(3)));
+		for (const Json &item : array.at(4)) message.echoes.emplace_back(item.at(0).get<std::string>(), Whole<uint64_t>(item.at(1)));
 		return message;
 	}
 	case ENTRIES:
 		return EntriesMessage{array.at(1).get<std::vector<std::string>>()};
 	case FETCH:
-		return FetchMessage{array.at(1).get<uint64_t>()};
+		return FetchMessage{Whole<uint64_t>(array.at(1))};
 	case SNAPSHOT:
 		return SnapshotMessage{array.at(1).get<std::string>()};
 	case LOAD: {
 		LoadMessage message;
 		message.instance = array.at(1).get<std::string>();
-		message.incarnation = array.at(2).get<uint64_t>();
+		message.incarnation = Whole<uint64_t>(array.at(2));
 		message.whole = array.at(3).get<bool>();
 		for (const Json &item : array.at(4)) message.calls.push_back(ReadCallNews(item));
 		for (const Json &item : array.at(5)) message.reports.push_back(ReadReportNews(item));
@@ -217,7 +227,7 @@
 	}
 	case PRESENCE: {
 		PeerPlace place{array.at(2).get<std::string>(), array.at(3).get<std::string>(), array.at(4).get<double>()};
-		return PresenceMessage{array.at(1).get<std::string>(), std::move(place), array.at(5).get<uint32_t>()};
+		return PresenceMessage{array.at(1).get<std::string>(), std::move(place), Whole<uint32_t>(array.at(5))};
 	}
 	case HALL_LOAD:
 		return HallLoadMessage{array.at(1).get<std::string>(), array.at(2).get<bool>(), ReadSums(array.at(3)), ReadSums(array.at(4))};
