--- a/src/settings/toml_guard.h
+++ b/src/settings/toml_guard.h
@@ -11,8 +11,9 @@
 namespace cottonspool {
 
 /**
- * Check that \a text has letters beyond ASCII only inside quotes and comments, that quotes and brackets are closed, and that each table header begins
- * with a name. TOML allows nothing else, and toml++ 3.3 runs into undefined behaviour on some of it instead of reporting an error.
+ * Check that \a text has letters beyond ASCII only inside quotes and comments, that quotes and brackets are closed, and that each table
+ * header begins with a name. TOML allows nothing else, and toml++ 3.3 runs into undefined behaviour on some of it instead of reporting an
+ * error.
  * @param file Name used in the error, which carries the line.
  */
 Result<void> CheckPlainToml(std::string_view text, const std::string &file);
