--- a/src/gateway/end_watch.cpp
+++ b/src/gateway/end_watch.cpp
@@ -76,7 +76,7 @@
 	bool any_begun = std::any_of(check.sends.begin(), check.sends.end(), begun);
 	auto suspect = [&](const BrokenSend &send) { return !any_begun || begun(send); };
 	auto waited = std::stable_partition(check.sends.begin(), check.sends.end(), suspect);
-	check.clear.assign(waited, check.sends.end());
+	check.cleared.assign(waited, check.sends.end());
 	check.sends.erase(waited, check.sends.end());
 	this->handler(check);
 }
--- a/src/gateway/end_watch.h
+++ b/src/gateway/end_watch.h
@@ -28,11 +28,11 @@
 
 /** What was found out about a target that broke sends off. */
 struct TargetCheck {
-	BrokenTarget target;           ///< Target.
-	std::optional<LifeSign> sign;  ///< What came of asking it; nothing if it stayed silent.
-	std::vector<BrokenSend> sends; ///< Sends that it broke off and that may have ended it.
-	std::vector<BrokenSend> clear; ///< Sends that it broke off and that have not ended it: others had begun there.
-	Duration took{0};              ///< Time from the first of them to the finding.
+	BrokenTarget target;             ///< Target.
+	std::optional<LifeSign> sign;    ///< What came of asking it; nothing if it stayed silent.
+	std::vector<BrokenSend> sends;   ///< Sends that it broke off and that may have ended it.
+	std::vector<BrokenSend> cleared; ///< Sends that it broke off and that have not ended it: others had begun there.
+	Duration took{0};                ///< Time from the first of them to the finding.
 
 	/** @return Whether it has ended: a target that stays silent may as well be cut off, or frozen. */
 	bool HasEnded() const { return this->sign == LifeSign::Refused || this->sign == LifeSign::OtherLife; }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -52,7 +52,7 @@
       peer_load(this->dispatcher.Targets(), this->pools, std::chrono::seconds(2)),
       hall_load(this->dispatcher.Targets(), this->settings.hall),
       end_watch(this->upstream, limits.life_check, limits.begun_lately, [this](const TargetCheck &check) { this->OnTargetChecked(check); }),
-      ends(this->store, limits.end_watch, limits.end_records, this->settings.name,
+      ends(this->store, limits.end_table, limits.end_records, this->settings.name,
            [this](const std::vector<EndRecord> &added, const std::vector<EndRecord> &removed, TimePoint at) {
 	           this->OnEndRecords(added, removed, at);
            }),
--- a/src/gateway/gateway_ends.cpp
+++ b/src/gateway/gateway_ends.cpp
@@ -46,7 +46,7 @@
 		     {"held", held ? "yes" : "no"},
 		     {"ms", FormatMilliseconds(check.took)}});
 	}
-	for (const BrokenSend &send : check.clear) {
+	for (const BrokenSend &send : check.cleared) {
 		EndRecord end{send.print, check.target.life.Name()};
 		if (!this->ends.Holds(end)) this->dispatcher.Suspicions().Remove(end);
 	}
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -44,7 +44,7 @@
 	Duration life_check = std::chrono::milliseconds(300);    ///< Longest wait for a sign of life of a target that broke a send off.
 	Duration begun_lately = std::chrono::seconds(2);         ///< Time for which a run that has begun may still be what ends its engine.
 	EndRecordLimits end_records;                             ///< Writing of ends of targets under requests.
-	WatchLimits end_watch{.wait = std::chrono::seconds(10)}; ///< Following them: whoever follows the targets does, at the least cost.
+	WatchLimits end_table{.wait = std::chrono::seconds(10)}; ///< Following them: whoever follows the targets does, at the least cost.
 	ExchangeLimits exchange;                                 ///< Exchange with other instances.
 	double silence_part = 0.72;      ///< Part of the longest good pause after which a silent engine is taken for lost, if there is a copy.
 	size_t hall_engines = 8;         ///< Engines in the own hall from which its instances keep to them and to each other.
