--- a/src/decision/quarantine.h
+++ b/src/decision/quarantine.h
@@ -32,7 +32,7 @@
 	uint32_t likely_ends = 2;
 	Duration held_back = std::chrono::seconds(20); ///< Time for which it is held back: targets that ended together are back long before.
 	Duration kept = std::chrono::minutes(30);      ///< Time for which an end is held against a request.
-	size_t most = 4096;                            ///< Most ends that are remembered: some 400 KB.
+	size_t most = 4096;                            ///< Most ends that are remembered: 0.98 MB, as the allocator counts them.
 };
 
 /** What is held against a request. */
--- a/tests/scenarios/platform_quarantine.lua
+++ b/tests/scenarios/platform_quarantine.lua
@@ -1,9 +1,9 @@
 -- Story: a caller sends a request that ends each target which begins to run it. The request comes again, under a new id each time, at
 -- any instance. Every instance took it for a new request, as a first send, which no retry budget counts: eleven engines ended under
--- it in 14 seconds, with 1 to 3 innocent streams each, at the hands of eight instances in three halls.
--- Evidence: `received` lines with the same fingerprint at five instances, each followed by `run-lost` without an event, each with another
--- engine that refused connections at once (`target-check`); `attempt` 1 throughout, no moves. So nothing was repeated by an instance:
--- what was missing is what all of them know together of a request, beyond one try of it.
+-- it in 14 seconds, with up to 3 innocent streams each, at the hands of seven instances in three halls.
+-- Evidence: `received` lines with the same account, route and length of the prompt, which no other requests shared, at seven instances; each
+-- is followed by `run-lost` without an event, each time at another engine, whose other streams end in the same millisecond; no moves, and no
+-- second send that reached an engine. So no instance repeated anything: what was missing is what all of them know together of a request.
 local lib = require("lib")
 lib.world{ engines = 12, services = 6, event_ms = 30 }
 local names = { "g1", "g2", "g3" }
