Add: [Gateway] Versions known and read, and the era that the store tells, in the logs of a store that is lost, regained or older

Cause: the incident's logs can't tell a store that went back from one that is slow: only the first loss of a series names its reason, and no line names a version. Nothing that is decided changes.

--- a/src/gateway/gateway_targets.cpp
+++ b/src/gateway/gateway_targets.cpp
@@ -17,19 +17,10 @@
 void Gateway::WatchStore()
 {
 	TimePoint now = MonotonicNow();
-	auto lost = [](const char *table) {
-		return [table](const RowsAnswer &answer, TimePoint) {
-			Log(LogLevel::Warning, "store-lost",
-			    {{"table", table}, {"failure", StoreFailureName(answer.failure)}, {"cause", answer.cause}});
-		};
-	};
-	this->configuration_watch.on_lost = lost("configuration");
-	this->target_watch.on_lost = lost("targets");
-	this->configuration_watch.on_regained = [](Duration away, TimePoint) {
-		Log(LogLevel::Info, "store-regained", {{"table", "configuration"}, {"away_ms", FormatMilliseconds(away)}});
-	};
-	this->target_watch.on_regained = [this](Duration away, TimePoint at) {
-		Log(LogLevel::Info, "store-regained", {{"table", "targets"}, {"away_ms", FormatMilliseconds(away)}});
+	TellStoreState(this->configuration_watch, "configuration");
+	TellStoreState(this->target_watch, "targets");
+	this->target_watch.on_regained = [this, told = this->target_watch.on_regained](Duration away, TimePoint at) {
+		told(away, at);
 		this->registry.OnStoreRegained(at);
 	};
 	this->configuration_watch.on_all = [this](const std::vector<StoredRow> &rows, TimePoint at) { this->OnOperatorRows(rows, true, at); };
@@ -50,6 +41,29 @@
 	this->target_watch.Start(now);
 }
 
+void Gateway::TellStoreState(TableWatch &watch, const char *table)
+{
+	// Which version was known, which was read and what the others' mark is tells a store that went back from one that is slow.
+	watch.on_lost = [&watch, table](const RowsAnswer &answer, TimePoint) {
+		Log(LogLevel::Warning, "store-lost",
+		    {{"table", table},
+		     {"failure", StoreFailureName(answer.failure)},
+		     {"cause", answer.cause},
+		     {"known", std::to_string(watch.Version())}});
+	};
+	watch.on_regained = [&watch, table](Duration away, TimePoint) {
+		Log(LogLevel::Info, "store-regained",
+		    {{"table", table},
+		     {"away_ms", FormatMilliseconds(away)},
+		     {"known", std::to_string(watch.Version())},
+		     {"last_change", std::to_string(watch.RowsVersion())}});
+	};
+	watch.on_older = [&watch, table](uint64_t read, uint64_t era) {
+		Log(LogLevel::Warning, "store-older",
+		    {{"table", table}, {"known", std::to_string(watch.Version())}, {"read", std::to_string(read)}, {"era", std::to_string(era)}});
+	};
+}
+
 void Gateway::RefreshScope()
 {
 	size_t in_hall = 0;
--- a/src/platform/wire_store.cpp
+++ b/src/platform/wire_store.cpp
@@ -4,11 +4,21 @@
 
 #include "platform/wire_store.h"
 #include "platform/json_func.h"
+#include <charconv>
 #include <openssl/evp.h>
 
 namespace cottonspool {
 
-static constexpr int PAGE_ROWS = 500; ///< Most rows of a page, as the store allows.
+static constexpr int PAGE_ROWS = 500;                  ///< Most rows of a page, as the store allows.
+static constexpr const char *ERA_HEADER = "Store-Era"; ///< Tells which life of the store answers.
+
+/** @return The era that \a text names; 0 if it names none. */
+static uint64_t ParseEra(std::string_view text)
+{
+	uint64_t era = 0;
+	auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), era);
+	return fault == std::errc() && end == text.data() + text.size() ? era : 0;
+}
 
 /** Decode base64 \a text. @return Nothing when it is misspelt. */
 static std::optional<std::string> DecodeBase64(const std::string &text)
@@ -86,11 +96,6 @@
 
 uint64_t WireStore::Call(std::string method, std::string target, std::string body, AnswerDone done)
 {
-	/** Answer being received. */
-	struct Answer {
-		int status = 0;   ///< Status.
-		std::string body; ///< Body.
-	};
 	auto answer = std::make_shared<Answer>();
 	UpstreamCall call;
 	call.to = this->address;
@@ -102,27 +107,32 @@
 	call.body = std::move(body);
 	call.on_head = [answer](const HttpHead &head) {
 		answer->status = head.status;
+		answer->era = ParseEra(FindHeader(head.headers, ERA_HEADER));
 		return true;
 	};
 	call.on_body = [answer](std::string_view bytes) { answer->body.append(bytes); };
 	call.on_end = [answer, done = std::move(done)](UpstreamEnd end, const char *cause) {
-		done(end == UpstreamEnd::Complete ? answer->status : 0, answer->body, cause);
+		if (end != UpstreamEnd::Complete) answer->status = 0;
+		answer->cause = cause;
+		done(*answer);
 	};
 	return this->upstream.Start(std::move(call));
 }
 
 uint64_t WireStore::Get(std::string target, RowsDone done)
 {
-	return this->Call("GET", std::move(target), {}, [done = std::move(done)](int status, const std::string &body, const char *cause) {
-		RowsAnswer rows = DecodeRows(status, body);
-		if (status == 0) rows.cause = cause;
+	return this->Call("GET", std::move(target), {}, [done = std::move(done)](const Answer &answer) {
+		RowsAnswer rows = DecodeRows(answer.status, answer.body);
+		rows.era = answer.era;
+		if (answer.status == 0) rows.cause = answer.cause;
 		done(std::move(rows));
 	});
 }
 
 uint64_t WireStore::Transact(std::string body, WriteDone done)
 {
-	return this->Call("POST", "/-/rows-tx", std::move(body), [done = std::move(done)](int status, const std::string &, const char *) {
+	return this->Call("POST", "/-/rows-tx", std::move(body), [done = std::move(done)](const Answer &answer) {
+		int status = answer.status;
 		bool refused = status == 412 || status == 429 || status == 503 || status == 403;
 		done(status == 200 ? StoreWrite::Done : refused ? StoreWrite::NotDone : StoreWrite::Unknown);
 	});
--- a/src/platform/wire_store.h
+++ b/src/platform/wire_store.h
@@ -26,7 +26,14 @@
 	static constexpr const char *PEER = "store"; ///< Name under which its connections are kept.
 
 private:
-	using AnswerDone = std::function<void(int status, const std::string &body, const char *cause)>;
+	/** A whole answer of the store, or none. */
+	struct Answer {
+		int status = 0;         ///< Status; 0 if no whole answer came.
+		uint64_t era = 0;       ///< Which life of the store it is; 0 if it does not tell.
+		std::string body;       ///< Body.
+		const char *cause = ""; ///< Why none came.
+	};
+	using AnswerDone = std::function<void(const Answer &)>;
 
 	uint64_t Call(std::string method, std::string target, std::string body, AnswerDone done);
 	uint64_t Get(std::string target, RowsDone done);
--- a/src/store/table_store_base.h
+++ b/src/store/table_store_base.h
@@ -55,6 +55,7 @@
 	std::optional<RowsPage> page;                  ///< Rows, if they came.
 	StoreFailure failure = StoreFailure::NoAnswer; ///< Why not, otherwise.
 	std::string cause;                             ///< What went wrong, for logs.
+	uint64_t era = 0;                              ///< Which life of the store answered, as it tells itself; 0 if it does not.
 };
 
 /** What became of a write. */
--- a/src/store/table_watch.cpp
+++ b/src/store/table_watch.cpp
@@ -211,7 +211,10 @@
 	}
 	this->next_key.clear();
 	// A replica that lags must not take us back: read again a little later.
-	if (this->pages_version < this->version) return this->OnFailure({std::nullopt, StoreFailure::Malformed, "older than known"}, now);
+	if (this->pages_version < this->version) {
+		if (this->on_older) this->on_older(this->pages_version, answer.era);
+		return this->OnFailure({std::nullopt, StoreFailure::Malformed, "older than known", answer.era}, now);
+	}
 	this->version = this->pages_version;
 	// What was read just now is as good as news: an instance that starts among others leaves the following to them.
 	if (!this->known) this->news_at = now;
--- a/src/store/table_watch.h
+++ b/src/store/table_watch.h
@@ -48,6 +48,7 @@
 	std::function<void(const RowsAnswer &, TimePoint)> on_lost;                ///< The store has stopped answering.
 	std::function<void(Duration, TimePoint)> on_regained;                      ///< It answers again after that time.
 	std::function<void(ReadReason)> on_call;                                   ///< The store is called.
+	std::function<void(uint64_t read, uint64_t era)> on_older;                 ///< A whole read was older than what is known here.
 	std::function<void(const TableNews &)> on_read; ///< This instance has asked the store for all; rows may be none.
 
 	using Clock = std::function<TimePoint()>;
@@ -108,6 +109,9 @@
 	/** @return Version of the store up to which the table is known. */
 	uint64_t Version() const { return this->version; }
 
+	/** @return Version of the table's last change that is known. */
+	uint64_t RowsVersion() const { return this->rows_version; }
+
 	/** @return Name of the table. */
 	const std::string &Table() const { return this->table; }
 
