--- a/tests/scenarios/lib.lua
+++ b/tests/scenarios/lib.lua
@@ -199,9 +199,12 @@
 	lib.configure(1)
 end
 
--- Puts a configuration in force: streams under /s/, calls that run once under /o/, repeatable ones under /r/, and what extra adds.
+-- Puts what lib.configuration() makes of its arguments in force.
+function lib.configure(...) lib.control("world", '{"config":' .. lib.configuration(...) .. "}") end
+
+-- A configuration: streams under /s/, calls that run once under /o/, repeatable ones under /r/, and what extra adds.
 -- Fields of the engines' pool and of the account can be added as text.
-function lib.configure(version, extra, keys, engines, account)
+function lib.configuration(version, extra, keys, engines, account)
 	local function route(name, prefix, kind, service, attempts, timeout)
 		return string.format('{"name":"%s","host":"h.example","pathPrefix":"%s","routeType":"%s","service":"%s","maxAttempts":%d,'
 			.. '"timeoutMs":%d,"targetLatencyMs":1500,"priority":1,"gapAimMs":180}', name, prefix, kind, service, attempts, timeout)
@@ -209,9 +212,9 @@
 	local routes = { route("stream", "/s/", "streaming", "engines", 1, 30000), route("once", "/o/", "non_idempotent", "services", 1, 2000),
 		route("repeat", "/r/", "idempotent", "services", 2, 2000) }
 	if extra then routes[#routes + 1] = route(extra, "/" .. extra .. "/", "idempotent", "services", 2, 2000) end
-	lib.control("world", string.format('{"config":{"version":%d,"routes":[%s],"services":[{"name":"engines",%s"engine":{"capacity":64,'
+	return string.format('{"version":%d,"routes":[%s],"services":[{"name":"engines",%s"engine":{"capacity":64,'
 		.. '"kvTokenCapacity":40000,"stride":4,"moves":true}},{"name":"services"}],"limits":{"idleTimeoutMs":15000},'
-		.. '"tenants":[{"name":"acme","apiKeys":[%s]%s}]}}', version, table.concat(routes, ","), engines or "", keys or '"k1"', account or ""))
+		.. '"tenants":[{"name":"acme","apiKeys":[%s]%s}]}', version, table.concat(routes, ","), engines or "", keys or '"k1"', account or "")
 end
 
 -- Starts an instance on the platform; prefix: words before the program.
--- a/tests/standins/world.cpp
+++ b/tests/standins/world.cpp
@@ -246,6 +246,9 @@
 		Json control = Json::parse(exchange->body, nullptr, false);
 		std::string id = control.value("target", "");
 		std::string act = control.value("do", "");
+		if (act == "copy") this->store.TakeCopy();
+		if (act == "return") this->store.ReturnFromCopy();
+		if (control.contains("again")) this->store.WriteAgain(control["again"]);
 		if (control.contains("config")) this->store.Put("op", "config", control["config"].dump());
 		if (control.contains("store")) this->store.mode = control["store"];
 		if (control.contains("put")) this->store.Put("op", control["put"], "{}");
--- a/tests/standins/world_base.h
+++ b/tests/standins/world_base.h
@@ -27,9 +27,18 @@
 	/** Answer a call of an instance. @return False if it is none. */
 	bool Handle(const Exchange &exchange);
 
-	std::string mode =
-	        "up"; ///< "up", "busy" (503), "silent" (no answer), "compact" (history gone, once) or "lose" (writes done, not answered).
-	int64_t slow_ms = 0;                         ///< Time by which answers are late, in milliseconds.
+	/** Keep a copy of all rows as they are now. */
+	void TakeCopy();
+
+	/** Come back from the copy: what was written since is gone, and its versions are given out again. Calls that wait are reset. */
+	void ReturnFromCopy();
+
+	/** Write again what the operator and the targets had written before the return, if the rows are not there as they were. */
+	void WriteAgain(const std::string &table);
+
+	std::string mode = "up"; ///< "up", "busy" (503), "silent" (no answer), "away" (reset), "compact" (history gone, once) or "lose" (writes
+	                         ///< done, not answered).
+	int64_t slow_ms = 0;     ///< Time by which answers are late, in milliseconds.
 	std::map<std::string, std::string> shown_as; ///< Addresses that rows show in place of others: those of links.
 	uint64_t calls = 0;                          ///< Calls answered or turned away.
 
@@ -49,6 +58,16 @@
 		int64_t until;     ///< When it is answered without rows.
 	};
 
+	using Tables = std::map<std::string, std::map<std::string, Row>>;
+
+	/** What a store comes back with. */
+	struct Copy {
+		Tables tables;        ///< Rows.
+		uint64_t version = 0; ///< Counter.
+	};
+
+	void Reply(const Exchange &exchange, int status, const Json &body) const;
+	HttpHeaders Headers() const;
 	Json RowsOf(const std::string &table, uint64_t since, bool with_deleted) const;
 	std::string Shown(const std::string &value) const;
 	void Answer(const Exchange &exchange);
@@ -57,11 +76,14 @@
 	void Transact(const Exchange &exchange);
 	void WakeAll();
 
-	uv_loop_t *loop;                                          ///< Loop.
-	std::map<std::string, std::map<std::string, Row>> tables; ///< Rows by table and key.
-	uint64_t version = 0;                                     ///< Counter of the whole store.
-	std::list<Waiting> waiting;                               ///< Feed calls that wait.
-	bool ticking = false;                                     ///< The timer of waiting calls runs.
+	uv_loop_t *loop;            ///< Loop.
+	Tables tables;              ///< Rows by table and key.
+	uint64_t version = 0;       ///< Counter of the whole store.
+	uint64_t era = 1;           ///< Rises with each return from a copy.
+	Copy copy;                  ///< Copy taken last.
+	Tables lost;                ///< Rows as they were before the last return.
+	std::list<Waiting> waiting; ///< Feed calls that wait.
+	bool ticking = false;       ///< The timer of waiting calls runs.
 };
 
 /** What the targets of one world share. */
--- a/tests/standins/world_store.cpp
+++ b/tests/standins/world_store.cpp
@@ -28,9 +28,39 @@
 	return bytes;
 }
 
-static void Reply(const Exchange &exchange, int status, const Json &body)
+HttpHeaders WorldStore::Headers() const
 {
-	exchange->Respond(status, {{"Content-Type", "application/json"}}, body.dump());
+	return {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(this->era)}};
+}
+
+void WorldStore::Reply(const Exchange &exchange, int status, const Json &body) const
+{
+	exchange->Respond(status, this->Headers(), body.dump());
+}
+
+void WorldStore::TakeCopy()
+{
+	this->copy = {this->tables, this->version};
+}
+
+void WorldStore::ReturnFromCopy()
+{
+	for (const Waiting &each : this->waiting) each.exchange->Abort();
+	this->waiting.clear();
+	this->lost = std::move(this->tables);
+	this->tables = this->copy.tables;
+	this->version = this->copy.version;
+	this->era++;
+}
+
+void WorldStore::WriteAgain(const std::string &table)
+{
+	for (const auto &[key, row] : this->lost[table]) {
+		const Row &there = this->tables[table][key];
+		bool same = there.version > 0 && there.deleted == row.deleted && there.value == row.value;
+		if (!same && row.deleted) this->Remove(table, key);
+		if (!same && !row.deleted) this->Put(table, key, row.value);
+	}
 }
 
 void WorldStore::Put(const std::string &table, const std::string &key, const std::string &value)
@@ -77,16 +107,17 @@
 void WorldStore::Get(const Exchange &exchange, const std::string &query)
 {
 	Json rows = this->RowsOf(std::string(QueryValue(query, "table")), 0, false);
-	Reply(exchange, 200, {{"rows", rows}, {"hasMore", false}, {"ver", this->version}, {"nowMs", NowMs()}});
+	this->Reply(exchange, 200, {{"rows", rows}, {"hasMore", false}, {"ver", this->version}, {"nowMs", NowMs()}});
 }
 
 void WorldStore::Feed(const Exchange &exchange, const std::string &query)
 {
 	if (this->mode == "compact") {
 		this->mode = "up";
-		return Reply(exchange, 410, Json::object());
+		return this->Reply(exchange, 410, Json::object());
 	}
 	uint64_t since = strtoull(QueryValue(query, "sinceRev").c_str(), nullptr, 10);
+	if (since > this->version) return this->Reply(exchange, 410, Json::object());
 	int64_t wait = strtoll(QueryValue(query, "waitMs").c_str(), nullptr, 10);
 	this->waiting.push_back({exchange, std::string(QueryValue(query, "table")), since, NowMs() + wait});
 	this->WakeAll();
@@ -105,7 +136,7 @@
 			++it;
 			continue;
 		}
-		if (!it->exchange->IsOver()) Reply(it->exchange, 200, {{"rows", rows}, {"ver", this->version}, {"nowMs", NowMs()}});
+		if (!it->exchange->IsOver()) this->Reply(it->exchange, 200, {{"rows", rows}, {"ver", this->version}, {"nowMs", NowMs()}});
 		it = this->waiting.erase(it);
 	}
 }
@@ -116,7 +147,7 @@
 	for (const Json &row : body.value("setKeys", Json::array())) this->Put(row["table"], row["tlsKey"], Decode64(row["value"]));
 	for (const Json &row : body.value("remove", Json::array())) this->Remove(row["table"], row["tlsKey"]);
 	if (this->mode == "lose") return this->waiting.push_back({exchange, "", UINT64_MAX, INT64_MAX});
-	Reply(exchange, 200, {{"ver", this->version}, {"nowMs", NowMs()}});
+	this->Reply(exchange, 200, {{"ver", this->version}, {"nowMs", NowMs()}});
 }
 
 bool WorldStore::Handle(const Exchange &exchange)
@@ -138,7 +169,9 @@
 	const std::string &target = exchange->head.target;
 	std::string query = target.substr(std::min(target.size(), target.find('?') + 1));
 	if (this->mode == "busy") {
-		exchange->Respond(503, {}, {});
+		exchange->Respond(503, this->Headers(), {});
+	} else if (this->mode == "away") {
+		exchange->Abort();
 	} else if (this->mode == "silent") {
 		this->waiting.push_back({exchange, "", UINT64_MAX, INT64_MAX});
 	} else if (target.starts_with("/-/rows-get")) {
