Fix: [Store] The era of the store is part of each version, and a store of another era is read whole

Cause: versions of the store were taken for one order that only rises. A store that comes back from a copy starts below what is known and gives numbers out again.

Ruled out: a slow store (each read was answered within a tick, and counted as answered well); one reader that was wrong while others trusted it (all eight read by themselves until the counter had passed).

Change: StoreVersion (era, number), one order. Answers belong to the call that asked: what was asked of a former store is dropped. Messages between instances carry the era; an instance that has not met the new store is not heard; one that tells of an era that the store does not know is asked after once. An empty table is told by a sign of life, so that a rise costs no calls for it.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -123,7 +123,7 @@
 
 	void WatchStore();
 	/** Log what \a watch learns of the store itself; \a table is what it is called in logs. */
-	static void TellStoreState(TableWatch &watch, const char *table);
+	void TellStoreState(TableWatch &watch, const char *table);
 	void OnOperatorRows(const std::vector<StoredRow> &rows, bool all, TimePoint now);
 	void OnConfigurationRows(const std::vector<StoredRow> &rows);
 	void OnEmptiedRows(const std::vector<StoredRow> &rows, bool all, TimePoint now);
--- a/src/gateway/gateway_targets.cpp
+++ b/src/gateway/gateway_targets.cpp
@@ -17,12 +17,17 @@
 void Gateway::WatchStore()
 {
 	TimePoint now = MonotonicNow();
-	TellStoreState(this->configuration_watch, "configuration");
-	TellStoreState(this->target_watch, "targets");
+	this->TellStoreState(this->configuration_watch, "configuration");
+	this->TellStoreState(this->target_watch, "targets");
+	this->TellStoreState(this->ends.Watch(), "ends");
 	this->target_watch.on_regained = [this, told = this->target_watch.on_regained](Duration away, TimePoint at) {
 		told(away, at);
 		this->registry.OnStoreRegained(at);
 	};
+	this->target_watch.on_other_store = [this, told = this->target_watch.on_other_store](const StoreChange &change, TimePoint at) {
+		told(change, at);
+		this->registry.OnStoreRegained(at);
+	};
 	this->configuration_watch.on_all = [this](const std::vector<StoredRow> &rows, TimePoint at) { this->OnOperatorRows(rows, true, at); };
 	this->configuration_watch.on_changes = [this](const std::vector<StoredRow> &rows, TimePoint at) {
 		this->OnOperatorRows(rows, false, at);
@@ -49,18 +54,25 @@
 		    {{"table", table},
 		     {"failure", StoreFailureName(answer.failure)},
 		     {"cause", answer.cause},
-		     {"known", std::to_string(watch.Version())}});
+		     {"known", FormatVersion(watch.Version())}});
 	};
 	watch.on_regained = [&watch, table](Duration away, TimePoint) {
 		Log(LogLevel::Info, "store-regained",
 		    {{"table", table},
 		     {"away_ms", FormatMilliseconds(away)},
-		     {"known", std::to_string(watch.Version())},
-		     {"last_change", std::to_string(watch.RowsVersion())}});
+		     {"known", FormatVersion(watch.Version())},
+		     {"last_change", FormatVersion(watch.RowsVersion())}});
 	};
-	watch.on_older = [&watch, table](uint64_t read, uint64_t era) {
-		Log(LogLevel::Warning, "store-older",
-		    {{"table", table}, {"known", std::to_string(watch.Version())}, {"read", std::to_string(read)}, {"era", std::to_string(era)}});
+	watch.on_older = [&watch, table](StoreVersion read) {
+		Log(LogLevel::Warning, "store-older", {{"table", table}, {"known", FormatVersion(watch.Version())}, {"read", FormatVersion(read)}});
+	};
+	watch.on_other_store = [this, table](const StoreChange &change, TimePoint) {
+		this->metrics.Count("cottonspool_store_changes_total{table=\"" + std::string(table) + "\"}");
+		Log(LogLevel::Warning, "store-other",
+		    {{"table", table},
+		     {"known", FormatVersion(change.known)},
+		     {"read", FormatVersion(change.read)},
+		     {"source", change.told ? "peer" : "store"}});
 	};
 }
 
--- a/src/operator/explain_log.cpp
+++ b/src/operator/explain_log.cpp
@@ -14,7 +14,8 @@
 static constexpr double EARLIER_MS = 5000; ///< Changes of belief are shown from this long before the request came.
 
 /** Events that change what an instance believes, and so bear on requests without naming one. */
-static const std::set<std::string> BELIEFS{"target-leaving", "store-lost", "store-regained", "configuration", "stopping", "scope"};
+static const std::set<std::string> BELIEFS{"target-leaving", "store-lost", "store-regained", "store-other",
+                                           "configuration",  "stopping",   "scope"};
 
 /** Outcomes that need no look at other lines, in words. */
 static const std::map<std::string, std::string> PLAIN_CAUSES{
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -97,7 +97,8 @@
 		Json rows = Json::array();
 		for (const StoredRow &row : news.rows)
 			rows.push_back(Json::array({row.key, Json::binary({row.value.begin(), row.value.end()}), row.version, row.deleted}));
-		tables.push_back(Json::array({news.table, news.from, news.to, news.whole, news.healthy, rows}));
+		tables.push_back(
+		        Json::array({news.table, news.from.number, news.to.number, news.whole, news.healthy, rows, news.from.era, news.to.era}));
 	}
 	return Json::array({TABLES, message.instance, message.hall, message.relayed, tables});
 }
@@ -141,8 +142,10 @@
 {
 	TableNews news;
 	news.table = item.at(0).get<std::string>();
-	news.from = Whole<uint64_t>(item.at(1));
-	news.to = Whole<uint64_t>(item.at(2));
+	// An instance of an older release tells no eras.
+	bool with_eras = item.size() > 6;
+	news.from = {with_eras ? Whole<uint64_t>(item.at(6)) : 0, Whole<uint64_t>(item.at(1))};
+	news.to = {with_eras ? Whole<uint64_t>(item.at(7)) : 0, Whole<uint64_t>(item.at(2))};
 	news.whole = item.at(3).get<bool>();
 	news.healthy = item.at(4).get<bool>();
 	for (const Json &row : item.at(5)) {
--- a/src/store/table_store_base.h
+++ b/src/store/table_store_base.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include "core/store_version_type.h"
 #include "core/time_type.h"
 #include <cstdint>
 #include <functional>
@@ -17,7 +18,7 @@
 struct StoredRow {
 	std::string key;         ///< Key inside the table.
 	std::string value;       ///< Content; empty when deleted.
-	uint64_t version = 0;    ///< Version of the store at which it was written.
+	uint64_t version = 0;    ///< Number of the store's version at which it was written, of the era that the page or the news are of.
 	bool deleted = false;    ///< It is gone.
 	bool unreadable = false; ///< Its content could not be decoded.
 };
@@ -25,15 +26,15 @@
 /** A part of a table as of one version of the store, or what has changed since one. */
 struct RowsPage {
 	std::vector<StoredRow> rows; ///< Rows.
-	uint64_t version = 0;        ///< Version of the store that the rows are of.
+	uint64_t version = 0;        ///< Number of the store's version that the rows are of; the answer tells its era.
 	bool more = false;           ///< Further rows follow behind the last one.
 };
 
 /** What an instance that reads a table itself tells the others of it. */
 struct TableNews {
 	std::string table;           ///< Table.
-	uint64_t from = 0;           ///< Version after which the rows are.
-	uint64_t to = 0;             ///< Version up to which they are.
+	StoreVersion from;           ///< Version after which the rows are.
+	StoreVersion to;             ///< Version up to which they are.
 	bool whole = false;          ///< The rows are the whole table.
 	bool healthy = false;        ///< The store answers the teller.
 	std::vector<StoredRow> rows; ///< Rows; none in a sign of life.
@@ -43,7 +44,7 @@
 enum class StoreFailure : uint8_t {
 	NoAnswer,    ///< No connection, or it broke.
 	Refused,     ///< It turned the call away: nothing was done.
-	HistoryGone, ///< Changes since that version are no longer known: read the table again.
+	HistoryGone, ///< Changes since that version are not known, or no longer: read the table again.
 	Malformed,   ///< The answer could not be read.
 };
 
@@ -76,7 +77,8 @@
 	/** Read rows of \a table from the key \a from on. @return A number for Cancel(). */
 	virtual uint64_t ReadRows(const std::string &table, const std::string &from, RowsDone done) = 0;
 
-	/** Read what has changed in \a table after \a version; the store waits up to \a wait for a change. @return A number for Cancel(). */
+	/** Read what has changed in \a table after the number \a version; the store waits up to \a wait for a change. @return A number for
+	 * Cancel(). */
 	virtual uint64_t ReadChanges(const std::string &table, uint64_t version, Duration wait, RowsDone done) = 0;
 
 	/** Write a row whatever was there. @return A number for Cancel(). */
--- a/src/store/table_watch.cpp
+++ b/src/store/table_watch.cpp
@@ -37,7 +37,7 @@
 TableWatch::~TableWatch()
 {
 	*this->alive = false;
-	if (this->call != 0) this->store.Cancel(this->call);
+	this->GiveUpCall();
 }
 
 void TableWatch::ReadWith(const TableWatch &leading)
@@ -72,7 +72,7 @@
 	return TableNews{this->table, this->rows_version, this->rows_version, false, true, {}};
 }
 
-void TableWatch::TellRead(uint64_t from, bool whole, const std::vector<StoredRow> &rows, TimePoint now)
+void TableWatch::TellRead(StoreVersion from, bool whole, const std::vector<StoredRow> &rows, TimePoint now)
 {
 	// One that only caught up has nothing to tell: the others have heard it from the one that reads for all.
 	bool reads_for_all = this->ReadsForAll(now);
@@ -81,7 +81,9 @@
 
 void TableWatch::NoteRows(const std::vector<StoredRow> &rows)
 {
-	for (const StoredRow &row : rows) this->rows_version = std::max(this->rows_version, row.version);
+	// A table without rows is known as of its era.
+	this->rows_version = std::max(this->rows_version, StoreVersion{this->version.era, 0});
+	for (const StoredRow &row : rows) this->rows_version = std::max(this->rows_version, StoreVersion{this->version.era, row.version});
 	// What was told of is known now, even if its last change was a removal that a whole read does not show.
 	if (this->wanted <= this->version) this->rows_version = std::max(this->rows_version, this->wanted);
 	this->behind = this->wanted > this->rows_version;
@@ -90,6 +92,8 @@
 void TableWatch::OnNews(const TableNews &news, TimePoint now)
 {
 	if (news.table != this->table || !this->known) return;
+	// Whoever tells this has not met the store as it is now: neither its rows nor its sign of life tell anything of it.
+	if (news.to.era < this->version.era) return;
 	if (news.healthy) {
 		// For one that has given the store up, its return is news by itself: rows may have lapsed meanwhile.
 		// One that still has to read what could not be passed on has not regained it: only an own answer tells that.
@@ -101,18 +105,27 @@
 		if (news.to == this->rows_version) this->confirmed = now;
 	}
 	if (news.to <= this->rows_version) return;
-	bool fits = !news.rows.empty() && (news.whole || this->limits.gaps || news.from <= this->rows_version);
-	if (!fits && this->limits.gaps) return;
+	bool other = this->IsOfOtherStore(news.to);
+	// A table whose last change has no number has no rows: whoever says so has said all.
+	bool whole = news.whole || news.to.number == 0;
+	bool fits = whole || (!news.rows.empty() && !other && (this->limits.gaps || news.from <= this->rows_version));
+	if (!fits && this->limits.gaps && !other) return;
+	// What is asked of the former store, or since one of its versions, tells nothing of the one that is there now.
+	if (other) this->GiveUpCall();
 	if (!fits) {
+		if (other) this->following = false;
 		this->wanted = std::max(this->wanted, news.to);
 		return this->NoteRows({});
 	}
+	StoreVersion before = this->version;
 	this->version = std::max(this->version, news.to);
 	this->rows_version = news.to;
+	if (other) this->following = true;
+	if (other && this->on_other_store) this->on_other_store({before, news.to, true}, now);
 	this->NoteRows({});
 	this->confirmed = now;
-	if (news.whole && this->on_all) this->on_all(news.rows, now);
-	if (!news.whole && this->on_changes) this->on_changes(news.rows, now);
+	if (whole && this->on_all) this->on_all(news.rows, now);
+	if (!whole && this->on_changes) this->on_changes(news.rows, now);
 }
 
 void TableWatch::GoOn(TimePoint now)
@@ -125,8 +138,7 @@
 	if (!this->started) return;
 	this->FollowLoss(now);
 	if (this->call != 0 && now >= this->call_limit) {
-		this->store.Cancel(this->call);
-		this->call = 0;
+		this->GiveUpCall();
 		if (!this->following) this->read_time = std::min(this->limits.read_most, 2 * this->read_time);
 		this->OnFailure({std::nullopt, StoreFailure::NoAnswer, "no answer in time"}, now);
 	}
@@ -142,8 +154,7 @@
 {
 	// The wait for a change is long here: that the store is gone is seen sooner where it is asked more often.
 	if (this->lead == nullptr || !this->lead->IsLost() || this->call == 0 || this->lost) return;
-	this->store.Cancel(this->call);
-	this->call = 0;
+	this->GiveUpCall();
 	this->OnFailure({std::nullopt, StoreFailure::NoAnswer, "lost where it is asked more often"}, now);
 }
 
@@ -161,9 +172,18 @@
 	if (this->on_call) this->on_call(reason);
 }
 
+void TableWatch::BeginWholeRead(TimePoint now)
+{
+	this->following = false;
+	this->next_key.clear();
+	this->ReadPage(now);
+}
+
 void TableWatch::ReadPage(TimePoint now)
 {
 	this->NoteCall(ReadReason::Whole);
+	this->asked = this->version;
+	if (this->next_key.empty()) this->asked_wanted = this->wanted;
 	this->call_limit = now + this->read_time;
 	this->call = this->store.ReadRows(this->table, this->next_key, [this, held = this->alive](RowsAnswer answer) {
 		if (*held) this->OnPage(std::move(answer));
@@ -186,23 +206,45 @@
 	this->call_limit = now + this->limits.wait + this->limits.slack;
 	// After a failure the next answer is wanted soon: it tells that the store is back.
 	// One that takes the reading over asks for an answer at once: the others are to hear that it does.
+	this->asked = this->version;
 	bool at_once = reason != ReadReason::Follow;
 	Duration wait = at_once ? Duration(0) : this->limits.wait;
 	if (at_once) this->call_limit = now + this->read_time;
-	this->call = this->store.ReadChanges(this->table, this->version, wait, [this, held = this->alive](RowsAnswer answer) {
+	this->call = this->store.ReadChanges(this->table, this->version.number, wait, [this, held = this->alive](RowsAnswer answer) {
 		if (*held) this->OnChanges(std::move(answer));
 	});
 }
 
+StoreVersion TableWatch::VersionOf(const RowsAnswer &answer, uint64_t number) const
+{
+	return {answer.era == 0 ? this->version.era : answer.era, number};
+}
+
+void TableWatch::GiveUpCall()
+{
+	if (this->call != 0) this->store.Cancel(this->call);
+	this->call = 0;
+}
+
+void TableWatch::DropDisproved()
+{
+	// The store itself, asked after that was told, knows of no such era: it would be asked for ever.
+	if (this->wanted.era > this->version.era && this->wanted == this->asked_wanted) this->wanted = StoreVersion{};
+}
+
 void TableWatch::OnPage(RowsAnswer answer)
 {
 	TimePoint now = this->clock();
 	this->call = 0;
 	if (!answer.page) return this->OnFailure(answer, now);
 	RowsPage &page = *answer.page;
-	if (this->next_key.empty()) {
+	StoreVersion read = this->VersionOf(answer, page.version);
+	bool first = this->next_key.empty();
+	bool overtaken = this->IsOvertaken(read) || (!first && read.era != this->pages_version.era);
+	if (overtaken) return this->BeginWholeRead(now);
+	if (first) {
 		this->pages.clear();
-		this->pages_version = page.version;
+		this->pages_version = read;
 	}
 	std::move(page.rows.begin(), page.rows.end(), std::back_inserter(this->pages));
 	if (page.more && !this->pages.empty()) {
@@ -210,21 +252,26 @@
 		return this->ReadPage(now);
 	}
 	this->next_key.clear();
+	bool other = this->IsOfOtherStore(this->pages_version);
 	// A replica that lags must not take us back: read again a little later.
-	if (this->pages_version < this->version) {
-		if (this->on_older) this->on_older(this->pages_version, answer.era);
+	if (!other && this->pages_version < this->version) {
+		if (this->on_older) this->on_older(this->pages_version);
 		return this->OnFailure({std::nullopt, StoreFailure::Malformed, "older than known", answer.era}, now);
 	}
+	StoreVersion before = this->version;
 	this->version = this->pages_version;
+	if (other) this->rows_version = StoreVersion{};
 	// What was read just now is as good as news: an instance that starts among others leaves the following to them.
 	if (!this->known) this->news_at = now;
 	this->known = true;
 	this->following = true;
+	this->DropDisproved();
 	this->OnAnswered(now);
+	if (other && this->on_other_store) this->on_other_store({before, this->version, false}, now);
 	std::vector<StoredRow> rows = std::move(this->pages);
 	this->pages.clear();
 	this->NoteRows(rows);
-	this->TellRead(0, true, rows, now);
+	this->TellRead(StoreVersion{}, true, rows, now);
 	if (this->on_all) this->on_all(rows, now);
 	this->GoOn(now);
 }
@@ -233,14 +280,15 @@
 {
 	TimePoint now = this->clock();
 	this->call = 0;
-	if (!answer.page && answer.failure == StoreFailure::HistoryGone) {
-		this->following = false;
-		return this->ReadPage(now);
-	}
+	StoreVersion read = this->VersionOf(answer, answer.page ? answer.page->version : 0);
+	// Asked of a former store: whatever came is no answer to what is to be known now.
+	if (this->asked.era < this->version.era && read.era <= this->version.era) return this->GoOn(now);
+	bool other = this->IsOfOtherStore(read);
+	if (other || (!answer.page && answer.failure == StoreFailure::HistoryGone)) return this->BeginWholeRead(now);
 	if (!answer.page) return this->OnFailure(answer, now);
 	this->catch_up = false;
-	uint64_t before = this->rows_version;
-	this->version = std::max(this->version, answer.page->version);
+	StoreVersion before = this->rows_version;
+	this->version = std::max(this->version, read);
 	this->NoteRows(answer.page->rows);
 	this->OnAnswered(now);
 	this->TellRead(answer.page->rows.empty() ? this->rows_version : before, false, answer.page->rows, now);
--- a/src/store/table_watch.h
+++ b/src/store/table_watch.h
@@ -40,7 +40,19 @@
 /** @return The name of \a reason for logs. */
 const char *ReadReasonName(ReadReason reason);
 
-/** Follows one table. Versions only go forward: an older answer than one taken in before is dropped. */
+/** A table was read of a store that has come back from a copy. */
+struct StoreChange {
+	StoreVersion known; ///< What was known of the store before.
+	StoreVersion read;  ///< What the table was read as.
+	bool told = false;  ///< Another instance has read it.
+};
+
+/**
+ * Follows one table. Of one era of the store, versions only go forward: an older answer than one taken in before is dropped. With another
+ * era the table is read whole, whatever the versions are: neither a feed that is not refused nor a number that was known before says
+ * that nothing was lost. Which era is in force is what the store answers to a call that began last; what other instances tell of a
+ * later one is taken in or read after, and what they tell of a former one is not heard.
+ */
 class TableWatch {
 public:
 	std::function<void(const std::vector<StoredRow> &, TimePoint)> on_all;     ///< The whole table was read.
@@ -48,7 +60,9 @@
 	std::function<void(const RowsAnswer &, TimePoint)> on_lost;                ///< The store has stopped answering.
 	std::function<void(Duration, TimePoint)> on_regained;                      ///< It answers again after that time.
 	std::function<void(ReadReason)> on_call;                                   ///< The store is called.
-	std::function<void(uint64_t read, uint64_t era)> on_older;                 ///< A whole read was older than what is known here.
+	std::function<void(StoreVersion read)> on_older;                           ///< A whole read was older than what is known here.
+	/** The store is another one than before: what it lost may be missing from the whole table, which follows at once. */
+	std::function<void(const StoreChange &, TimePoint)> on_other_store;
 	std::function<void(const TableNews &)> on_read; ///< This instance has asked the store for all; rows may be none.
 
 	using Clock = std::function<TimePoint()>;
@@ -107,10 +121,10 @@
 	TimePoint ConfirmedAt() const { return this->confirmed; }
 
 	/** @return Version of the store up to which the table is known. */
-	uint64_t Version() const { return this->version; }
+	StoreVersion Version() const { return this->version; }
 
 	/** @return Version of the table's last change that is known. */
-	uint64_t RowsVersion() const { return this->rows_version; }
+	StoreVersion RowsVersion() const { return this->rows_version; }
 
 	/** @return Name of the table. */
 	const std::string &Table() const { return this->table; }
@@ -121,6 +135,15 @@
 private:
 	bool ReadsForAll(TimePoint now) const;
 	void FollowLoss(TimePoint now);
+	/** @return The version \a number of the era that \a answer tells; of the one known if it tells none. */
+	StoreVersion VersionOf(const RowsAnswer &answer, uint64_t number) const;
+	/** @return Whether \a seen is of another era than what is known. */
+	bool IsOfOtherStore(const StoreVersion &seen) const { return this->version.IsKnown() && seen.era != this->version.era; }
+	/** @return Whether an answer as of \a seen was overtaken: a later era has become known since the call began. */
+	bool IsOvertaken(const StoreVersion &seen) const { return seen.era < this->version.era && this->asked.era < this->version.era; }
+	void GiveUpCall();
+	void BeginWholeRead(TimePoint now);
+	void DropDisproved();
 	void ReadPage(TimePoint now);
 	void ReadChanges(TimePoint now);
 	ReadReason ReasonToRead(TimePoint now) const;
@@ -129,7 +152,7 @@
 	void OnChanges(RowsAnswer answer);
 	void OnFailure(const RowsAnswer &answer, TimePoint now);
 	void OnAnswered(TimePoint now);
-	void TellRead(uint64_t from, bool whole, const std::vector<StoredRow> &rows, TimePoint now);
+	void TellRead(StoreVersion from, bool whole, const std::vector<StoredRow> &rows, TimePoint now);
 	void GoOn(TimePoint now);
 	bool LeavesItToProbe(TimePoint now);
 	void NoteRows(const std::vector<StoredRow> &rows);
@@ -140,10 +163,12 @@
 	WatchLimits limits;                ///< Times.
 	std::vector<StoredRow> pages;      ///< Rows of a read that is under way.
 	std::string next_key;              ///< Where its next page begins.
-	uint64_t pages_version = 0;        ///< Version of its first page: changes are read from there.
-	uint64_t version = 0;              ///< Version up to which the table is known: the store's, which rises with every table's writes.
-	uint64_t rows_version = 0;         ///< Version of the table's last change that is known; the same at all who know it.
-	uint64_t wanted = 0;               ///< Version that another instance told of, up to which the rest is read here.
+	StoreVersion pages_version;        ///< Version of its first page: changes are read from there.
+	StoreVersion version;              ///< Version up to which the table is known: the store's, which rises with every table's writes.
+	StoreVersion rows_version;         ///< Version of the table's last change that is known; the same at all who know it.
+	StoreVersion wanted;               ///< Version that another instance told of, up to which the rest is read here.
+	StoreVersion asked;                ///< What was known when the call under way began.
+	StoreVersion asked_wanted;         ///< What was wanted then.
 	uint64_t call = 0;                 ///< Call under way; 0 for none.
 	uint64_t calls = 0;                ///< Calls made.
 	TimePoint call_limit;              ///< When it is given up.
--- a/src/tests/hand_store.h
+++ b/src/tests/hand_store.h
@@ -82,6 +82,13 @@
 	return {page, StoreFailure::NoAnswer, ""};
 }
 
+/** @return \a answer as the life \a era of the store gives it. */
+inline RowsAnswer OfEra(uint64_t era, RowsAnswer answer)
+{
+	answer.era = era;
+	return answer;
+}
+
 /** @return The answer of a store that fails with \a failure. */
 inline RowsAnswer Failed(StoreFailure failure)
 {
--- a/src/tests/sharing_world.cpp
+++ b/src/tests/sharing_world.cpp
@@ -294,7 +294,7 @@
 size_t SharingWorld::Behind(uint64_t wanted, TimePoint since) const
 {
 	auto behind = [&](const auto &instance) {
-		return this->ReachesStore(*instance) && instance->reachable_since <= since && instance->watch->Version() < wanted;
+		return this->ReachesStore(*instance) && instance->reachable_since <= since && instance->watch->Version().number < wanted;
 	};
 	return static_cast<size_t>(std::count_if(this->instances.begin(), this->instances.end(), behind));
 }
--- a/src/tests/table_sharing_test.cpp
+++ b/src/tests/table_sharing_test.cpp
@@ -51,7 +51,7 @@
 	// The peer gives signs of life for longer than the patience of any reader.
 	for (int i = 0; i < 20; i++) {
 		now += milliseconds(500);
-		sharing.OnNews(peer, "hall-a", {"other", 5, 5, false, true, {}}, now);
+		sharing.OnNews(peer, "hall-a", {"other", {0, 5}, {0, 5}, false, true, {}}, now);
 		sharing.OnTick(now);
 		CHECK_FALSE(other.watch.ReadsItself(now));
 	}
@@ -95,8 +95,8 @@
 	sharing.SetReaders({{"self", 10}}, halls, false);
 	now += WatchLimits{}.patience_most;
 	CHECK(table.watch.ReadsItself(now));
-	sharing.OnNews("other", halls[2], {"table", 5, 5, false, true, {}}, now);
+	sharing.OnNews("other", halls[2], {"table", {0, 5}, {0, 5}, false, true, {}}, now);
 	CHECK(table.watch.ReadsItself(now));
-	sharing.OnNews("other", halls[0], {"table", 5, 5, false, true, {}}, now);
+	sharing.OnNews("other", halls[0], {"table", {0, 5}, {0, 5}, false, true, {}}, now);
 	CHECK_FALSE(table.watch.ReadsItself(now));
 }
--- a/src/tests/table_watch_test.cpp
+++ b/src/tests/table_watch_test.cpp
@@ -78,19 +78,19 @@
 	world.watch.SetPatience(milliseconds(1300));
 	world.store.Answer(Page({"a"}, 10));
 	CHECK(world.store.calls.empty());
-	TableNews news{"table", 10, 12, false, true, {{"b", "v", 12, false}}};
+	TableNews news{"table", {0, 10}, {0, 12}, false, true, {{"b", "v", 12, false}}};
 	world.watch.OnNews(news, world.now);
 	CHECK(world.changes == std::vector<size_t>{1});
-	CHECK(world.watch.Version() == 12);
+	CHECK(world.watch.Version() == StoreVersion{0, 12});
 	CHECK(world.store.calls.empty());
 	// News that were lost on the way: a later one does not fit, so the rest is read here.
-	world.watch.OnNews({"table", 14, 15, false, true, {{"d", "v", 15, false}}}, world.now);
+	world.watch.OnNews({"table", {0, 14}, {0, 15}, false, true, {{"d", "v", 15, false}}}, world.now);
 	CHECK(world.changes == std::vector<size_t>{1});
 	world.Pass(milliseconds(20));
 	REQUIRE(world.store.calls.size() == 1);
 	CHECK(world.store.Newest().version == 12);
 	world.store.Answer(Page({"c", "d"}, 15));
-	CHECK(world.watch.Version() == 15);
+	CHECK(world.watch.Version() == StoreVersion{0, 15});
 	CHECK(world.store.calls.empty());
 	world.Pass(milliseconds(1200));
 	CHECK(world.store.calls.empty());
@@ -105,17 +105,17 @@
 	world.store.Answer(Page({"a"}, 10));
 	// Another instance has read the same last change, at another version of the store.
 	for (int i = 0; i < 10; i++) {
-		world.watch.OnNews({"table", 10, 10, false, true, {}}, world.now);
+		world.watch.OnNews({"table", {0, 10}, {0, 10}, false, true, {}}, world.now);
 		world.Pass(milliseconds(300));
 		CHECK(world.store.calls.empty());
 	}
 	// A removal that a whole read cannot show is looked for once.
-	world.watch.OnNews({"table", 14, 14, false, true, {}}, world.now);
+	world.watch.OnNews({"table", {0, 14}, {0, 14}, false, true, {}}, world.now);
 	world.Pass(milliseconds(20));
 	REQUIRE(world.store.calls.size() == 1);
 	world.store.Answer(Page({}, 15));
 	for (int i = 0; i < 5; i++) {
-		world.watch.OnNews({"table", 14, 14, false, true, {}}, world.now);
+		world.watch.OnNews({"table", {0, 14}, {0, 14}, false, true, {}}, world.now);
 		world.Pass(milliseconds(300));
 		CHECK(world.store.calls.empty());
 	}
@@ -139,7 +139,7 @@
 	other.watch.SetPatience(milliseconds(800));
 	other.store.Answer(Page({"a"}, 10));
 	told_by_other = 0;
-	other.watch.OnNews({"table", 12, 12, false, true, {}}, other.now);
+	other.watch.OnNews({"table", {0, 12}, {0, 12}, false, true, {}}, other.now);
 	other.Pass(milliseconds(20));
 	other.store.Answer(Page({"b"}, 12));
 	CHECK(told_by_other == 0);
@@ -200,12 +200,12 @@
 	WatchWorld world;
 	world.watch.SetPatience(milliseconds(1300));
 	world.store.Answer(Page({"a"}, 10));
-	world.watch.OnNews({"table", 20, 20, false, true, {}}, world.now);
+	world.watch.OnNews({"table", {0, 20}, {0, 20}, false, true, {}}, world.now);
 	uint64_t before = world.store.last;
 	for (int i = 0; i < 100; i++) {
 		world.Pass(milliseconds(50));
 		if (!world.store.calls.empty()) world.store.Answer(Failed(StoreFailure::Refused));
-		if (i % 5 == 0) world.watch.OnNews({"table", 20, 20, false, true, {}}, world.now);
+		if (i % 5 == 0) world.watch.OnNews({"table", {0, 20}, {0, 20}, false, true, {}}, world.now);
 	}
 	CHECK(world.store.last - before <= 8);
 	CHECK(world.lost == 1);
@@ -232,7 +232,7 @@
 	}
 	while (world.store.calls.empty()) world.Pass(milliseconds(10));
 	world.store.Answer(Failed(StoreFailure::Refused));
-	world.watch.OnNews({"table", 20, 20, false, true, {}}, world.now);
+	world.watch.OnNews({"table", {0, 20}, {0, 20}, false, true, {}}, world.now);
 	world.Pass(milliseconds(20));
 	REQUIRE(world.store.calls.size() == 1);
 	world.store.Answer(Page({"b"}, 20));
@@ -324,14 +324,14 @@
 {
 	LedWorld world;
 	world.lead.SetPatience(std::chrono::seconds(5));
-	world.lead.OnNews({"lead", 10, 10, false, true, {}}, world.now);
+	world.lead.OnNews({"lead", {0, 10}, {0, 10}, false, true, {}}, world.now);
 	world.led.Start(world.now);
 	world.Pass(milliseconds(100));
 	CHECK(world.led_store.calls.empty());
 	// Rows that follow on what is known (nothing) are taken in; those that don't are read here, whole.
-	world.led.OnNews({"led", 0, 20, false, true, {{"x", "v", 20, false}}}, world.now);
+	world.led.OnNews({"led", {0, 0}, {0, 20}, false, true, {{"x", "v", 20, false}}}, world.now);
 	CHECK(world.changes == 1);
-	world.led.OnNews({"led", 30, 30, false, true, {}}, world.now);
+	world.led.OnNews({"led", {0, 30}, {0, 30}, false, true, {}}, world.now);
 	world.Pass(milliseconds(100));
 	REQUIRE(world.led_store.calls.size() == 1);
 	CHECK_FALSE(world.led_store.Newest().changes);
--- a/tests/fuzz/decoders.cpp
+++ b/tests/fuzz/decoders.cpp
@@ -88,7 +88,7 @@
 static std::vector<std::string> PeerMessages()
 {
 	LoadMessage load{"g1", 7, true, {{CallNews::Kind::At, 3, "i-1@abc123", 100, 20, 300, "pool", ServiceClass::Stream}}, {{"i-1", {}}}};
-	TablesMessage tables{"g1", "hall", false, {{"t", 1, 2, true, true, {{"key", "value", 2, false}}}}};
+	TablesMessage tables{"g1", "hall", false, {{"t", {3, 1}, {3, 2}, true, true, {{"key", "value", 2, false}}}}};
 	HallLoadMessage halls;
 	halls.hall = "hall";
 	halls.at_home.push_back({"i-1", 100, 2, 30});
