Add: [Gateway] What is true although a store that came back from a copy has forgotten it, or lists it again

Cause: a whole read was taken for the whole truth. After a return from a copy it lists targets that had gone, lacks emptied halls and ends of targets under requests, and lacks rows of instances that live. Seen in tests/scenarios/platform_copy.lua on the code before: targets that had left got work again; with that check taken out, an emptied hall did; with that taken out too, a request that ended engines was sent again.

Change: TargetRegistry doubts rows of targets that were gone until they change, show a later sequence, or 30 s are over; those that the copy lacks get the two seconds that live ones need. PlaceTable holds forgotten halls emptied for ten seconds at most. EndRecords writes forgotten ends again, the one whose turn it is first, others after two seconds, and takes cleared ones out again. PeerExchange keeps linked peers and writes its own row again within a second, spread by name.

Ruled out: to believe the copy and wait for what is written again (each of the above breaks a promise meanwhile); to hold what is known for ever (a hall that was taken back, a target that lives, would be lost until a restart).

--- a/src/decision/place_table.cpp
+++ b/src/decision/place_table.cpp
@@ -7,6 +7,10 @@
 
 namespace cottonspool {
 
+/** Time for which a hall stays emptied that a store has forgotten: operators write again within seconds of its return, and a hall too many
+ *  that is empty costs less than one that is used while they empty it. */
+static constexpr Duration FORGOTTEN_HOLDS = std::chrono::seconds(10);
+
 bool MayRunIn(const CallSpec &call, const std::string &hall)
 {
 	if (call.halls.empty()) return true;
@@ -14,9 +18,32 @@
 	                   [&](const HallPreference &preference) { return preference.hall == hall && preference.weight > 0; });
 }
 
-bool PlaceTable::SetEmptied(const std::string &hall, bool is_emptied)
+void PlaceTable::SetListed(const std::string &hall, bool is_listed)
+{
+	// Either way it is the operators' word of now.
+	this->forgotten.erase(hall);
+	if (is_listed) this->listed.insert(hall);
+	if (!is_listed) this->listed.erase(hall);
+}
+
+void PlaceTable::SetAllListed(const std::set<std::string> &halls)
+{
+	for (const std::string &hall : halls) this->forgotten.erase(hall);
+	this->listed = halls;
+}
+
+void PlaceTable::OnOtherStore(TimePoint now)
+{
+	for (const std::string &hall : this->Emptied(now)) this->forgotten[hall] = now + FORGOTTEN_HOLDS;
+}
+
+std::set<std::string> PlaceTable::Emptied(TimePoint now) const
 {
-	return is_emptied ? this->emptied.insert(hall).second : this->emptied.erase(hall) > 0;
+	std::set<std::string> halls = this->listed;
+	for (const auto &[hall, until] : this->forgotten) {
+		if (now < until) halls.insert(hall);
+	}
+	return halls;
 }
 
 bool PlaceTable::IsHome(const std::vector<std::string> &homes, const std::string &region) const
--- a/src/decision/place_table.h
+++ b/src/decision/place_table.h
@@ -14,7 +14,10 @@
 /** @return Whether \a call may run in \a hall: it names no halls, or this one with a weight. */
 bool MayRunIn(const CallSpec &call, const std::string &hall);
 
-/** Data halls, the regions they lie in, and those that the operators have emptied: their targets get nothing new. */
+/**
+ * Data halls, the regions they lie in, and those that the operators have emptied: their targets get nothing new. A store that comes back
+ * from a copy may lack what they had written; they write it again, and until then, for a bounded time, it holds all the same.
+ */
 class PlaceTable {
 public:
 	PlaceTable(std::string own_hall, std::map<std::string, std::string> regions)
@@ -25,11 +28,17 @@
 	/** The halls lie in \a regions from now on, by the name of the hall. */
 	void SetRegions(std::map<std::string, std::string> regions_by_hall) { this->regions = std::move(regions_by_hall); }
 
-	/** \a hall is emptied, or taken back. @return Whether that is a change. */
-	bool SetEmptied(const std::string &hall, bool emptied);
+	/** The operators' list names \a hall as emptied, or no longer does. */
+	void SetListed(const std::string &hall, bool listed);
 
-	/** @return Halls that are emptied. */
-	const std::set<std::string> &Emptied() const { return this->emptied; }
+	/** The operators' list was read whole: it names \a halls. */
+	void SetAllListed(const std::set<std::string> &halls);
+
+	/** The store has come back from a copy; the whole list follows. What it has forgotten holds on for a while. */
+	void OnOtherStore(TimePoint now);
+
+	/** @return Halls that are emptied at \a now. */
+	std::set<std::string> Emptied(TimePoint now) const;
 
 	/**
 	 * @param account Client account of the request; null for none.
@@ -43,7 +52,8 @@
 
 	std::string own_hall;                       ///< Hall of this instance.
 	std::map<std::string, std::string> regions; ///< Region of each hall.
-	std::set<std::string> emptied;              ///< Halls that are emptied.
+	std::set<std::string> listed;               ///< Halls that the operators' list names as emptied.
+	std::map<std::string, TimePoint> forgotten; ///< Halls that it named in a former store, and until when they stay emptied unlisted.
 };
 
 } // namespace cottonspool
--- a/src/decision/target_registry.cpp
+++ b/src/decision/target_registry.cpp
@@ -29,12 +29,18 @@
 	entry.ended = true;
 }
 
-void TargetRegistry::Note(const ListedTarget &target, TimePoint now, std::vector<TargetEvent> &events)
+void TargetRegistry::Note(const ListedTarget &target, bool whole, TimePoint now, std::vector<TargetEvent> &events)
 {
 	std::string name = target.life.Name();
 	// A row of a life that has ended, told late: the one that followed it stays.
 	auto known = this->entries.find(name);
 	if (known != this->entries.end() && known->second.ended) return;
+	// A change is the target's own word; in the whole list its row may be what a copy of the store had not forgotten.
+	bool doubted = known != this->entries.end() && known->second.missing && now < known->second.doubted_until;
+	if (doubted && whole && target.sequence <= known->second.target.sequence) {
+		known->second.listed_anew = true;
+		return;
+	}
 	std::string &newest = this->newest[target.life.id];
 	auto former = newest == name ? this->entries.end() : this->entries.find(newest);
 	if (former != this->entries.end()) this->End(former->second, "other-life", now, events);
@@ -44,7 +50,7 @@
 	bool changed = added || !entry.target.SaysSameAs(target);
 	bool was_departed = entry.departed;
 	entry.target = target;
-	entry.missing = false;
+	entry.missing = entry.listed_anew = false;
 	entry.departed = entry.departed || target.leaving;
 	if (added) entry.usable = !entry.departed;
 	// A departed target that changes its row again says nothing new.
@@ -54,6 +60,7 @@
 
 void TargetRegistry::NoteMissing(Entry &entry, const char *source, TimePoint now, std::vector<TargetEvent> &events)
 {
+	entry.listed_anew = false;
 	if (!entry.missing) {
 		entry.missing = true;
 		entry.missing_since = now;
@@ -80,7 +87,7 @@
 	for (const TargetRow &row : rows) {
 		if (!row.target) continue;
 		seen.insert(row.target->life.Name());
-		this->Note(*row.target, now, events);
+		this->Note(*row.target, true, now, events);
 	}
 	std::vector<Entry *> gone;
 	for (auto &[name, entry] : this->entries) {
@@ -96,7 +103,7 @@
 	std::vector<Entry *> gone;
 	for (const TargetRow &row : rows) {
 		if (row.target) {
-			this->Note(*row.target, now, events);
+			this->Note(*row.target, false, now, events);
 			continue;
 		}
 		auto newest = this->newest.find(row.id);
@@ -130,12 +137,21 @@
 	this->lapse_until = now + this->limits.lapse_grace;
 }
 
+void TargetRegistry::OnOtherStore(TimePoint now)
+{
+	this->OnStoreRegained(now);
+	for (auto &[name, entry] : this->entries) {
+		if (entry.missing && !entry.usable) entry.doubted_until = now + this->limits.copy_doubted;
+	}
+}
+
 std::vector<TargetEvent> TargetRegistry::OnTick(TimePoint now)
 {
 	std::vector<TargetEvent> events;
 	for (auto it = this->entries.begin(); it != this->entries.end();) {
 		Entry &entry = it->second;
-		if (entry.missing) this->Judge(entry, "lapsed", false, now, events);
+		if (entry.listed_anew && now >= entry.doubted_until) entry.missing = entry.listed_anew = false;
+		if (entry.missing || !entry.usable) this->Judge(entry, entry.missing ? "lapsed" : "listed", false, now, events);
 		bool forget = entry.missing && !entry.usable && now - entry.missing_since > this->limits.remembered;
 		if (forget && this->newest[entry.target.life.id] == it->first) this->newest.erase(entry.target.life.id);
 		it = forget ? this->entries.erase(it) : std::next(it);
--- a/src/decision/target_registry.h
+++ b/src/decision/target_registry.h
@@ -33,14 +33,20 @@
 struct RegistryLimits {
 	Duration lapse_grace = std::chrono::seconds(2); ///< Time after the store's return in which live targets re-enter their rows.
 	Duration remembered = std::chrono::minutes(2);  ///< Time for which a departed target's name is remembered.
-	size_t lapse_least = 3;                         ///< Rows gone without notice at once from which it may be a lapse.
-	double lapse_part = 0.34;                       ///< Part of all usable targets from which it is taken for one.
+	/**
+	 * Time after the return of a store from a copy in which a row of it names no target that was gone before: what the copy had not
+	 * forgotten yet is removed again, and a target that leaves without notice serves on for many seconds.
+	 */
+	Duration copy_doubted = std::chrono::seconds(30);
+	size_t lapse_least = 3;   ///< Rows gone without notice at once from which it may be a lapse.
+	double lapse_part = 0.34; ///< Part of all usable targets from which it is taken for one.
 };
 
 /**
  * Targets as the list shows them, each life by itself. One that said it leaves never becomes usable again, nor does one after which
  * another life of its id was listed. One whose row is missing is gone, unless the store was away just before: rows lapse then, and live
- * targets write theirs again.
+ * targets write theirs again. A store that comes back from a copy lists targets that had gone, and lacks some that live: the former
+ * are believed once they write their row again, the latter get the time for it.
  */
 class TargetRegistry {
 public:
@@ -61,6 +67,9 @@
 	/** The store answers again. */
 	void OnStoreRegained(TimePoint now);
 
+	/** The store has come back from a copy; the whole list follows. */
+	void OnOtherStore(TimePoint now);
+
 	/** Time has passed. */
 	std::vector<TargetEvent> OnTick(TimePoint now);
 
@@ -70,19 +79,21 @@
 private:
 	/** One target. */
 	struct Entry {
-		ListedTarget target;     ///< As last seen.
-		bool departed = false;   ///< Said that it leaves, or has ended: final.
-		bool ended = false;      ///< Its end was told.
-		bool missing = false;    ///< Its row is gone.
-		bool usable = true;      ///< As last told.
-		TimePoint missing_since; ///< When its row went.
-		TimePoint usable_until;  ///< While its row is missing after an outage: used until then.
+		ListedTarget target;      ///< As last seen.
+		bool departed = false;    ///< Said that it leaves, or has ended: final.
+		bool ended = false;       ///< Its end was told.
+		bool missing = false;     ///< Its row is gone.
+		bool usable = true;       ///< As last told.
+		TimePoint missing_since;  ///< When its row went.
+		TimePoint usable_until;   ///< While its row is missing after an outage: used until then.
+		TimePoint doubted_until;  ///< It was gone before the store came back from a copy: a row as it was is not believed until then.
+		bool listed_anew = false; ///< Such a row is in the list.
 	};
 
 	void End(Entry &entry, const char *source, TimePoint now, std::vector<TargetEvent> &events);
 	void Judge(Entry &entry, const char *source, bool changed, TimePoint now, std::vector<TargetEvent> &events);
 	void NoteMissing(Entry &entry, const char *source, TimePoint now, std::vector<TargetEvent> &events);
-	void Note(const ListedTarget &target, TimePoint now, std::vector<TargetEvent> &events);
+	void Note(const ListedTarget &target, bool whole, TimePoint now, std::vector<TargetEvent> &events);
 	void NoteAllMissing(const std::vector<Entry *> &gone, const char *source, TimePoint now, std::vector<TargetEvent> &events);
 
 	RegistryLimits limits;                     ///< Times.
--- a/src/gateway/end_records.cpp
+++ b/src/gateway/end_records.cpp
@@ -5,6 +5,7 @@
 #include "gateway/end_records.h"
 #include "metrics/log.h"
 #include <algorithm>
+#include <utility>
 
 namespace cottonspool {
 
@@ -35,6 +36,7 @@
 bool EndRecords::Add(const EndRecord &end)
 {
 	if (this->changes.size() >= this->limits.most_waiting) return false;
+	this->cleared.erase(end);
 	if (!this->listed.contains(end)) this->changes[end] = Change{};
 	return true;
 }
@@ -42,7 +44,9 @@
 void EndRecords::Remove(const EndRecord &end)
 {
 	bool known = this->listed.contains(end) || this->changes.contains(end);
-	if (known && this->changes.size() < this->limits.most_waiting) this->changes[end] = Change{.add = false};
+	if (!known || this->changes.size() >= this->limits.most_waiting) return;
+	this->changes[end] = Change{.add = false};
+	if (this->cleared.size() < this->limits.most_cleared) this->cleared[end] = this->ticked_at;
 }
 
 bool EndRecords::IsWaiting(const EndRecord &end) const
@@ -79,6 +83,7 @@
 void EndRecords::OnTick(TimePoint now)
 {
 	this->ticked_at = now;
+	std::erase_if(this->cleared, [&](const auto &each) { return now - each.second > this->limits.cleared_kept; });
 	size_t under_way = 0;
 	for (auto &[end, change] : this->changes) {
 		if (change.call != 0 && now >= change.due) {
@@ -90,6 +95,16 @@
 	}
 }
 
+void EndRecords::WriteAgain(const std::set<EndRecord> &missing, TimePoint now)
+{
+	for (const EndRecord &end : missing) {
+		this->listed.erase(end);
+		bool first = !this->writes_first || this->writes_first(end);
+		if (!this->changes.contains(end)) this->changes[end] = Change{.due = first ? now : now + this->limits.others_after};
+	}
+	if (!missing.empty()) Log(LogLevel::Warning, "ends-forgotten", {{"ends", std::to_string(missing.size())}});
+}
+
 void EndRecords::OnRows(const std::vector<StoredRow> &rows, bool all, TimePoint now)
 {
 	std::vector<EndRecord> added;
@@ -104,8 +119,18 @@
 		}
 		gone.erase(*end);
 		if (row.deleted) gone.insert(*end);
-		if (!row.deleted && this->listed.insert(*end).second) added.push_back(*end);
+		if (row.deleted) continue;
+		bool news = this->listed.insert(*end).second;
+		auto change = this->changes.find(*end);
+		// Another instance was faster.
+		if (change != this->changes.end() && change->second.add && change->second.call == 0) this->changes.erase(change);
+		// What was taken out since the copy is taken out again.
+		bool was_cleared = all && this->forgotten && this->cleared.contains(*end);
+		if (was_cleared) this->changes[*end] = Change{.add = false};
+		if (news && !was_cleared) added.push_back(*end);
 	}
+	if (all && this->forgotten) this->WriteAgain(std::exchange(gone, {}), now);
+	if (all) this->forgotten = false;
 	for (const EndRecord &end : gone) {
 		this->listed.erase(end);
 		if (!this->IsWaiting(end)) removed.push_back(end);
--- a/src/gateway/end_records.h
+++ b/src/gateway/end_records.h
@@ -18,11 +18,16 @@
 	size_t at_once = 4;       ///< Writes under way at a time: all instances together share the store's rate.
 	Duration write_limit = std::chrono::milliseconds(500); ///< Time after which a write is taken for lost, and made again.
 	Duration pause = std::chrono::milliseconds(300);       ///< Pause after a write that failed.
+	Duration others_after = std::chrono::seconds(2);       ///< Time after which others write again what a store has forgotten, if the one
+	                                                       ///< whose turn it is has not.
+	Duration cleared_kept = std::chrono::seconds(60);      ///< Time for which it is remembered what was taken out: as old as a copy gets.
+	size_t most_cleared = 256;                             ///< Most of them.
 };
 
 /**
  * The table of ends: a row for each end that is held against a request. One of these rows or none is what ordinary days need, so the
- * table is followed by whoever follows the targets, and costs nothing while it doesn't change.
+ * table is followed by whoever follows the targets, and costs nothing while it doesn't change. What a store that comes back from a copy
+ * has forgotten is written again by those that know it.
  */
 class EndRecords {
 public:
@@ -37,9 +42,14 @@
 	/** Take \a end out. */
 	void Remove(const EndRecord &end);
 
+	/** The store has come back from a copy; the whole table follows. */
+	void OnOtherStore() { this->forgotten = true; }
+
 	/** Time has passed. */
 	void OnTick(TimePoint now);
 
+	std::function<bool(const EndRecord &)> writes_first; ///< Tells whether it is this instance's turn to write an end again.
+
 	/** @return Follows the table. */
 	TableWatch &Watch() { return this->watch; }
 
@@ -62,16 +72,19 @@
 	void Write(const EndRecord &end, Change &change, TimePoint now);
 	void OnWritten(const EndRecord &end, uint64_t number, StoreWrite result);
 	void OnRows(const std::vector<StoredRow> &rows, bool all, TimePoint now);
-
-	TableStore &store;                   ///< Store.
-	EndRecordLimits limits;              ///< Bounds.
-	std::string own_name;                ///< Name of this instance, for whoever reads the rows.
-	Handler handler;                     ///< Gets what changes.
-	TableWatch watch;                    ///< Follows the table.
-	std::map<EndRecord, Change> changes; ///< Changes not yet written.
-	std::set<EndRecord> listed;          ///< Ends that the table holds, as far as known.
-	TimePoint ticked_at;                 ///< When time last passed.
-	uint64_t next_number = 1;            ///< Number of the next write.
+	void WriteAgain(const std::set<EndRecord> &missing, TimePoint now);
+
+	TableStore &store;                      ///< Store.
+	EndRecordLimits limits;                 ///< Bounds.
+	std::string own_name;                   ///< Name of this instance, for whoever reads the rows.
+	Handler handler;                        ///< Gets what changes.
+	TableWatch watch;                       ///< Follows the table.
+	std::map<EndRecord, Change> changes;    ///< Changes not yet written.
+	std::set<EndRecord> listed;             ///< Ends that the table holds, as far as known.
+	std::map<EndRecord, TimePoint> cleared; ///< Ends that this instance has taken out, and when.
+	bool forgotten = false;                 ///< The store may have lost rows: the whole table that comes next is checked.
+	TimePoint ticked_at;                    ///< When time last passed.
+	uint64_t next_number = 1;               ///< Number of the next write.
 };
 
 /** @return The key of the row of \a end. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -320,6 +320,7 @@
 	if (now >= this->next_look) {
 		this->next_look = now + this->limits.target_look;
 		this->OnTargetEvents(this->registry.OnTick(now), now);
+		this->RefreshEmptied(now);
 		this->PollReports(now);
 	}
 	this->Carry(this->dispatcher.OnTick(now));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -127,6 +127,8 @@
 	void OnOperatorRows(const std::vector<StoredRow> &rows, bool all, TimePoint now);
 	void OnConfigurationRows(const std::vector<StoredRow> &rows);
 	void OnEmptiedRows(const std::vector<StoredRow> &rows, bool all, TimePoint now);
+	/** Which halls are emptied may have changed, also by time alone. */
+	void RefreshEmptied(TimePoint now);
 	void OnHallTakenBack(const std::string &hall, TimePoint now);
 	void NoteCold(TargetNumber number, const ListedTarget &listed, Duration cold_left, TimePoint now);
 	void RefreshHalls(TimePoint now);
@@ -161,6 +163,7 @@
 	TableWatch target_watch;                                                    ///< Follows the targets.
 	RouteTable routes;                                                          ///< Configuration in force.
 	PlaceTable places;                                                          ///< Halls, their regions, those that are emptied.
+	std::set<std::string> emptied;                                              ///< Halls that are emptied, as last looked at.
 	TargetRegistry registry;                                                    ///< Targets as listed.
 	std::vector<TargetRecord> records;                                          ///< Targets by number.
 	std::map<std::string, ListedTarget> usable;                                 ///< Targets in use by name.
--- a/src/gateway/gateway_places.cpp
+++ b/src/gateway/gateway_places.cpp
@@ -11,26 +11,29 @@
 
 void Gateway::OnEmptiedRows(const std::vector<StoredRow> &rows, bool all, TimePoint now)
 {
-	std::set<std::string> before = this->places.Emptied();
-	std::set<std::string> after = all ? std::set<std::string>{} : before;
+	std::set<std::string> listed;
 	for (const StoredRow &row : rows) {
 		std::optional<std::string> hall = EmptiedHallOf(row.key);
 		if (!hall) continue;
-		if (row.deleted) {
-			after.erase(*hall);
-		} else {
-			after.insert(*hall);
-		}
+		if (all) listed.insert(*hall);
+		if (!all) this->places.SetListed(*hall, !row.deleted);
 	}
-	if (after == before) return;
+	if (all) this->places.SetAllListed(listed);
+	this->RefreshEmptied(now);
+}
+
+void Gateway::RefreshEmptied(TimePoint now)
+{
+	std::set<std::string> before = std::move(this->emptied);
+	this->emptied = this->places.Emptied(now);
+	if (this->emptied == before) return;
 	for (const std::string &hall : before) {
-		if (!after.contains(hall)) this->places.SetEmptied(hall, false);
-		if (!after.contains(hall)) this->OnHallTakenBack(hall, now);
+		if (!this->emptied.contains(hall)) this->OnHallTakenBack(hall, now);
 	}
-	for (const std::string &hall : after) {
-		if (this->places.SetEmptied(hall, true)) Log(LogLevel::Info, "hall-emptied", {{"hall", hall}});
+	for (const std::string &hall : this->emptied) {
+		if (!before.contains(hall)) Log(LogLevel::Info, "hall-emptied", {{"hall", hall}});
 	}
-	this->dispatcher.Targets().SetEmptiedHalls(after);
+	this->dispatcher.Targets().SetEmptiedHalls(this->emptied);
 	this->Carry(this->dispatcher.OnPlacesChanged(now));
 }
 
--- a/src/gateway/gateway_targets.cpp
+++ b/src/gateway/gateway_targets.cpp
@@ -20,13 +20,28 @@
 	this->TellStoreState(this->configuration_watch, "configuration");
 	this->TellStoreState(this->target_watch, "targets");
 	this->TellStoreState(this->ends.Watch(), "ends");
+	this->TellStoreState(this->peers.Watch(), "instances");
+	this->peers.Watch().on_other_store = [this, told = this->peers.Watch().on_other_store](const StoreChange &change, TimePoint at) {
+		told(change, at);
+		this->peers.OnOtherStore(at);
+	};
+	this->ends.Watch().on_other_store = [this, told = this->ends.Watch().on_other_store](const StoreChange &change, TimePoint at) {
+		told(change, at);
+		this->ends.OnOtherStore();
+	};
+	this->ends.writes_first = [this](const EndRecord &end) { return this->peers.ReadsReportsOf(EndKey(end)); };
+	this->configuration_watch.on_other_store = [this, told = this->configuration_watch.on_other_store](const StoreChange &change,
+	                                                                                                   TimePoint at) {
+		told(change, at);
+		this->places.OnOtherStore(at);
+	};
 	this->target_watch.on_regained = [this, told = this->target_watch.on_regained](Duration away, TimePoint at) {
 		told(away, at);
 		this->registry.OnStoreRegained(at);
 	};
 	this->target_watch.on_other_store = [this, told = this->target_watch.on_other_store](const StoreChange &change, TimePoint at) {
 		told(change, at);
-		this->registry.OnStoreRegained(at);
+		this->registry.OnOtherStore(at);
 	};
 	this->configuration_watch.on_all = [this](const std::vector<StoredRow> &rows, TimePoint at) { this->OnOperatorRows(rows, true, at); };
 	this->configuration_watch.on_changes = [this](const std::vector<StoredRow> &rows, TimePoint at) {
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -187,9 +187,29 @@
 	this->store.RemoveRow(INSTANCE_TABLE, this->name, [](StoreWrite) {});
 }
 
+void PeerExchange::OnOtherStore(TimePoint now)
+{
+	this->list_forgotten = true;
+	// A call that is under way may have written to the former store.
+	if (this->register_call != 0) this->store.Cancel(this->register_call);
+	this->register_call = 0;
+	auto spread_ms = std::chrono::duration_cast<std::chrono::milliseconds>(this->limits.register_spread).count();
+	this->register_at = now + std::chrono::milliseconds(HashText(this->name, this->incarnation) % static_cast<uint64_t>(spread_ms));
+}
+
+void PeerExchange::ForgetPeers()
+{
+	if (!this->list_forgotten) return this->directory.Clear();
+	this->list_forgotten = false;
+	for (const std::string &peer : this->directory.Names()) {
+		const PeerPlace *place = this->directory.Find(peer);
+		if (this->links.StateOf(place->address) != LinkState::Open) this->directory.Remove(peer);
+	}
+}
+
 void PeerExchange::OnRows(const std::vector<StoredRow> &rows, bool all)
 {
-	if (all) this->directory.Clear();
+	if (all) this->ForgetPeers();
 	if (all) this->registered = false;
 	for (const StoredRow &row : rows) {
 		PeerPlace place = DecodePlace(row.value);
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -37,6 +37,7 @@
 	DialLimits dial;                                        ///< Dialling of peers.
 	bool first_start = false;                               ///< The whole system starts for the first time: nobody is listed yet.
 	Duration register_pause = std::chrono::seconds(1);      ///< Pause before this instance's row is written again after a failure.
+	Duration register_spread = std::chrono::seconds(1); ///< Time over which the instances write theirs again that a store has forgotten.
 	WatchLimits watch{.wait = std::chrono::seconds(10),
 	                  .patience = std::chrono::seconds(13),
 	                  .patience_most = std::chrono::seconds(15),
@@ -59,6 +60,12 @@
 	/** Share the reading of \a watch with the others. */
 	void Share(TableWatch &watch);
 
+	/** @return Follows the instances. */
+	TableWatch &Watch() { return this->watch; }
+
+	/** The store has come back from a copy; the whole list of instances follows. */
+	void OnOtherStore(TimePoint now);
+
 	/** Share the reading of \a watch with the others: whoever reads \a lead for all reads it too. */
 	void ShareWith(TableWatch &watch, TableWatch &lead);
 
@@ -121,6 +128,7 @@
 	void OnRegistered(StoreWrite result, TimePoint now);
 	void BeginReading(TimePoint now);
 	void OnRows(const std::vector<StoredRow> &rows, bool all);
+	void ForgetPeers();
 	void Dial(TimePoint now);
 	/** @return This instance and its live peers, with the speed of their links. */
 	std::vector<Reader> Readers() const;
@@ -156,6 +164,7 @@
 	bool registered = false;          ///< The own row is in the store.
 	bool leaving = false;             ///< This instance stops: its row is not written any more.
 	bool reading = false;             ///< Reading of the other instances' rows has begun.
+	bool list_forgotten = false;      ///< The store may have lost rows of instances: those that are linked live all the same.
 	uint64_t register_call = 0;       ///< Call under way that writes it.
 	std::vector<std::string> readers; ///< This instance and its live peers.
 };
