Change: [Gateway] The table of ends is followed from the start of an instance

Cause: tests/scenarios/platform_copy.lua failed in three of nine runs: an instance that had started among others sent a request that had ended engines, more than a second after it was ready. Its log shows that it read the ends 1.3 to 1.5 s after its start: news of the first 0.6 s were passed over, as the table was not followed yet. Not caused by the store's return; the same on the code before.

Change: followed from the start.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -175,7 +175,6 @@
 	EndWatch end_watch;                                                         ///< Finds out which targets have ended.
 	EndRecords ends;                                                            ///< Ends of targets under requests, in the store.
 	std::set<RequestPrint> quarantined;                                         ///< Requests that are not sent, as logged last.
-	TimePoint follow_ends_from;                                                 ///< When the table of ends is followed, at first.
 	TimePoint ends_looked;                                                      ///< When old ends were last looked for.
 	PeerExchange peers;                                                         ///< Exchange with other instances.
 	HttpFront front;                                                            ///< Callers.
--- a/src/gateway/gateway_ends.cpp
+++ b/src/gateway/gateway_ends.cpp
@@ -98,10 +98,6 @@
 void Gateway::FollowEnds(TimePoint now)
 {
 	this->ends.OnTick(now);
-	if (this->follow_ends_from != TimePoint{} && now >= this->follow_ends_from) {
-		this->follow_ends_from = TimePoint{};
-		this->ends.Watch().Start(now);
-	}
 	if (now - this->ends_looked < ENDS_LOOK || this->dispatcher.Suspicions().IsEmpty()) return;
 	this->ends_looked = now;
 	for (const EndRecord &end : this->dispatcher.Suspicions().Expired(now)) {
--- a/src/gateway/gateway_targets.cpp
+++ b/src/gateway/gateway_targets.cpp
@@ -54,11 +54,12 @@
 	this->peers.Share(this->configuration_watch);
 	this->peers.Share(this->target_watch);
 	this->peers.ShareWith(this->ends.Watch(), this->target_watch);
-	this->follow_ends_from = now + this->limits.exchange.settle;
 	this->configuration_watch.WaitForReturnAt(this->target_watch);
 	this->peers.WaitForReturnAt(this->target_watch);
 	this->configuration_watch.Start(now);
 	this->target_watch.Start(now);
+	// Not later: an instance that starts among others hears of the ends with the first news of the targets.
+	this->ends.Watch().Start(now);
 }
 
 void Gateway::TellStoreState(TableWatch &watch, const char *table)
