--- a/src/tests/sharing_property_test.cpp
+++ b/src/tests/sharing_property_test.cpp
@@ -97,3 +97,82 @@
 	});
 	CHECK(good);
 }
+
+TEST_CASE("Sharing - a store that comes back from a copy is asked a bounded number of times, and what is written then is known in time")
+{
+	for (auto [halls, per_hall] : {std::pair<size_t, size_t>{2, 4}, {2, 31}, {5, 59}}) {
+		SharingWorld world({halls, per_hall});
+		world.Pass(SETTLED);
+		world.TakeCopy();
+		world.WriteElsewhere(500);
+		world.Write();
+		world.Pass(seconds(2));
+		world.LoseStore();
+		world.Pass(milliseconds(2500));
+		uint64_t before = world.Calls();
+		world.ComeBack(std::nullopt);
+		world.Pass(milliseconds(300));
+		TimePoint written = world.Now();
+		uint64_t content = world.Write();
+		world.Pass(world.Bound());
+		CHECK(world.Behind(content, written) == 0);
+		world.Pass(seconds(10));
+		MESSAGE("instances ", world.Size(), ": calls in the twelve seconds after the return ", world.Calls() - before);
+		CHECK(world.Calls() - before <= 2 * world.Size() + 60);
+		CHECK(world.OnlyReader() >= 0);
+	}
+}
+
+TEST_CASE(
+        "Sharing - a change made after the store came back from a copy is known in time, whatever else fails, however often it comes back")
+{
+	bool good = rc::check("copies", [] {
+		SharingLayout layout{*rc::gen::inRange<size_t>(2, 5), *rc::gen::inRange<size_t>(1, 11)};
+		SharingWorld world(layout);
+		world.Pass(SETTLED);
+		auto any = [&] { return *rc::gen::inRange<size_t>(0, world.Size()); };
+		for (int step = 0; step < 8; step++) {
+			world.TakeCopy();
+			// As many writes are lost as are made before the next change, or more, or fewer.
+			for (int i = *rc::gen::inRange(0, 3); i > 0; i--) world.Write();
+			world.WriteElsewhere(*rc::gen::inRange<uint64_t>(0, 4));
+			world.Pass(milliseconds(*rc::gen::inRange(0, 900)));
+			for (int i = *rc::gen::inRange(0, 3); i > 0; i--) {
+				switch (*rc::gen::inRange(0, 6)) {
+				case 0:
+					world.Kill(any());
+					break;
+				case 1:
+				case 2:
+					world.Restart(any());
+					break;
+				case 3:
+					world.SetStoreReachable(any(), *rc::gen::arbitrary<bool>());
+					break;
+				case 4:
+					world.Cut(*rc::gen::inRange<size_t>(0, layout.halls), *rc::gen::arbitrary<bool>());
+					break;
+				default:
+					world.Heal(*rc::gen::inRange<size_t>(0, layout.halls));
+					break;
+				}
+				world.Pass(milliseconds(*rc::gen::inRange(0, 300)));
+			}
+			for (int i = *rc::gen::inRange(1, 3); i > 0; i--) {
+				if (*rc::gen::arbitrary<bool>()) world.LoseStore();
+				world.Pass(milliseconds(*rc::gen::inRange(0, 1500)));
+				bool late = *rc::gen::arbitrary<bool>();
+				world.ComeBack(late ? std::optional<Duration>(milliseconds(*rc::gen::inRange(1, 1500))) : std::nullopt);
+				if (*rc::gen::arbitrary<bool>()) world.WriteAgain();
+				world.WriteElsewhere(*rc::gen::inRange<uint64_t>(0, 4));
+			}
+			world.Pass(milliseconds(*rc::gen::inRange(0, 700)));
+			TimePoint written = world.Now();
+			uint64_t content = world.Write();
+			world.Pass(world.Bound());
+			RC_ASSERT(world.Behind(content, written) == 0U);
+			RC_ASSERT(world.Reverts() == 0U);
+		}
+	});
+	CHECK(good);
+}
--- a/src/tests/sharing_world.cpp
+++ b/src/tests/sharing_world.cpp
@@ -31,6 +31,8 @@
 	std::set<std::string> relays;             ///< Those of them that only news of tables go to.
 	std::unique_ptr<TableStore> store;        ///< Store as it sees it.
 	std::unique_ptr<TableWatch> watch;        ///< Follows the table.
+	uint64_t content = 0;                     ///< What it knows; like a configuration, never an older one than before.
+	StoreVersion read;                        ///< Version at which the row was written that it took in last.
 	std::unique_ptr<TableSharing> sharing;    ///< Shares the reading.
 	std::unique_ptr<PeerDirectory> directory; ///< Other instances.
 };
@@ -43,14 +45,14 @@
 	uint64_t ReadRows(const std::string &, const std::string &, RowsDone done) override
 	{
 		uint64_t call = this->Begin(std::move(done));
-		this->world.After(STORE_ANSWER, [w = &this->world, call] { w->Answer(call, w->Changes(0)); });
+		this->world.After(STORE_ANSWER, [w = &this->world, call] { w->Answer(call, w->Whole()); });
 		return call;
 	}
 
 	uint64_t ReadChanges(const std::string &, uint64_t since, Duration wait, RowsDone done) override
 	{
 		uint64_t call = this->Begin(std::move(done));
-		bool at_once = wait == Duration(0) || since < this->world.version;
+		bool at_once = wait == Duration(0) || since != this->world.state.version;
 		if (!at_once) this->world.hanging[call] = since;
 		this->world.After(STORE_ANSWER + (at_once ? Duration(0) : wait),
 		                  [w = &this->world, call, since] { w->Answer(call, w->Changes(since)); });
@@ -143,6 +145,10 @@
 		instance.directory->Note(other->name, place);
 	}
 	instance.sharing->Share(*instance.watch);
+	instance.content = 0;
+	instance.read = StoreVersion{};
+	instance.watch->on_all = [this, &instance](const std::vector<StoredRow> &rows, TimePoint) { this->OnRows(instance, rows, true); };
+	instance.watch->on_changes = [this, &instance](const std::vector<StoredRow> &rows, TimePoint) { this->OnRows(instance, rows, false); };
 	instance.watch->on_read = [this, &instance](const TableNews &news) {
 		this->Tell(instance, {instance.name, "hall-" + std::to_string(instance.hall), false, {news}}, {});
 	};
@@ -162,15 +168,33 @@
 
 bool SharingWorld::ReachesStore(const Instance &instance) const
 {
-	return instance.alive && instance.store_reachable && !this->cut_from_store.contains(instance.hall);
+	return !this->store_away && instance.alive && instance.store_reachable && !this->cut_from_store.contains(instance.hall);
 }
 
-RowsAnswer SharingWorld::Changes(uint64_t since) const
+void SharingWorld::OnRows(Instance &instance, const std::vector<StoredRow> &rows, bool all)
+{
+	for (const StoredRow &row : rows) {
+		StoreVersion read{instance.watch->Version().era, row.version};
+		if (!all && read < instance.read) this->reverts++;
+		instance.read = read;
+		instance.content = std::max<uint64_t>(instance.content, std::stoull(row.value));
+	}
+}
+
+RowsAnswer SharingWorld::Whole() const
 {
 	RowsPage page;
-	page.version = this->version;
-	if (since < this->version) page.rows.push_back({"row", "value", this->version, false});
-	return {page, StoreFailure::NoAnswer, ""};
+	page.version = this->state.version;
+	page.rows.push_back({"row", std::to_string(this->state.content), this->state.written, false});
+	return {page, StoreFailure::NoAnswer, "", this->era};
+}
+
+RowsAnswer SharingWorld::Changes(uint64_t since) const
+{
+	if (since > this->state.version) return {std::nullopt, StoreFailure::HistoryGone, "410", this->era};
+	RowsAnswer answer = this->Whole();
+	if (since >= this->state.written) answer.page->rows.clear();
+	return answer;
 }
 
 void SharingWorld::Answer(uint64_t call, RowsAnswer answer)
@@ -184,13 +208,40 @@
 	done(std::move(answer));
 }
 
-uint64_t SharingWorld::Write()
+void SharingWorld::WakeHanging()
 {
-	this->version++;
 	for (const auto &[call, since] : this->hanging) {
 		this->After(STORE_ANSWER / 2, [this, call = call, since = since] { this->Answer(call, this->Changes(since)); });
 	}
-	return this->version;
+}
+
+uint64_t SharingWorld::Write()
+{
+	this->newest++;
+	return this->WriteAgain();
+}
+
+uint64_t SharingWorld::WriteAgain()
+{
+	this->state.version++;
+	this->state.written = this->state.version;
+	this->state.content = this->newest;
+	this->WakeHanging();
+	return this->newest;
+}
+
+void SharingWorld::ComeBack(std::optional<Duration> late)
+{
+	uint64_t number = 0;
+	for (const auto &[call, since] : this->hanging) {
+		if (!late) break;
+		Duration delay = *late * static_cast<int>(++number) / static_cast<int>(this->hanging.size());
+		this->After(delay, [this, call = call, answer = this->Changes(since)] { this->Answer(call, answer); });
+	}
+	this->state = this->copy;
+	this->era++;
+	this->store_away = false;
+	for (auto &instance : this->instances) instance->reachable_since = this->now;
 }
 
 void SharingWorld::Dial(Instance &instance)
@@ -294,7 +345,7 @@
 size_t SharingWorld::Behind(uint64_t wanted, TimePoint since) const
 {
 	auto behind = [&](const auto &instance) {
-		return this->ReachesStore(*instance) && instance->reachable_since <= since && instance->watch->Version().number < wanted;
+		return this->ReachesStore(*instance) && instance->reachable_since <= since && instance->content < wanted;
 	};
 	return static_cast<size_t>(std::count_if(this->instances.begin(), this->instances.end(), behind));
 }
--- a/src/tests/sharing_world.h
+++ b/src/tests/sharing_world.h
@@ -28,9 +28,27 @@
 	/** Let \a time pass. */
 	void Pass(Duration time);
 
-	/** Change the table. @return Its version. */
+	/** Change the table. @return Its content, which the instances are to know. */
 	uint64_t Write();
 
+	/** Write to other tables \a times, which the store's versions count too. */
+	void WriteElsewhere(uint64_t times) { this->state.version += times; }
+
+	/** The store keeps a copy of itself. */
+	void TakeCopy() { this->copy = this->state; }
+
+	/** The store is away: it answers nobody. */
+	void LoseStore() { this->store_away = true; }
+
+	/**
+	 * It comes back from its copy, in its next era.
+	 * @param late Calls that wait are answered as of before, each after a time of its own up to this one; otherwise they hang on.
+	 */
+	void ComeBack(std::optional<Duration> late);
+
+	/** What was written last is written again, as the store may have lost it. @return Its content. */
+	uint64_t WriteAgain();
+
 	/** An instance ends without a word. */
 	void Kill(size_t instance);
 
@@ -46,8 +64,11 @@
 	/** The store says nothing to an instance any more, or does again. */
 	void SetStoreReachable(size_t instance, bool reachable);
 
-	/** @return Instances that run, can reach the store and have done so since \a since, but don't know \a version. */
-	size_t Behind(uint64_t version, TimePoint since) const;
+	/** @return Instances that run, can reach the store and have done so since \a since, but don't know \a content or a later one. */
+	size_t Behind(uint64_t content, TimePoint since) const;
+
+	/** @return Times that an instance was told, as news, of content older than it had. */
+	uint64_t Reverts() const { return this->reverts; }
 
 	/** @return Number of instances. */
 	size_t Size() const;
@@ -89,7 +110,10 @@
 	bool Linked(const Instance &a, const Instance &b) const;
 	bool ReachesStore(const Instance &instance) const;
 	void Answer(uint64_t call, RowsAnswer answer);
+	RowsAnswer Whole() const;
 	RowsAnswer Changes(uint64_t since) const;
+	void OnRows(Instance &instance, const std::vector<StoredRow> &rows, bool all);
+	void WakeHanging();
 	Instance &Find(const std::string &address) { return *this->by_address.at(address); }
 
 	SharingLayout layout;                                ///< Layout.
@@ -102,7 +126,19 @@
 	std::map<uint64_t, TableStore::RowsDone> open_calls; ///< Calls that wait for an answer.
 	std::map<uint64_t, uint64_t> hanging;                ///< Those that wait for a change, with the version since which.
 	std::map<uint64_t, Instance *> caller;               ///< Who made each.
-	uint64_t version = 1;                                ///< Version of the table.
+	/** What the store holds. */
+	struct State {
+		uint64_t version = 1; ///< Counter of all its writes.
+		uint64_t written = 1; ///< Version at which the table was written.
+		uint64_t content = 1; ///< What was written.
+	};
+
+	State state;                                         ///< Store.
+	State copy;                                          ///< Copy that it keeps.
+	uint64_t era = 1;                                    ///< Which life of the store it is.
+	uint64_t newest = 1;                                 ///< Content that was written last, also if the store has lost it.
+	uint64_t reverts = 0;                                ///< Changes told that took an instance back within one era.
+	bool store_away = false;                             ///< It answers nobody.
 	uint64_t next_call = 1;                              ///< Number of the next call.
 	uint64_t next_order = 1;                             ///< Order of the next event.
 	uint64_t calls = 0;                                  ///< Calls made.
--- a/tests/scenarios/platform_soak.lua
+++ b/tests/scenarios/platform_soak.lua
@@ -1,6 +1,6 @@
 -- Random faults from a seed on the users' platform, in series and overlapping, injected from outside the processes: links that are
 -- cut, reset, delayed, silenced and cut one way; instances stopped, paused, killed, restarted, their settings and wall clock changed;
--- a store that is away, slow, forgetful or loses answers; targets that leave, vanish, die, fail and garble; configurations in storms.
+-- a store that is away, slow, forgetful, loses answers or comes back from a copy; targets that leave, vanish, die, fail and garble; configurations in storms.
 -- Callers keep their connections. Promises are judged from what callers and targets saw, while it runs and afterwards.
 -- --seed N chooses the faults, --scale N the length (15 s each), INSTANCES in the environment the number of instances.
 local lib = require("lib")
@@ -129,7 +129,7 @@
 	config.key = with_key
 	if with_key then config.revoked = nil end
 end
-local spare = 0
+local spare, copying = 0, false
 local faults = {
 	function() local name = some_instance() if name then trouble_link(instances[name].store, name, math.random(300, 5000)) end end,
 	function() local name = some_instance() if name then trouble_link(instances[name].peer, name, math.random(300, 4000)) end end,
@@ -193,6 +193,25 @@
 			if lapse then later(800, function() lib.control("world", '{"do":"beat"}') end) end
 		end)
 	end,
+	function() -- The store goes away and comes back from a copy, once or twice; what operators and targets wrote is written again, soon or late.
+		if copying then return end
+		copying = true
+		local age, away, again, twice = math.random(500, 8000), math.random(0, 1500), math.random(0, 1500), math.random(3) == 1
+		lib.control("world", '{"do":"copy"}')
+		local function come_back(last)
+			lib.control("world", '{"do":"return","store":"up"}')
+			if not last then return later(math.random(100, 900), function() come_back(true) end) end
+			disturb("store", again)
+			local tables = math.random(2) == 1 and { "op", "servers" } or { "servers", "op" }
+			for i, name in ipairs(tables) do later(again * i // 2, function() lib.control("world", '{"again":"' .. name .. '"}') end) end
+			copying = false
+		end
+		later(age, function()
+			disturb("store", away + 2000)
+			lib.control("world", '{"store":"' .. some{ "away", "silent", "busy" } .. '"}')
+			later(away, function() come_back(not twice) end)
+		end)
+	end,
 	function() -- A target leaves, with notice, without, or at once; another one comes.
 		spare = spare + 1
 		local i = math.random(#targets)
--- a/tests/standins/world_base.h
+++ b/tests/standins/world_base.h
@@ -33,7 +33,7 @@
 	/** Come back from the copy: what was written since is gone, and its versions are given out again. Calls that wait are reset. */
 	void ReturnFromCopy();
 
-	/** Write again what the operator and the targets had written before the return, if the rows are not there as they were. */
+	/** Write the rows of \a table again as they were written last, those that are not there as they were. */
 	void WriteAgain(const std::string &table);
 
 	std::string mode = "up"; ///< "up", "busy" (503), "silent" (no answer), "away" (reset), "compact" (history gone, once) or "lose" (writes
@@ -81,7 +81,7 @@
 	uint64_t version = 0;       ///< Counter of the whole store.
 	uint64_t era = 1;           ///< Rises with each return from a copy.
 	Copy copy;                  ///< Copy taken last.
-	Tables lost;                ///< Rows as they were before the last return.
+	Tables newest;              ///< Rows as they were written last, also if the store has lost them.
 	std::list<Waiting> waiting; ///< Feed calls that wait.
 	bool ticking = false;       ///< The timer of waiting calls runs.
 };
--- a/tests/standins/world_store.cpp
+++ b/tests/standins/world_store.cpp
@@ -47,7 +47,6 @@
 {
 	for (const Waiting &each : this->waiting) each.exchange->Abort();
 	this->waiting.clear();
-	this->lost = std::move(this->tables);
 	this->tables = this->copy.tables;
 	this->version = this->copy.version;
 	this->era++;
@@ -55,7 +54,8 @@
 
 void WorldStore::WriteAgain(const std::string &table)
 {
-	for (const auto &[key, row] : this->lost[table]) {
+	std::map<std::string, Row> newest = this->newest[table];
+	for (const auto &[key, row] : newest) {
 		const Row &there = this->tables[table][key];
 		bool same = there.version > 0 && there.deleted == row.deleted && there.value == row.value;
 		if (!same && row.deleted) this->Remove(table, key);
@@ -65,13 +65,13 @@
 
 void WorldStore::Put(const std::string &table, const std::string &key, const std::string &value)
 {
-	this->tables[table][key] = {value, ++this->version, false};
+	this->tables[table][key] = this->newest[table][key] = {value, ++this->version, false};
 	this->WakeAll();
 }
 
 void WorldStore::Remove(const std::string &table, const std::string &key)
 {
-	this->tables[table][key] = {"", ++this->version, true};
+	this->tables[table][key] = this->newest[table][key] = {"", ++this->version, true};
 	this->WakeAll();
 }
 
