--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -122,8 +122,15 @@
 	void Begin(const std::shared_ptr<FrontExchange> &exchange, RelayRequest request);
 
 	void WatchStore();
-	/** Log what \a watch learns of the store itself; \a table is what it is called in logs. */
-	void TellStoreState(TableWatch &watch, const char *table);
+	void FollowOperators();
+	void FollowTargets();
+	void FollowInstances();
+	/**
+	 * Log what \a watch learns of the store itself.
+	 * @param table What the table is called in logs.
+	 * @param on_other_store Called when the store has come back from a copy, before the whole table is told.
+	 */
+	void LogStoreState(TableWatch &watch, const char *table, std::function<void(TimePoint)> on_other_store);
 	void OnOperatorRows(const std::vector<StoredRow> &rows, bool all, TimePoint now);
 	void OnConfigurationRows(const std::vector<StoredRow> &rows);
 	void OnEmptiedRows(const std::vector<StoredRow> &rows, bool all, TimePoint now);
--- /dev/null
+++ b/src/gateway/gateway_store.cpp
@@ -0,0 +1,130 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file gateway_store.cpp The tables of the store that a gateway follows, and what becomes of the operators' one. */
+
+#include "gateway/gateway.h"
+#include "metrics/log.h"
+#include "platform/wire_configuration.h"
+
+namespace cottonspool {
+
+void Gateway::WatchStore()
+{
+	this->FollowOperators();
+	this->FollowTargets();
+	this->FollowInstances();
+	TableWatch &end_watch = this->ends.Watch();
+	this->LogStoreState(end_watch, "ends", [this](TimePoint) { this->ends.OnOtherStore(); });
+	this->ends.writes_first = [this](const EndRecord &end) { return this->peers.ReadsReportsOf(EndKey(end)); };
+	this->peers.Share(this->configuration_watch);
+	this->peers.Share(this->target_watch);
+	this->peers.ShareWith(end_watch, this->target_watch);
+	this->configuration_watch.WaitForReturnAt(this->target_watch);
+	this->peers.WaitForReturnAt(this->target_watch);
+	TimePoint now = MonotonicNow();
+	this->configuration_watch.Start(now);
+	this->target_watch.Start(now);
+	// Not later: an instance that starts among others hears of the ends with the first news of the targets.
+	end_watch.Start(now);
+}
+
+void Gateway::FollowOperators()
+{
+	TableWatch &watch = this->configuration_watch;
+	this->LogStoreState(watch, "configuration", [this](TimePoint at) { this->places.OnOtherStore(at); });
+	watch.on_all = [this](const std::vector<StoredRow> &rows, TimePoint at) { this->OnOperatorRows(rows, true, at); };
+	watch.on_changes = [this](const std::vector<StoredRow> &rows, TimePoint at) { this->OnOperatorRows(rows, false, at); };
+}
+
+void Gateway::FollowTargets()
+{
+	TableWatch &watch = this->target_watch;
+	this->LogStoreState(watch, "targets", [this](TimePoint at) { this->registry.OnOtherStore(at); });
+	watch.on_regained = [this, log = watch.on_regained](Duration away, TimePoint at) {
+		log(away, at);
+		this->registry.OnStoreRegained(at);
+	};
+	watch.on_all = [this](const std::vector<StoredRow> &rows, TimePoint at) { this->OnTargetRows(rows, true, at); };
+	watch.on_changes = [this](const std::vector<StoredRow> &rows, TimePoint at) { this->OnTargetRows(rows, false, at); };
+}
+
+void Gateway::FollowInstances()
+{
+	this->LogStoreState(this->peers.Watch(), "instances", [this](TimePoint at) { this->peers.OnOtherStore(at); });
+	this->peers.make_hall_load = [this](TimePoint at) { return this->hall_load.Tell(at); };
+	this->peers.on_hall_load = [this](const HallLoadMessage &message) { this->OnHallLoad(message); };
+}
+
+void Gateway::LogStoreState(TableWatch &watch, const char *table, std::function<void(TimePoint)> on_other_store)
+{
+	// Which version was known, which was read and what the others' mark is tells a store that went back from one that is slow.
+	watch.on_lost = [&watch, table](const RowsAnswer &answer, TimePoint) {
+		Log(LogLevel::Warning, "store-lost",
+		    {{"table", table},
+		     {"failure", StoreFailureName(answer.failure)},
+		     {"cause", answer.cause},
+		     {"known", FormatVersion(watch.Version())}});
+	};
+	watch.on_regained = [&watch, table](Duration away, TimePoint) {
+		Log(LogLevel::Info, "store-regained",
+		    {{"table", table},
+		     {"away_ms", FormatMilliseconds(away)},
+		     {"known", FormatVersion(watch.Version())},
+		     {"last_change", FormatVersion(watch.RowsVersion())}});
+	};
+	watch.on_older = [&watch, table](StoreVersion read) {
+		Log(LogLevel::Warning, "store-older", {{"table", table}, {"known", FormatVersion(watch.Version())}, {"read", FormatVersion(read)}});
+	};
+	watch.on_other_store = [this, table, then = std::move(on_other_store)](const StoreChange &change, TimePoint at) {
+		this->metrics.Count("cottonspool_store_changes_total{table=\"" + std::string(table) + "\"}");
+		Log(LogLevel::Warning, "store-other",
+		    {{"table", table},
+		     {"known", FormatVersion(change.known)},
+		     {"read", FormatVersion(change.read)},
+		     {"source", change.told ? "peer" : "store"}});
+		then(at);
+	};
+}
+
+void Gateway::OnOperatorRows(const std::vector<StoredRow> &rows, bool all, TimePoint now)
+{
+	this->OnEmptiedRows(rows, all, now);
+	this->OnConfigurationRows(rows);
+}
+
+void Gateway::OnConfigurationRows(const std::vector<StoredRow> &rows)
+{
+	// Several versions may come at once: only the newest is worth reading.
+	const StoredRow *newest = nullptr;
+	for (const StoredRow &row : rows) {
+		if (!IsConfigurationKey(row.key) || row.deleted) continue;
+		if (newest == nullptr || row.version >= newest->version) newest = &row;
+	}
+	if (newest == nullptr) return;
+	Result<ServingConfiguration> decoded = DecodeConfiguration(newest->value);
+	if (!decoded) return Log(LogLevel::Error, "configuration-unreadable", {{"error", FormatError(decoded.error())}});
+	this->ApplyConfiguration(std::move(decoded.value()));
+}
+
+void Gateway::ApplyConfiguration(ServingConfiguration configuration)
+{
+	uint64_t before = this->routes.Configuration().version;
+	uint64_t version = configuration.version;
+	if (!this->routes.Apply(std::move(configuration))) {
+		return Log(LogLevel::Info, "configuration-older", {{"in_force", std::to_string(before)}, {"seen", std::to_string(version)}});
+	}
+	const ServingConfiguration &now_in_force = this->routes.Configuration();
+	this->front.limits.max_head_bytes = now_in_force.limits.max_head_bytes;
+	this->front.limits.max_body_bytes = now_in_force.limits.max_body_bytes;
+	this->front.limits.head_timeout = now_in_force.limits.head_timeout;
+	this->front.limits.idle_timeout = now_in_force.limits.idle_timeout;
+	Log(LogLevel::Info, "configuration",
+	    {{"version", std::to_string(version)},
+	     {"before", std::to_string(before)},
+	     {"routes", std::to_string(now_in_force.routes.size())},
+	     {"accounts", std::to_string(now_in_force.accounts.size())}});
+	this->RefreshTargets();
+	this->RefreshHalls(MonotonicNow());
+}
+
+} // namespace cottonspool
--- a/src/gateway/gateway_targets.cpp
+++ b/src/gateway/gateway_targets.cpp
@@ -1,6 +1,6 @@
 /* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
 
-/** @file gateway_targets.cpp What a gateway learns from the store and from targets. */
+/** @file gateway_targets.cpp What a gateway learns of targets. */
 
 #include "core/hash_func.h"
 #include "gateway/gateway.h"
@@ -14,84 +14,6 @@
 static constexpr double REPORT_JITTER =
         0.3; ///< Part of the time between reports by which each is moved, so that instances don't ask together.
 
-void Gateway::WatchStore()
-{
-	TimePoint now = MonotonicNow();
-	this->TellStoreState(this->configuration_watch, "configuration");
-	this->TellStoreState(this->target_watch, "targets");
-	this->TellStoreState(this->ends.Watch(), "ends");
-	this->TellStoreState(this->peers.Watch(), "instances");
-	this->peers.Watch().on_other_store = [this, told = this->peers.Watch().on_other_store](const StoreChange &change, TimePoint at) {
-		told(change, at);
-		this->peers.OnOtherStore(at);
-	};
-	this->ends.Watch().on_other_store = [this, told = this->ends.Watch().on_other_store](const StoreChange &change, TimePoint at) {
-		told(change, at);
-		this->ends.OnOtherStore();
-	};
-	this->ends.writes_first = [this](const EndRecord &end) { return this->peers.ReadsReportsOf(EndKey(end)); };
-	this->configuration_watch.on_other_store = [this, told = this->configuration_watch.on_other_store](const StoreChange &change,
-	                                                                                                   TimePoint at) {
-		told(change, at);
-		this->places.OnOtherStore(at);
-	};
-	this->target_watch.on_regained = [this, told = this->target_watch.on_regained](Duration away, TimePoint at) {
-		told(away, at);
-		this->registry.OnStoreRegained(at);
-	};
-	this->target_watch.on_other_store = [this, told = this->target_watch.on_other_store](const StoreChange &change, TimePoint at) {
-		told(change, at);
-		this->registry.OnOtherStore(at);
-	};
-	this->configuration_watch.on_all = [this](const std::vector<StoredRow> &rows, TimePoint at) { this->OnOperatorRows(rows, true, at); };
-	this->configuration_watch.on_changes = [this](const std::vector<StoredRow> &rows, TimePoint at) {
-		this->OnOperatorRows(rows, false, at);
-	};
-	this->target_watch.on_all = [this](const std::vector<StoredRow> &rows, TimePoint at) { this->OnTargetRows(rows, true, at); };
-	this->target_watch.on_changes = [this](const std::vector<StoredRow> &rows, TimePoint at) { this->OnTargetRows(rows, false, at); };
-	this->peers.make_hall_load = [this](TimePoint at) { return this->hall_load.Tell(at); };
-	this->peers.on_hall_load = [this](const HallLoadMessage &message) { this->OnHallLoad(message); };
-	this->peers.Share(this->configuration_watch);
-	this->peers.Share(this->target_watch);
-	this->peers.ShareWith(this->ends.Watch(), this->target_watch);
-	this->configuration_watch.WaitForReturnAt(this->target_watch);
-	this->peers.WaitForReturnAt(this->target_watch);
-	this->configuration_watch.Start(now);
-	this->target_watch.Start(now);
-	// Not later: an instance that starts among others hears of the ends with the first news of the targets.
-	this->ends.Watch().Start(now);
-}
-
-void Gateway::TellStoreState(TableWatch &watch, const char *table)
-{
-	// Which version was known, which was read and what the others' mark is tells a store that went back from one that is slow.
-	watch.on_lost = [&watch, table](const RowsAnswer &answer, TimePoint) {
-		Log(LogLevel::Warning, "store-lost",
-		    {{"table", table},
-		     {"failure", StoreFailureName(answer.failure)},
-		     {"cause", answer.cause},
-		     {"known", FormatVersion(watch.Version())}});
-	};
-	watch.on_regained = [&watch, table](Duration away, TimePoint) {
-		Log(LogLevel::Info, "store-regained",
-		    {{"table", table},
-		     {"away_ms", FormatMilliseconds(away)},
-		     {"known", FormatVersion(watch.Version())},
-		     {"last_change", FormatVersion(watch.RowsVersion())}});
-	};
-	watch.on_older = [&watch, table](StoreVersion read) {
-		Log(LogLevel::Warning, "store-older", {{"table", table}, {"known", FormatVersion(watch.Version())}, {"read", FormatVersion(read)}});
-	};
-	watch.on_other_store = [this, table](const StoreChange &change, TimePoint) {
-		this->metrics.Count("cottonspool_store_changes_total{table=\"" + std::string(table) + "\"}");
-		Log(LogLevel::Warning, "store-other",
-		    {{"table", table},
-		     {"known", FormatVersion(change.known)},
-		     {"read", FormatVersion(change.read)},
-		     {"source", change.told ? "peer" : "store"}});
-	};
-}
-
 void Gateway::RefreshScope()
 {
 	size_t in_hall = 0;
@@ -105,47 +27,6 @@
 	Log(LogLevel::Info, "scope", {{"hall_only", only ? "yes" : "no"}, {"engines_in_hall", std::to_string(in_hall)}});
 }
 
-void Gateway::OnOperatorRows(const std::vector<StoredRow> &rows, bool all, TimePoint now)
-{
-	this->OnEmptiedRows(rows, all, now);
-	this->OnConfigurationRows(rows);
-}
-
-void Gateway::OnConfigurationRows(const std::vector<StoredRow> &rows)
-{
-	// Several versions may come at once: only the newest is worth reading.
-	const StoredRow *newest = nullptr;
-	for (const StoredRow &row : rows) {
-		if (!IsConfigurationKey(row.key) || row.deleted) continue;
-		if (newest == nullptr || row.version >= newest->version) newest = &row;
-	}
-	if (newest == nullptr) return;
-	Result<ServingConfiguration> decoded = DecodeConfiguration(newest->value);
-	if (!decoded) return Log(LogLevel::Error, "configuration-unreadable", {{"error", FormatError(decoded.error())}});
-	this->ApplyConfiguration(std::move(decoded.value()));
-}
-
-void Gateway::ApplyConfiguration(ServingConfiguration configuration)
-{
-	uint64_t before = this->routes.Configuration().version;
-	uint64_t version = configuration.version;
-	if (!this->routes.Apply(std::move(configuration))) {
-		return Log(LogLevel::Info, "configuration-older", {{"in_force", std::to_string(before)}, {"seen", std::to_string(version)}});
-	}
-	const ServingConfiguration &now_in_force = this->routes.Configuration();
-	this->front.limits.max_head_bytes = now_in_force.limits.max_head_bytes;
-	this->front.limits.max_body_bytes = now_in_force.limits.max_body_bytes;
-	this->front.limits.head_timeout = now_in_force.limits.head_timeout;
-	this->front.limits.idle_timeout = now_in_force.limits.idle_timeout;
-	Log(LogLevel::Info, "configuration",
-	    {{"version", std::to_string(version)},
-	     {"before", std::to_string(before)},
-	     {"routes", std::to_string(now_in_force.routes.size())},
-	     {"accounts", std::to_string(now_in_force.accounts.size())}});
-	this->RefreshTargets();
-	this->RefreshHalls(MonotonicNow());
-}
-
 void Gateway::RefreshTargets()
 {
 	for (const auto &[id, target] : this->usable) this->UseTarget(target);
