--- a/tests/scenarios/platform_suspended.lua
+++ b/tests/scenarios/platform_suspended.lua
@@ -23,3 +23,12 @@
 lib.check(not output("g1"):find('"event":"woke"', 1, true), "one that was not suspended says it was")
 lib.until_true(3000, "it serves again", function() return http_wait(lib.ask("g2", "/s/x", "again" .. now_ms(), { events = 5 })).status == 200 end)
 lib.check(http_wait(lib.ask("g2", "/r/x", "call")).status == 200, "a plain call")
+-- The tables were asked for at once, not at the next turn of whoever reads them for all.
+local woke = output("g2"):match('"event":"woke".*')
+for _, table_name in ipairs{ "op", "servers" } do
+	local asked = false
+	for _, why in ipairs{ "catch%-up", "lost" } do
+		asked = asked or woke:find('"table":"' .. table_name .. '","why":"' .. why .. '"') ~= nil
+	end
+	lib.check(asked, "the table " .. table_name .. " was not asked for after the wake")
+end
