Test: [Gateway] The target that leaves without notice stands in a hall that is not emptied, so that the test sees it used again

Found by taking the guard out: the hall of that target was emptied, so nothing could reach it with or without the guard.

--- a/tests/scenarios/platform_copy.lua
+++ b/tests/scenarios/platform_copy.lua
@@ -57,9 +57,9 @@
 local links = {}
 for _, name in ipairs(NAMES) do links[name] = links_of(name) end
 
--- After the copy: two services go, one with notice and one without, and one starts; hall-b's engines are emptied; a request ends engines.
+-- After the copy: two services of the hall that stays go, one with notice and one without, and one starts; hall-b's engines are emptied; a request ends engines.
 lib.control("world", '{"do":"leave","target":"service-0"}')
-lib.control("world", '{"do":"vanish","target":"service-1"}')
+lib.control("world", '{"do":"vanish","target":"service-2"}')
 lib.control("world", '{"do":"add","target":"service-new","pool":"services"}')
 for _ = 1, 4 do
 	ask_all("/s/x", 1, "crash me")
@@ -74,7 +74,7 @@
 comes_back()
 
 -- For two seconds nobody writes anything again.
-local left = function(run) return run.target == "service-0" or run.target == "service-1" end
+local left = function(run) return run.target == "service-0" or run.target == "service-2" end
 local emptied = function(run) return run.hall == "hall-b" end
 local fresh = function(run) return run.target == "service-new" end
 for _ = 1, 4 do
