--- a/src/decision/hall_load.cpp
+++ b/src/decision/hall_load.cpp
@@ -25,7 +25,8 @@
 		const TargetState &target = this->targets.Get(TargetNumber{i});
 		if (!target.bounds.known || !target.engine) continue;
 		if (target.hall == this->own_hall) {
-			message.at_home.push_back(MakeSum(target, this->targets.HeldAt(target, now), TargetTable::ReadingWait(target, now)));
+			TargetSum sum = MakeSum(target, this->targets.HeldAt(target, now), TargetTable::ReadingWait(target, now));
+			if (sum.held_tokens + sum.calls + sum.wait_ms > 0) message.at_home.push_back(std::move(sum));
 		} else if (!target.in_flight.empty()) {
 			message.abroad.push_back(MakeSum(target, TargetTable::KnownAt(target), Duration(0)));
 		}
@@ -37,6 +38,8 @@
 {
 	std::vector<ReportNews> reports;
 	if (message.hall == this->own_hall) return reports;
+	std::set<TargetNumber> before = std::move(this->in_use[message.hall]);
+	std::set<TargetNumber> &used = this->in_use[message.hall] = {};
 	for (const TargetSum &sum : message.at_home) {
 		std::optional<TargetNumber> number = this->targets.Find(sum.target);
 		if (!number || this->targets.Get(*number).hall != message.hall) continue;
@@ -46,6 +49,15 @@
 		report.used_tokens = sum.held_tokens;
 		report.running = sum.calls;
 		reports.push_back({sum.target, report});
+		used.insert(*number);
+	}
+	for (TargetNumber number : before) {
+		if (used.contains(number)) continue;
+		// What is not told any more has become empty.
+		this->targets.NoteToldWait(number, now);
+		LoadReport report;
+		report.capacity_tokens = this->targets.Get(number).report.capacity_tokens;
+		reports.push_back({this->targets.Get(number).name, report});
 	}
 	std::map<TargetNumber, HeldLoad> there;
 	for (const TargetSum &sum : message.abroad) {
--- a/src/decision/hall_load.h
+++ b/src/decision/hall_load.h
@@ -20,14 +20,17 @@
 struct HallLoadMessage {
 	std::string hall;               ///< Hall that tells it.
 	bool relayed = false;           ///< It was passed on by an instance of the receiver's hall.
-	std::vector<TargetSum> at_home; ///< Its own targets, with the calls of all halls.
+	std::vector<TargetSum> at_home; ///< Its own targets at which something is, with the calls of all halls.
 	std::vector<TargetSum> abroad;  ///< Targets of other halls, with the calls of this hall's instances.
+
+	/** @return Whether it tells that nothing is anywhere. */
+	bool IsEmpty() const { return this->at_home.empty() && this->abroad.empty(); }
 };
 
 /**
  * Instances of a hall know each other's calls one by one; of other halls' targets they know the sums that those halls tell. A hall
- * that knew nothing of the others' engines took them for empty, and the calls sent there came late. Sums grow with the number of targets,
- * not with calls times instances.
+ * that knew nothing of the others' engines took them for empty, and the calls sent there came late. Sums grow with the number of targets
+ * that are in use, not with calls times instances.
  */
 class HallLoad {
 public:
@@ -40,8 +43,9 @@
 	std::vector<ReportNews> OnMessage(const HallLoadMessage &message, TimePoint now);
 
 private:
-	TargetTable &targets; ///< Targets.
-	std::string own_hall; ///< Hall of this instance.
+	TargetTable &targets;                                 ///< Targets.
+	std::string own_hall;                                 ///< Hall of this instance.
+	std::map<std::string, std::set<TargetNumber>> in_use; ///< Targets of other halls at which something was, as told last.
 };
 
 } // namespace cottonspool
--- a/src/decision/peer_directory.cpp
+++ b/src/decision/peer_directory.cpp
@@ -14,6 +14,10 @@
 void PeerDirectory::Note(const std::string &peer, const PeerPlace &place)
 {
 	if (peer == this->own_name) return;
+	if (!this->division.IsOwn(peer)) {
+		this->others[peer] = place;
+		return;
+	}
 	Peer &known = this->peers[peer];
 	if (known.place.address != place.address) known = Peer{.place = place};
 	known.place = place;
@@ -28,6 +32,52 @@
 	found->second.next_dial = TimePoint{};
 }
 
+void PeerDirectory::Remove(const std::string &peer)
+{
+	this->peers.erase(peer);
+	this->others.erase(peer);
+}
+
+void PeerDirectory::Clear()
+{
+	this->peers.clear();
+	this->others.clear();
+}
+
+void PeerDirectory::Regroup()
+{
+	std::map<std::string, Peer> known = std::move(this->peers);
+	this->peers.clear();
+	for (auto &[name, place] : this->others) known.emplace(name, Peer{.place = place});
+	this->others.clear();
+	for (auto &[name, peer] : known) {
+		if (this->division.IsOwn(name)) {
+			this->peers.emplace(name, std::move(peer));
+		} else {
+			this->others.emplace(name, std::move(peer.place));
+		}
+	}
+}
+
+bool PeerDirectory::Divide(bool whole, StoreVersion version, bool growing)
+{
+	std::map<std::string_view, size_t> in_hall{{this->own_hall, 1}};
+	for (const auto &[name, peer] : this->peers) in_hall[peer.place.hall]++;
+	for (const auto &[name, place] : this->others) in_hall[place.hall]++;
+	size_t largest = 0;
+	for (const auto &[hall, instances] : in_hall) largest = std::max(largest, instances);
+	bool changed = whole ? this->division.OnList(largest, version, growing) : this->division.OnChanges(largest, version);
+	if (changed) this->Regroup();
+	return changed;
+}
+
+bool PeerDirectory::OnToldCells(const CellCount &told)
+{
+	if (!this->division.OnTold(told)) return false;
+	this->Regroup();
+	return true;
+}
+
 bool PeerDirectory::KeepOrDial(Peer &peer, LinkState state, TimePoint now) const
 {
 	if (state == LinkState::Open) {
@@ -80,6 +130,13 @@
 	return nullptr;
 }
 
+size_t PeerDirectory::Exchanging() const
+{
+	if (!this->IsHallOnly()) return this->peers.size();
+	auto at_home = [this](const auto &entry) { return entry.second.place.hall == this->own_hall; };
+	return static_cast<size_t>(std::count_if(this->peers.begin(), this->peers.end(), at_home));
+}
+
 std::vector<std::string> PeerDirectory::Halls() const
 {
 	std::set<std::string> halls{this->own_hall};
--- a/src/decision/peer_directory.h
+++ b/src/decision/peer_directory.h
@@ -4,7 +4,7 @@
 
 #pragma once
 
-#include "core/time_type.h"
+#include "decision/cell_division.h"
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -42,11 +42,14 @@
 	std::vector<std::string> relays; ///< Addresses in other halls, one each, which pass on there what is read of the store for all.
 };
 
-/** The other instances. Those in the own hall are dialled; with SetHallOnly(false) and few instances all are. */
+/**
+ * The other instances of the own cell; of those of other cells only where they are. Those in the own hall are dialled; with
+ * SetHallOnly(false) and few instances all are.
+ */
 class PeerDirectory {
 public:
 	PeerDirectory(std::string own_name, std::string own_hall, DialLimits limits)
-	    : own_name(std::move(own_name)), own_hall(std::move(own_hall)), limits(limits)
+	    : own_name(std::move(own_name)), own_hall(std::move(own_hall)), limits(limits), division(this->own_name)
 	{
 	}
 
@@ -57,10 +60,27 @@
 	void NoteAlive(const std::string &peer, const PeerPlace &place);
 
 	/** \a peer has left. */
-	void Remove(const std::string &peer) { this->peers.erase(peer); }
+	void Remove(const std::string &peer);
 
 	/** Forget all, as the whole list follows. */
-	void Clear() { this->peers.clear(); }
+	void Clear();
+
+	/**
+	 * The list was read as of \a version: find out anew who is in the own cell; see CellDivision.
+	 * @param whole It was read whole; otherwise some of it has changed.
+	 * @param growing It is not complete yet.
+	 * @return Whether the number of cells has changed.
+	 */
+	bool Divide(bool whole, StoreVersion version, bool growing);
+
+	/** Another instance divides the fleet as \a told says. @return Whether the number of cells has changed here. */
+	bool OnToldCells(const CellCount &told);
+
+	/** @return Into how many cells the fleet is divided. */
+	const CellCount &Cells() const { return this->division.Count(); }
+
+	/** @return Whether \a peer is in the own cell. */
+	bool IsOwn(std::string_view peer) const { return this->division.IsOwn(peer); }
 
 	/** Exchange news with the instances of the own hall only, or with all unless they are too many. */
 	void SetHallOnly(bool only) { this->hall_only = only; }
@@ -77,17 +97,23 @@
 	 */
 	WantedLinks Wanted(const StateOf &state_of, bool reads_for_hall, TimePoint now);
 
-	/** @return Data halls with instances, the own one included. */
+	/** @return Data halls with instances of the own cell, the own hall included. */
 	std::vector<std::string> Halls() const;
 
-	/** @return Names of the other instances. */
+	/** @return Names of the other instances of the own cell. */
 	std::vector<std::string> Names() const;
 
-	/** @return Where \a peer is; null if it is not known. */
+	/** @return Where \a peer is; null if it is not known, or in another cell. */
 	const PeerPlace *Find(const std::string &peer) const;
 
-	/** @return Other instances known. */
-	size_t Size() const { return this->peers.size(); }
+	/** @return Other instances known, those of other cells included. */
+	size_t Size() const { return this->peers.size() + this->others.size(); }
+
+	/** @return Those of them with which news are exchanged. */
+	size_t Exchanging() const;
+
+	/** @return Other instances of the own cell. */
+	size_t InCell() const { return this->peers.size(); }
 
 private:
 	/** One other instance. */
@@ -98,16 +124,19 @@
 		Duration pause{0};    ///< Pause after the last dial.
 	};
 
+	void Regroup();
 	/** @return Whether the link to \a peer is to be kept or dialled now. */
 	bool KeepOrDial(Peer &peer, LinkState state, TimePoint now) const;
 	/** @return The instance of \a hall that passes news on there; null while none is to be dialled. */
 	Peer *RelayIn(const std::string &hall, const StateOf &state_of, TimePoint now);
 
-	std::string own_name;              ///< Name of this instance.
-	std::string own_hall;              ///< Data hall it stands in.
-	DialLimits limits;                 ///< Times.
-	std::map<std::string, Peer> peers; ///< Other instances by name.
-	bool hall_only = true;             ///< News go to the own hall only.
+	std::string own_name;                    ///< Name of this instance.
+	std::string own_hall;                    ///< Data hall it stands in.
+	DialLimits limits;                       ///< Times.
+	CellDivision division;                   ///< Cells.
+	std::map<std::string, Peer> peers;       ///< Other instances of the own cell by name.
+	std::map<std::string, PeerPlace> others; ///< Those of other cells.
+	bool hall_only = true;                   ///< News go to the own hall only.
 };
 
 } // namespace cottonspool
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -48,7 +48,7 @@
     : limits(limits), upstream(loop), metrics(ACCOUNT_SERIES), dispatcher(limits.dispatch, MakeRouter("headroom", 0, limits.router)),
       loop(loop), settings(std::move(given)), settings_path(std::move(settings_path)), store(this->upstream, this->settings.store),
       configuration_watch(this->store, CONFIGURATION_TABLE, limits.watch), target_watch(this->store, TARGET_TABLE, limits.watch),
-      places(this->settings.hall, this->settings.halls), registry(limits.registry),
+      places(this->settings.hall, this->settings.halls), registry(limits.registry), division(this->settings.name),
       peer_load(this->dispatcher.Targets(), this->pools, std::chrono::seconds(2)),
       hall_load(this->dispatcher.Targets(), this->settings.hall),
       end_watch(this->upstream, limits.life_check, limits.begun_lately, [this](const TargetCheck &check) { this->OnTargetChecked(check); }),
@@ -115,6 +115,8 @@
 	this->metrics.Gauge("cottonspool_calls_waiting", static_cast<double>(this->dispatcher.Queue().Size()));
 	this->metrics.Gauge("cottonspool_peer_links", static_cast<double>(this->peers.Links()));
 	this->metrics.Gauge("cottonspool_peer_calls", static_cast<double>(this->peer_load.Calls()));
+	this->metrics.Gauge("cottonspool_cells", static_cast<double>(this->peers.Cells()));
+	this->metrics.Gauge("cottonspool_targets_usable", static_cast<double>(this->usable.size()));
 	this->metrics.Gauge("cottonspool_connections", static_cast<double>(this->front.Connections()));
 	this->metrics.Gauge("cottonspool_configuration_version", static_cast<double>(this->routes.Configuration().version));
 	this->metrics.Gauge("cottonspool_store_calls", static_cast<double>(this->configuration_watch.Calls() + this->target_watch.Calls()));
@@ -326,6 +328,7 @@
 		this->RefreshLimits(now);
 		this->PollReports(now);
 	}
+	this->BeginTables(now);
 	this->Carry(this->dispatcher.OnTick(now));
 	std::vector<std::shared_ptr<RelayCall>> all;
 	all.reserve(this->calls.size());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -107,6 +107,7 @@
 		bool engine = false;       ///< It tells reports.
 		uint64_t reports = 0;      ///< Reports taken in.
 		TimePoint next_report;     ///< When the next one is asked for.
+		TimePoint idle_at;         ///< When nothing was last known to be there.
 		TimePoint reported_at;     ///< When the last one came, read here or by a peer.
 		TimePoint report_limit;    ///< When the one under way is given up.
 		uint64_t report_call = 0;  ///< Call under way; 0 for none.
@@ -175,6 +176,14 @@
 	void NoteCold(TargetNumber number, const ListedTarget &listed, Duration cold_left, TimePoint now);
 	void RefreshHalls(TimePoint now);
 	void ApplyConfiguration(ServingConfiguration configuration);
+	/** Begin to read the tables that all instances need, or ask others for them, once it is known how many there are. */
+	void BeginTables(TimePoint now);
+	/** The instances have been listed, or are divided among cells in another way. */
+	void OnListed(TimePoint now);
+	/** Take out of \a rows of the list of targets those of other cells. */
+	void SelectTargets(std::vector<StoredRow> &rows, bool whole);
+	/** @return The part of \a bound, which holds for all instances together, that those of this cell keep to for \a target. */
+	RateBound CellBound(TargetNumber target, RateBound bound) const;
 	void OnTargetRows(const std::vector<StoredRow> &rows, bool all, TimePoint now);
 	/** The row \a key of the list of targets could not be read: logged once for each cause, counted each time. */
 	void NoteUnreadable(const std::string &key, const Error &error);
@@ -187,7 +196,9 @@
 	void RefreshScope();
 	void PollReports(TimePoint now);
 	void PollReport(TargetNumber target, TimePoint now);
-	Duration ReportPeriod() const;
+	Duration ReportPeriod(const TargetState &target) const;
+	/** Find out anew whose reports are asked for. */
+	void RefreshPolled(TimePoint now);
 	void OnReport(TargetNumber target, const std::optional<EngineReport> &report);
 
 	void OnTick();
@@ -207,8 +218,13 @@
 	PlaceTable places;                                       ///< Halls, their regions, those that are emptied.
 	std::set<std::string> emptied;                           ///< Halls that are emptied, as last looked at.
 	TargetRegistry registry;                                 ///< Targets as listed.
+	TargetDivision division;                                 ///< Which of them this instance's cell knows.
+	uint32_t cells = 1;                                      ///< Cells, when the list of targets was last asked for.
+	bool tables_begun = false;                               ///< Reading of the tables has begun.
 	std::vector<TargetRecord> records;                       ///< Targets by number.
 	std::map<std::string, ListedTarget> usable;              ///< Targets in use by name.
+	std::vector<TargetNumber> polled;                        ///< Targets whose reports instances of this hall ask for.
+	TimePoint polled_at;                                     ///< When they were last looked up.
 	std::map<std::string, std::string> unreadable;           ///< Rows that could not be read, with the fault told last.
 	NameTable<ModelNumber> pools;                            ///< Numbers of pools.
 	NameTable<AccountNumber> accounts;                       ///< Numbers of client accounts.
--- a/src/gateway/gateway_leases.cpp
+++ b/src/gateway/gateway_leases.cpp
@@ -22,13 +22,20 @@
 	return !this->settings.first_start && now - this->started_at < LEASE_TERM + window;
 }
 
+RateBound Gateway::CellBound(TargetNumber number, RateBound bound) const
+{
+	const std::string &hall = this->dispatcher.Targets().Get(number).hall;
+	bound.per_second *= this->division.ShareOf(this->records[number.value].pool, hall, this->peers.Cells());
+	return bound;
+}
+
 void Gateway::ShareLimit(TargetNumber number, TimePoint now)
 {
 	// What each instance knows of a limit bounds the sum only if each keeps to a part of it.
 	const TargetState &target = this->dispatcher.Targets().Get(number);
 	const TargetLimit &limit = target.bounds.limit;
 	if (!limit.IsNamed()) return;
-	RateShare share = ShareRate(target.name, limit.Bound(), this->SharersOf(target.hall), this->settings.name);
+	RateShare share = ShareRate(target.name, this->CellBound(number, limit.Bound()), this->SharersOf(target.hall), this->settings.name);
 	if (this->HasJustStarted(share.window, now)) share.most = 0;
 	this->dispatcher.Targets().SetLimitShare(number, share);
 }
@@ -54,7 +61,7 @@
 	if (this->HasJustStarted(target.bounds.limit.Share().window, now)) return;
 	const std::vector<std::string> &all = this->SharersOf(target.hall);
 	if (std::find(all.begin(), all.end(), this->settings.name) == all.end()) return;
-	RateBound bound = target.bounds.limit.Bound();
+	RateBound bound = this->CellBound(number, target.bounds.limit.Bound());
 	auto in_span = static_cast<size_t>(std::max(1.0, bound.per_second * Seconds(bound.span)));
 	// Where there are more sharers than requests in a span, only some hold a share.
 	std::vector<std::string> owners = RendezvousChoice(target.name, all, in_span);
--- a/src/gateway/gateway_limits.cpp
+++ b/src/gateway/gateway_limits.cpp
@@ -12,6 +12,7 @@
 
 static constexpr double BYTES_PER_MBIT = 125000; ///< Bytes in a megabit.
 static constexpr double PASS_ON_PART = 0.2;      ///< Part of the link that rows passed on to other instances may take.
+static constexpr double HAND_OVER_PART = 0.5;    ///< Part of the link that tables handed to instances that start may take.
 static constexpr double SHARED_BY = 20; ///< Instances among which the slack of the retry budget is shared until their number is known.
 
 GatewayLimits GatewayLimitsFor(const NodeSettings &settings)
@@ -25,6 +26,7 @@
 	limits.exchange.link_mbps = settings.link_mbps;
 	limits.exchange.first_start = settings.first_start;
 	if (settings.link_mbps > 0) limits.exchange.pass_on_bytes = settings.link_mbps * BYTES_PER_MBIT * PASS_ON_PART;
+	if (settings.link_mbps > 0) limits.exchange.hand_over_bytes = settings.link_mbps * BYTES_PER_MBIT * HAND_OVER_PART;
 	// The one who reads may be cut off right after an answer: its next call hangs for wait and slack, then the others' patience
 	// runs out one after another. All of it has to fit into the time in which a change has to be known everywhere.
 	const PlatformBounds &bounds = settings.bounds;
--- a/src/gateway/gateway_places.cpp
+++ b/src/gateway/gateway_places.cpp
@@ -52,7 +52,7 @@
 {
 	const Pool *pool = this->routes.FindPool(listed.pool);
 	if (pool == nullptr || pool->cold_per_s <= 0 || cold_left <= Duration(0)) return;
-	RateBound bound{pool->cold_per_s, std::chrono::seconds(1)};
+	RateBound bound = this->CellBound(number, {pool->cold_per_s, std::chrono::seconds(1)});
 	RateShare share = ShareRate(listed.life.Name(), bound, this->peers.KnownInstances(), this->settings.name);
 	this->dispatcher.Targets().SetCold(number, now + cold_left, share);
 	Log(LogLevel::Info, "target-cold",
--- a/src/gateway/gateway_store.cpp
+++ b/src/gateway/gateway_store.cpp
@@ -21,11 +21,60 @@
 	this->peers.ShareWith(end_watch, this->target_watch);
 	this->configuration_watch.WaitForReturnAt(this->target_watch);
 	this->peers.WaitForReturnAt(this->target_watch);
-	TimePoint now = MonotonicNow();
-	this->configuration_watch.Start(now);
-	this->target_watch.Start(now);
+	this->peers.Divide(this->division, TARGET_TABLE);
+	this->peers.on_listed = [this](TimePoint at) { this->OnListed(at); };
+}
+
+void Gateway::BeginTables(TimePoint now)
+{
+	if (this->tables_begun) return;
+	TableStart start = this->peers.StartOfTables(now);
+	if (start == TableStart::NotYet) return;
+	this->tables_begun = true;
+	this->cells = this->peers.Cells();
+	for (TableWatch *watch : {&this->configuration_watch, &this->target_watch}) {
+		Duration wait = start == TableStart::Ask ? this->peers.WaitForTable(*watch) : Duration(0);
+		Log(LogLevel::Info, "table-begun",
+		    {{"table", watch->Table()}, {"ask", start == TableStart::Ask ? "yes" : "no"}, {"read_in_ms", FormatMilliseconds(wait)}});
+		if (wait > Duration(0)) {
+			watch->StartAmongOthers(now + wait);
+		} else {
+			watch->Start(now);
+		}
+	}
 	// Not later: an instance that starts among others hears of the ends with the first news of the targets.
-	end_watch.Start(now);
+	this->ends.Watch().Start(now);
+}
+
+void Gateway::OnListed(TimePoint now)
+{
+	this->BeginTables(now);
+	if (!this->tables_begun || this->cells == this->peers.Cells()) return;
+	this->cells = this->peers.Cells();
+	this->sharers.clear();
+	this->target_watch.Renew(now + this->peers.WaitForTable(this->target_watch));
+}
+
+void Gateway::SelectTargets(std::vector<StoredRow> &rows, bool whole)
+{
+	uint32_t among = this->peers.Cells();
+	if (among == 1 && this->division.Parts().empty()) return;
+	std::vector<TargetRow> targets;
+	for (const StoredRow &row : rows) {
+		Result<TargetRow> target = DecodeTargetRow(row);
+		targets.push_back(target ? std::move(target.value()) : TargetRow{row.key, std::nullopt});
+	}
+	if (whole) this->division.Divide(targets, among);
+	size_t kept = 0;
+	for (size_t i = 0; i < rows.size(); i++) {
+		// Removals and rows that can't be read tell no pool: all get them, as they may be of a target that is known.
+		bool own = !targets[i].target || this->division.IsOwn(*targets[i].target);
+		if (own) std::swap(rows[kept++], rows[i]);
+	}
+	if (whole)
+		Log(LogLevel::Info, "targets-divided",
+		    {{"cells", std::to_string(among)}, {"listed", std::to_string(rows.size())}, {"own", std::to_string(kept)}});
+	rows.resize(kept);
 }
 
 void Gateway::FollowOperators()
@@ -44,6 +93,7 @@
 		log(away, at);
 		this->registry.OnStoreRegained(at);
 	};
+	watch.select = [this](std::vector<StoredRow> &rows, bool whole) { this->SelectTargets(rows, whole); };
 	watch.on_all = [this](const std::vector<StoredRow> &rows, TimePoint at) { this->OnTargetRows(rows, true, at); };
 	watch.on_changes = [this](const std::vector<StoredRow> &rows, TimePoint at) { this->OnTargetRows(rows, false, at); };
 }
--- a/src/gateway/gateway_targets.cpp
+++ b/src/gateway/gateway_targets.cpp
@@ -37,6 +37,7 @@
 	std::vector<TargetRow> decoded;
 	for (const StoredRow &row : rows) {
 		Result<TargetRow> target = DecodeTargetRow(row);
+		if (target && target.value().target && !this->division.IsOwn(*target.value().target)) continue;
 		if (target) {
 			decoded.push_back(std::move(target.value()));
 		} else {
@@ -60,6 +61,9 @@
 
 void Gateway::OnTargetEvents(const std::vector<TargetEvent> &events, TimePoint now)
 {
+	static constexpr size_t MOST_LOGGED = 64; // A whole list is told in one line.
+	bool log_each = events.size() <= MOST_LOGGED;
+	if (!log_each) Log(LogLevel::Info, "targets-changed", {{"targets", std::to_string(events.size())}, {"source", events.front().source}});
 	for (const TargetEvent &event : events) {
 		std::string name = event.target.life.Name();
 		if (event.change != TargetChange::Usable) {
@@ -71,10 +75,12 @@
 		this->UseTarget(event.target);
 		if (std::optional<TargetNumber> number = this->dispatcher.Targets().Find(name))
 			this->NoteCold(*number, event.target, event.target.cold_left, now);
+		if (!log_each) continue;
 		Log(LogLevel::Info, "target-usable",
 		    {{"target", name}, {"pool", event.target.pool}, {"hall", event.target.hall}, {"source", event.source}});
 	}
 	if (events.empty()) return;
+	this->RefreshPolled(now);
 	this->RefreshScope();
 	this->Carry(this->dispatcher.OnPlacesChanged(now));
 }
@@ -134,45 +140,70 @@
 	this->end_watch.OnOtherLife(name, now);
 }
 
-void Gateway::PollReports(TimePoint now)
+void Gateway::RefreshPolled(TimePoint now)
 {
-	for (const auto &[id, listed] : this->usable) {
+	this->polled_at = now;
+	this->polled.clear();
+	for (const auto &[name, listed] : this->usable) {
 		if (this->peers.IsHallOnly() && listed.hall != this->settings.hall) continue;
-		std::optional<TargetNumber> number = this->dispatcher.Targets().Find(id);
-		if (!number || !this->records[number->value].engine) continue;
-		TargetRecord &record = this->records[number->value];
+		std::optional<TargetNumber> number = this->dispatcher.Targets().Find(name);
+		if (number && this->records[number->value].engine) this->polled.push_back(*number);
+	}
+}
+
+/** @return Whether nothing is known to be at \a target. */
+static bool IsIdle(const TargetState &target)
+{
+	bool used = !target.in_flight.empty() || target.report.running + target.report.waiting > 0;
+	return !used && std::all_of(target.told.begin(), target.told.end(), [](const auto &told) { return told.second.held.calls == 0; });
+}
+
+void Gateway::PollReports(TimePoint now)
+{
+	static constexpr Duration LOOK = std::chrono::seconds(1); // Which halls are looked at also changes with the instances.
+	if (now - this->polled_at >= LOOK) this->RefreshPolled(now);
+	// Reports of idle engines tell nothing new, unless others use them unheard, or say there that they leave.
+	bool asks_idle = this->target_watch.IsLost() || !this->peers.HearsMost();
+	for (TargetNumber number : this->polled) {
+		TargetRecord &record = this->records[number.value];
+		const TargetState &target = this->dispatcher.Targets().Get(number);
 		if (record.report_call != 0 && now >= record.report_limit) {
 			this->upstream.Cancel(record.report_call);
 			record.report_call = 0;
 		}
+		if (IsIdle(target) && !asks_idle) {
+			record.idle_at = now;
+			continue;
+		}
 		if (record.report_call != 0 || now < record.next_report) continue;
 		// It wants nothing from this instance: another one reads its reports once it hears none.
-		if (now < this->dispatcher.Targets().Get(*number).bounds.paused_until) continue;
+		if (now < target.bounds.paused_until) continue;
 		// One instance reads a target's reports for all; the others read them only when they hear nothing.
 		Duration patience = FromSeconds(Seconds(this->limits.report_poll) * this->limits.report_patience);
-		if (now - record.reported_at < patience && !this->peers.ReadsReportsOf(id)) {
+		TimePoint heard = std::max(record.reported_at, record.idle_at);
+		if (now - heard < patience && !this->peers.ReadsReportsOf(target.name)) {
 			// Whose turn it is changes with the instances that live: looked up again soon, but not at every step.
-			record.next_report = std::min(record.reported_at + patience, now + this->limits.report_poll);
+			record.next_report = std::min(heard + patience, now + this->limits.report_poll);
 			continue;
 		}
-		this->PollReport(*number, now);
+		this->PollReport(number, now);
 	}
 }
 
-Duration Gateway::ReportPeriod() const
+Duration Gateway::ReportPeriod(const TargetState &target) const
 {
-	return this->target_watch.IsLost() ? this->limits.report_poll_alone : this->limits.report_poll;
+	return this->target_watch.IsLost() && !IsIdle(target) ? this->limits.report_poll_alone : this->limits.report_poll;
 }
 
 void Gateway::PollReport(TargetNumber number, TimePoint now)
 {
 	TargetRecord &record = this->records[number.value];
-	const std::string &name = this->dispatcher.Targets().Get(number).name;
+	const TargetState &target = this->dispatcher.Targets().Get(number);
 	double jitter = std::uniform_real_distribution<double>(1 - REPORT_JITTER, 1 + REPORT_JITTER)(this->random);
-	record.next_report = now + FromSeconds(Seconds(this->ReportPeriod()) * jitter);
+	record.next_report = now + FromSeconds(Seconds(this->ReportPeriod(target)) * jitter);
 	record.report_limit = now + this->limits.report_limit;
 	record.report_call = this->upstream.Start(MakeReportCall(
-	        record.address, name, [this, number](const std::optional<EngineReport> &report) { this->OnReport(number, report); }));
+	        record.address, target.name, [this, number](const std::optional<EngineReport> &report) { this->OnReport(number, report); }));
 }
 
 void Gateway::OnReport(TargetNumber number, const std::optional<EngineReport> &told)
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -58,7 +58,7 @@
 	DispatchLimits dispatch;         ///< Decisions.
 	HeadroomRules router;            ///< Choice of targets.
 	RegistryLimits registry;         ///< Targets.
-	WatchLimits watch;               ///< Store.
+	WatchLimits watch{.keep = true}; ///< Store.
 };
 
 /** One request as it is served. */
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -10,7 +10,8 @@
 
 namespace cottonspool {
 
-static constexpr double PASS_ON_BURST_S = 2; ///< Seconds' worth of rows that may be passed on at once: one configuration to a whole hall.
+/** Time whose worth of rows may be passed on at once: one configuration to a whole hall. */
+static constexpr Duration PASS_ON_SAVED = std::chrono::seconds(2);
 static const char *const HALL_LOAD_KEY = "hall-load"; ///< Key by which a hall's instances choose the one that tells the other halls.
 static const char *const INSTANCE_TABLE = "cottonspool-instances"; ///< Table in which instances find each other.
 
@@ -39,12 +40,23 @@
 	return row;
 }
 
+static constexpr double PACKED = 4; ///< Times that rows are longer than what they take on a link, at least.
+
+/** @return Bytes of the rows of \a news. */
+static double BytesOf(const TableNews &news)
+{
+	double bytes = 0;
+	for (const StoredRow &row : news.rows) bytes += static_cast<double>(row.key.size() + row.value.size());
+	return bytes;
+}
+
 PeerExchange::PeerExchange(uv_loop_s *loop, TableStore &store, PeerLoad &load, std::string name, std::string hall, ExchangeLimits limits,
                            ReportHandler on_report)
     : store(store), load(load), name(std::move(name)), hall(std::move(hall)), incarnation(StartNumber()), limits(limits),
       sharing(this->name, this->hall), on_report(std::move(on_report)),
       links(loop, [this](const PeerMessage &message, const PeerLinks::Reply &reply) { this->OnMessage(message, reply); }),
-      watch(store, INSTANCE_TABLE, limits.watch), directory(this->name, this->hall, limits.dial)
+      watch(store, INSTANCE_TABLE, limits.watch), directory(this->name, this->hall, limits.dial),
+      pass_on(limits.pass_on_bytes, PASS_ON_SAVED), hand_over(limits.hand_over_bytes, PASS_ON_SAVED)
 {
 	this->waiting.instance = this->name;
 	this->waiting.incarnation = this->incarnation;
@@ -74,15 +86,133 @@
 
 void PeerExchange::TellTables(TablesMessage message, const std::set<std::string> &except)
 {
-	for (TableNews &news : message.tables) {
+	this->AddParts(message);
+	std::string bytes = EncodePeerMessage(message);
+	bool has_rows = std::any_of(message.tables.begin(), message.tables.end(), [](const TableNews &news) { return !news.rows.empty(); });
+	if (has_rows && !this->pass_on.Take(static_cast<double>(bytes.size() * this->links.OpenLinks()), MonotonicNow())) {
 		// Too much to pass on: a sign of life that is ahead of the others makes each of them read the change itself.
-		if (!this->MayPassOn(news, MonotonicNow())) news = {news.table, news.to, news.to, false, true, {}};
+		for (TableNews &news : message.tables) news = {news.table, news.to, news.to, false, true, {}, news.read};
+		bytes = EncodePeerMessage(message);
+	}
+	this->links.BroadcastBytes(bytes, except);
+}
+
+std::vector<Reader> PeerExchange::Listed() const
+{
+	std::vector<Reader> all{{this->name, this->limits.link_mbps}};
+	for (const std::string &peer : this->directory.Names()) all.push_back({peer, this->directory.Find(peer)->link_mbps});
+	return all;
+}
+
+TableStart PeerExchange::StartOfTables(TimePoint now) const
+{
+	if (this->started == TimePoint{}) return TableStart::Read;
+	Duration since = now - this->started;
+	if (!this->watch.IsKnown()) return since < this->limits.list_wait || this->limits.first_start ? TableStart::NotYet : TableStart::Read;
+	// Who starts with all others sees them come one by one: how many there will be shows when no more do.
+	bool complete = now - this->list_changed >= this->limits.list_quiet || since >= this->limits.list_most;
+	if (this->limits.first_start && !complete) return TableStart::NotYet;
+	return this->directory.InCell() + 1 >= this->limits.ask_from ? TableStart::Ask : TableStart::Read;
+}
+
+Duration PeerExchange::WaitForTable(const TableWatch &table) const
+{
+	std::vector<std::string> order = ReaderOrder(table.OrderedBy(), this->Listed());
+	auto place = std::find(order.begin(), order.end(), this->name) - order.begin();
+	return place == 0 ? Duration(0) : this->limits.table_wait + this->limits.table_wait_each * place;
+}
+
+std::vector<std::string> PeerExchange::Askable() const
+{
+	std::vector<Reader> of_hall{{this->name, this->limits.link_mbps}};
+	for (const Reader &reader : this->Listed()) {
+		const PeerPlace *place = this->directory.Find(reader.name);
+		if (place != nullptr && place->hall == this->hall) of_hall.push_back(reader);
 	}
-	this->links.Broadcast(message, except);
+	std::vector<std::string> order = ReaderOrder(HALL_LOAD_KEY, of_hall);
+	std::vector<std::string> askable;
+	auto add = [&](const std::string &address) {
+		if (this->links.StateOf(address) == LinkState::Open) askable.push_back(address);
+	};
+	// The first of a hall has it from another hall, and the others of the hall from it.
+	if (order.front() == this->name) std::for_each(this->relays.begin(), this->relays.end(), add);
+	for (const std::string &peer : order) {
+		if (peer != this->name) add(this->directory.Find(peer)->address);
+	}
+	return askable;
+}
+
+void PeerExchange::AskTables(TimePoint now)
+{
+	if (now < this->ask_at) return;
+	std::vector<std::string> wanted = this->sharing.Wanted();
+	std::erase(wanted, this->watch.Table());
+	if (wanted.empty()) return;
+	std::vector<std::string> askable = this->Askable();
+	if (askable.empty()) return;
+	this->ask_at = now + this->limits.ask_pause;
+	this->links.SendTo(askable[this->asked++ % askable.size()], TablesAskMessage{this->name, wanted});
+	Log(LogLevel::Info, "tables-asked", {{"tables", std::to_string(wanted.size())}, {"asks", std::to_string(this->asked)}});
+}
+
+void PeerExchange::OnTablesAsk(const TablesAskMessage &ask, const PeerLinks::Reply &reply, TimePoint now)
+{
+	std::erase_if(this->asks, [&](const TablesAsk &each) { return each.ask.instance == ask.instance; });
+	this->asks.push_back({ask, reply, now + this->limits.ask_kept});
+	this->asks_at = now;
+}
+
+void PeerExchange::AnswerAsks(TimePoint now)
+{
+	static constexpr Duration PAUSE = std::chrono::milliseconds(100); // Whole tables are copied to see whether they can be told.
+	std::erase_if(this->asks, [&](const TablesAsk &each) { return now >= each.until; });
+	if (this->asks.empty() || now < this->asks_at) return;
+	this->asks_at = now + PAUSE;
+	std::erase_if(this->asks, [&](const TablesAsk &each) { return this->AnswerAsk(each, now); });
+}
+
+bool PeerExchange::AnswerAsk(const TablesAsk &ask, TimePoint now)
+{
+	TablesMessage answer{this->name, this->hall, true, this->sharing.Whole(ask.ask.tables), {}};
+	if (answer.tables.size() < ask.ask.tables.size()) return false;
+	double bytes = 0;
+	for (const TableNews &news : answer.tables) bytes += BytesOf(news) / PACKED;
+	// Beyond what the link bears the asker turns to another one, which has them by then.
+	if (!this->hand_over.Take(bytes, now)) return false;
+	this->AddParts(answer);
+	ask.reply(answer);
+	Log(LogLevel::Info, "tables-told", {{"instance", ask.ask.instance}, {"tables", std::to_string(answer.tables.size())}});
+	return true;
+}
+
+void PeerExchange::AddParts(TablesMessage &message) const
+{
+	auto tells_targets = [this](const TableNews &news) { return news.whole && news.table == this->divided_table; };
+	bool all = std::any_of(message.tables.begin(), message.tables.end(), tells_targets);
+	if (all && this->division != nullptr) message.parts = this->division->Parts();
+}
+
+void PeerExchange::NoteParts(const TablesMessage &message)
+{
+	auto tells_targets = [this](const TableNews &news) { return news.whole && news.table == this->divided_table; };
+	if (this->division == nullptr || std::none_of(message.tables.begin(), message.tables.end(), tells_targets)) return;
+	if (!this->division->Set(message.parts)) return;
+	Log(LogLevel::Info, "targets-divided", {{"source", message.instance}, {"pools", std::to_string(message.parts.size())}});
+}
+
+void PeerExchange::OnCellsChanged(TimePoint now)
+{
+	Log(LogLevel::Info, "cells",
+	    {{"cells", std::to_string(this->Cells())},
+	     {"decided", FormatVersion(this->directory.Cells().decided)},
+	     {"instances", std::to_string(this->Instances())},
+	     {"in_cell", std::to_string(this->directory.InCell() + 1)}});
+	if (this->on_listed) this->on_listed(now);
 }
 
 void PeerExchange::OnTables(const TablesMessage &message, TimePoint now)
 {
+	this->NoteParts(message);
 	for (const TableNews &news : message.tables) this->sharing.OnNews(message.instance, message.hall, news, now);
 	if (!this->sharing.PassesOn(message.hall, message.relayed)) return;
 	TablesMessage relayed = message;
@@ -90,19 +220,6 @@
 	this->TellTables(std::move(relayed), this->relays);
 }
 
-bool PeerExchange::MayPassOn(const TableNews &news, TimePoint now)
-{
-	double bytes = 0;
-	for (const StoredRow &row : news.rows) bytes += static_cast<double>(row.key.size() + row.value.size());
-	bytes *= static_cast<double>(this->links.OpenLinks());
-	double gained = this->limits.pass_on_bytes * Seconds(now - this->passed_on_at);
-	this->passed_on_at = now;
-	this->pass_on_left = std::min(PASS_ON_BURST_S * this->limits.pass_on_bytes, this->pass_on_left + gained);
-	if (bytes > this->pass_on_left) return false;
-	this->pass_on_left -= bytes;
-	return true;
-}
-
 void PeerExchange::AskLease(const std::string &owner, const LeaseAskMessage &ask)
 {
 	if (const PeerPlace *place = this->directory.Find(owner)) this->links.SendTo(place->address, ask);
@@ -116,8 +233,14 @@
 		this->load.OnMessage(*load_news, now);
 		for (const ReportNews &report : load_news->reports) this->on_report(report);
 	}
-	if (auto presence = std::get_if<PresenceMessage>(&message)) this->OnPresence(*presence, now);
+	if (auto presence = std::get_if<PresenceMessage>(&message)) {
+		this->OnPresence(*presence, now);
+		// Who divides the fleet in another way may take one of another cell for one of its own, which does not dial it.
+		bool behind = presence->cells.decided < this->directory.Cells().decided || presence->instances < this->Instances();
+		if (behind) reply(this->Presence());
+	}
 	if (auto tables = std::get_if<TablesMessage>(&message)) this->OnTables(*tables, now);
+	if (auto tables_ask = std::get_if<TablesAskMessage>(&message)) this->OnTablesAsk(*tables_ask, reply, now);
 	if (auto ask = std::get_if<LeaseAskMessage>(&message))
 		reply(LeaseGrantMessage{this->name, ask->target, ask->number, this->on_lease_ask ? this->on_lease_ask(*ask) : 0});
 	if (auto grant = std::get_if<LeaseGrantMessage>(&message)) {
@@ -175,6 +298,10 @@
 	this->tell_halls_at = now + this->limits.hall_load_period;
 	if (this->relays.empty()) return;
 	HallLoadMessage message = this->make_hall_load(now);
+	bool same = message.IsEmpty() && this->told_empty;
+	if (same && now - this->told_halls_at < this->limits.hall_idle_period) return;
+	this->told_halls_at = now;
+	this->told_empty = message.IsEmpty();
 	auto sums = static_cast<int>(message.at_home.size() + message.abroad.size());
 	this->tell_halls_at = now + std::max(this->limits.hall_load_period, this->limits.hall_load_each * sums);
 	for (const std::string &relay : this->relays) this->links.SendTo(relay, message);
@@ -185,7 +312,7 @@
 	BOOST_OUTCOME_TRY(port, this->links.Listen(at.ip, at.port));
 	this->address = Endpoint{at.ip, port}.Text();
 	this->links.on_link_open = [this](const std::string &to) {
-		this->SendPresence(to);
+		this->links.SendTo(to, this->Presence());
 		if (!this->relays.contains(to)) this->links.SendTo(to, this->Whole());
 		std::vector<SignNews> known = this->known_signs ? this->known_signs(MonotonicNow()) : std::vector<SignNews>{};
 		if (!known.empty()) this->links.SendTo(to, SignsMessage{this->name, this->hall, true, std::move(known)});
@@ -206,7 +333,8 @@
 
 void PeerExchange::Register(TimePoint now)
 {
-	this->register_at = now + this->limits.register_pause;
+	Log(LogLevel::Info, "store-call", {{"table", INSTANCE_TABLE}, {"why", "register"}});
+	this->register_at = now + this->limits.register_limit;
 	PeerPlace own{this->address, this->hall, this->limits.link_mbps};
 	this->register_call = this->store.WriteRow(INSTANCE_TABLE, this->name, EncodePlace(own), [this](StoreWrite result) {
 		this->register_call = 0;
@@ -217,6 +345,11 @@
 void PeerExchange::OnRegistered(StoreWrite result, TimePoint now)
 {
 	this->registered = result == StoreWrite::Done;
+	this->register_at = now + this->limits.register_pause;
+	// A store that turns many away together must not be asked by all of them together again.
+	auto spread_ms = std::chrono::duration_cast<std::chrono::milliseconds>(this->limits.register_spread).count();
+	uint64_t spread = HashText(this->name, ++this->registrations) % static_cast<uint64_t>(spread_ms);
+	if (!this->registered) this->register_at += std::chrono::milliseconds(spread);
 	if (!this->reading) return this->BeginReading(now);
 	// Others may have been listed between the read and the write.
 	if (this->registered) this->watch.CatchUp();
@@ -256,6 +389,7 @@
 
 void PeerExchange::OnRows(const std::vector<StoredRow> &rows, bool all)
 {
+	size_t before = this->directory.Size();
 	if (all) this->ForgetPeers();
 	if (all) this->registered = false;
 	for (const StoredRow &row : rows) {
@@ -271,22 +405,35 @@
 			this->directory.Note(row.key, place);
 		}
 	}
-	this->Dial(MonotonicNow());
+	TimePoint now = MonotonicNow();
+	if (this->directory.Size() != before) this->list_changed = now;
+	bool growing = this->limits.first_start && now - this->started < this->limits.list_most;
+	bool divided = this->directory.Divide(all, this->watch.Version(), growing);
 	this->instances_told = std::max<uint32_t>(this->instances_told, static_cast<uint32_t>(this->directory.Size() + 1));
+	this->Dial(now);
+	if (divided) {
+		this->OnCellsChanged(now);
+	} else if (all && this->on_listed) {
+		this->on_listed(now);
+	}
 }
 
-void PeerExchange::SendPresence(const std::string &to)
+PresenceMessage PeerExchange::Presence() const
 {
-	PresenceMessage message{this->name, {this->address, this->hall, this->limits.link_mbps}, static_cast<uint32_t>(this->Instances())};
-	this->links.SendTo(to, message);
+	PeerPlace own{this->address, this->hall, this->limits.link_mbps};
+	return {this->name, own, static_cast<uint32_t>(this->Instances()), this->directory.Cells()};
 }
 
 void PeerExchange::OnPresence(const PresenceMessage &message, TimePoint now)
 {
 	if (message.instance == this->name) return;
 	this->instances_told = std::max(this->instances_told, message.instances);
-	if (this->links.StateOf(message.place.address) == LinkState::Open) return;
+	bool divided = this->directory.OnToldCells(message.cells);
+	if (!divided && this->links.StateOf(message.place.address) == LinkState::Open) return;
+	size_t before = this->directory.Size();
 	this->directory.NoteAlive(message.instance, message.place);
+	if (this->directory.Size() != before) this->list_changed = now;
+	if (divided) this->OnCellsChanged(now);
 	this->Dial(now);
 }
 
@@ -296,13 +443,19 @@
 	return std::max<size_t>(this->directory.Size() + 1, this->instances_told);
 }
 
+bool PeerExchange::HearsMost() const
+{
+	// This instance is among the readers, and not among those listed.
+	return 2 * (this->readers.size() - 1) >= this->directory.Exchanging();
+}
+
 std::vector<std::string> PeerExchange::KnownInstances() const
 {
 	// One that started among others knows few of them at first: it would take too large a share of what all divide.
 	static constexpr double MOST_OF_THEM = 0.9;
+	bool knows = this->watch.IsKnown() && static_cast<double>(this->directory.Size() + 1) >= MOST_OF_THEM * this->instances_told;
 	std::vector<std::string> names = this->directory.Names();
 	names.push_back(this->name);
-	bool knows = this->watch.IsKnown() && static_cast<double>(names.size()) >= MOST_OF_THEM * this->instances_told;
 	return knows ? names : std::vector<std::string>{};
 }
 
@@ -391,6 +544,8 @@
 void PeerExchange::OnTick(TimePoint now)
 {
 	this->sharing.OnTick(now);
+	this->AskTables(now);
+	this->AnswerAsks(now);
 	this->load.OnTick(now);
 	bool may_register = !this->leaving && (this->watch.IsKnown() || this->limits.first_start);
 	if (!this->registered && may_register && this->register_call == 0 && now >= this->register_at) this->Register(now);
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include "decision/byte_budget.h"
 #include "decision/dispatcher.h"
 #include "decision/hall_load.h"
 #include "decision/peer_load.h"
@@ -28,15 +29,29 @@
 	/** Time between sums for each of them: some 10 KB a second from each hall at most, of 25 bytes a sum. With 1,000 engines a hall and
 	 *  100 instances that a relay passes them on to, 8 Mbit/s from each hall (by arithmetic). */
 	Duration hall_load_each = std::chrono::microseconds(2500);
-	bool share_reports = true;    ///< One instance reads an engine's reports for all.
-	double pass_on_bytes = 256e3; ///< Bytes of rows that may be passed on in a second; beyond, each one reads them itself.
+	Duration hall_idle_period = std::chrono::seconds(1); ///< Time between messages that tell of no load at all.
+	bool share_reports = true;                           ///< One instance reads an engine's reports for all.
+	double pass_on_bytes = 256e3;   ///< Bytes of rows that may be passed on in a second; beyond, each one reads them itself.
+	double hand_over_bytes = 640e3; ///< The same for whole tables handed to instances that start; those turn to others beyond.
 	Duration settle = std::chrono::milliseconds(600); ///< Time after the start in which this instance doesn't read for others: those that
 	                                                  ///< start together need it to hear of each other, and each would take itself for the
 	                                                  ///< first until then (61 instances: 241 calls that follow a table in two seconds).
+	size_t ask_from = 64; ///< Instances in a cell from which those that start take tables from each other: each row read is paid for.
+	Duration ask_pause = std::chrono::milliseconds(400);   ///< Time for an answer, after which another instance is asked.
+	Duration ask_kept = std::chrono::seconds(2);           ///< Time for which an instance that asked too early is remembered.
+	Duration list_wait = std::chrono::milliseconds(300);   ///< Time after the start at which tables are read though nobody is known.
+	Duration list_quiet = std::chrono::milliseconds(1500); ///< At the first start of all: time without a new instance after which they are
+	                                                       ///< taken for complete.
+	Duration list_most = std::chrono::seconds(8);  ///< Longest wait for that.
+	Duration table_wait = std::chrono::seconds(3); ///< Time after which a table that nobody tells is read here.
+	Duration table_wait_each =
+	        std::chrono::milliseconds(250);                 ///< Further time for each instance that comes before in the order of readers.
 	Duration readers_look = std::chrono::milliseconds(200); ///< Time between looks at who reads for whom.
 	DialLimits dial;                                        ///< Dialling of peers.
 	bool first_start = false;                               ///< The whole system starts for the first time: nobody is listed yet.
-	Duration register_pause = std::chrono::seconds(1);      ///< Pause before this instance's row is written again after a failure.
+	Duration register_limit = std::chrono::seconds(4); ///< Time after which a write of this instance's row is given up: a store that is
+	                                                   ///< asked by all at once works them off one after another.
+	Duration register_pause = std::chrono::seconds(1);  ///< Pause before it is written again after a failure.
 	Duration register_spread = std::chrono::seconds(1); ///< Time over which the instances write theirs again that a store has forgotten.
 	WatchLimits watch{.wait = std::chrono::seconds(10),
 	                  .patience = std::chrono::seconds(13),
@@ -45,6 +60,13 @@
 	                  .pause_most = std::chrono::seconds(4)}; ///< Following the instances: they change seldom, and each look is paid for.
 };
 
+/** How tables are taken in at the start. */
+enum class TableStart : uint8_t {
+	NotYet, ///< The other instances are not known yet.
+	Read,   ///< Each instance reads them: there are few.
+	Ask,    ///< They are asked of the others, and read by one of them.
+};
+
 /** The exchange of one instance. */
 class PeerExchange {
 public:
@@ -69,6 +91,25 @@
 	/** Share the reading of \a watch with the others. */
 	void Share(TableWatch &watch);
 
+	std::function<void(TimePoint)>
+	        on_listed; ///< Called when the list of instances was read whole, and when the number of cells has changed.
+
+	/** The targets in \a table are divided among cells as \a own tells: told with the whole table, and set by others. */
+	void Divide(TargetDivision &own, const std::string &table)
+	{
+		this->division = &own;
+		this->divided_table = table;
+	}
+
+	/** @return How tables that all instances need are to be taken in at the start. */
+	TableStart StartOfTables(TimePoint now) const;
+
+	/** @return Time after which \a table, which this instance asks others for, is to be read here: none at the one that reads it first. */
+	Duration WaitForTable(const TableWatch &table) const;
+
+	/** @return Number of cells. */
+	uint32_t Cells() const { return this->directory.Cells().cells; }
+
 	/** @return Follows the instances. */
 	TableWatch &Watch() { return this->watch; }
 
@@ -117,7 +158,8 @@
 	/** @return Instances that the store lists, this one included; zero before the list was read. */
 	size_t Instances() const;
 
-	/** @return Names of all instances that the store lists, this one included; none while most of them are not known here. */
+	/** @return Names of the instances of the own cell that the store lists, this one included; none while most of all are not known here.
+	 */
 	std::vector<std::string> KnownInstances() const;
 
 	/**
@@ -126,20 +168,36 @@
 	 */
 	std::vector<std::string> SharersOf(const std::string &hall) const;
 
+	/** @return Whether most of those that are listed in the own cell and exchange news with this instance were heard lately. */
+	bool HearsMost() const;
+
 	/** @return Open links to others. */
 	size_t Links() const { return this->links.OpenLinks(); }
 
 private:
+	struct TablesAsk;
 	void OnMessage(const PeerMessage &message, const PeerLinks::Reply &reply);
 	void Heartbeat(TimePoint now);
 	void RefreshReaders(TimePoint now);
 	void OnTables(const TablesMessage &message, TimePoint now);
+	void AskTables(TimePoint now);
+	void OnTablesAsk(const TablesAskMessage &ask, const PeerLinks::Reply &reply, TimePoint now);
+	void AnswerAsks(TimePoint now);
+	/** @return Whether \a ask could be answered: all of it is known here, and the link bears it now. */
+	bool AnswerAsk(const TablesAsk &ask, TimePoint now);
+	void NoteParts(const TablesMessage &message);
+	/** Add to \a message how the targets are divided, if it tells all of them. */
+	void AddParts(TablesMessage &message) const;
+	/** @return Addresses of those that are linked, in the order in which they are asked for tables. */
+	std::vector<std::string> Askable() const;
+	/** @return This instance and all that are listed in its cell, with the speed of their links. */
+	std::vector<Reader> Listed() const;
+	void OnCellsChanged(TimePoint now);
 	void TellTables(TablesMessage message, const std::set<std::string> &except);
-	bool MayPassOn(const TableNews &news, TimePoint now);
 	Duration HeartbeatPeriod() const;
 	bool MayTellAtOnce(TimePoint now) const;
 	void OnPresence(const PresenceMessage &message, TimePoint now);
-	void SendPresence(const std::string &to);
+	PresenceMessage Presence() const;
 	void TellHalls(TimePoint now);
 	void OnHallLoad(const HallLoadMessage &message);
 	void OnSigns(const SignsMessage &message);
@@ -176,23 +234,39 @@
 		TimePoint asked; ///< When the request was asked whose answer said so.
 	};
 	std::map<std::string, WaitingSigns> waiting_signs; ///< By target.
-	double pass_on_left = 0;                           ///< Bytes of rows that may be passed on now.
-	TimePoint passed_on_at;                            ///< When that was last worked out.
-	TimePoint waiting_since;                           ///< When the first of them came up.
-	TimePoint flushed_at;                              ///< When news last went out.
-	bool urgent = false;                               ///< Some of what waits is urgent.
-	TimePoint started;                                 ///< When the exchange began.
-	TimePoint sent_at;                                 ///< When news was last sent.
-	bool tells_halls = false;                          ///< This instance tells other halls for its own.
-	TimePoint tell_halls_at;                           ///< When it does next.
-	TimePoint readers_at;                              ///< When it was last looked who reads for whom.
-	TimePoint register_at;                             ///< When the own row is written next.
-	bool registered = false;                           ///< The own row is in the store.
-	bool leaving = false;                              ///< This instance stops: its row is not written any more.
-	bool reading = false;                              ///< Reading of the other instances' rows has begun.
-	bool list_forgotten = false;      ///< The store may have lost rows of instances: those that are linked live all the same.
-	uint64_t register_call = 0;       ///< Call under way that writes it.
-	std::vector<std::string> readers; ///< This instance and its live peers.
+	/** An instance that asked for tables before they were known here. */
+	struct TablesAsk {
+		TablesAskMessage ask;   ///< What it asked.
+		PeerLinks::Reply reply; ///< Answers it.
+		TimePoint until;        ///< It is forgotten then.
+	};
+	std::vector<TablesAsk> asks;        ///< Those that wait for an answer.
+	TimePoint asks_at;                  ///< When they are next looked at.
+	TargetDivision *division = nullptr; ///< How targets are divided among cells; null if they are not.
+	std::string divided_table;          ///< Table of the targets.
+	TimePoint ask_at;                   ///< When tables are next asked for.
+	size_t asked = 0;                   ///< Asks so far.
+	TimePoint list_changed;             ///< When an instance last became known.
+	ByteBudget pass_on;                 ///< Rows that may be passed on.
+	ByteBudget hand_over;               ///< Whole tables that may be handed over.
+	TimePoint waiting_since;            ///< When the first of them came up.
+	TimePoint flushed_at;               ///< When news last went out.
+	bool urgent = false;                ///< Some of what waits is urgent.
+	TimePoint started;                  ///< When the exchange began.
+	TimePoint sent_at;                  ///< When news was last sent.
+	bool tells_halls = false;           ///< This instance tells other halls for its own.
+	TimePoint tell_halls_at;            ///< When it does next.
+	TimePoint told_halls_at;            ///< When it last did.
+	bool told_empty = false;            ///< It told of no load then.
+	TimePoint readers_at;               ///< When it was last looked who reads for whom.
+	TimePoint register_at;              ///< When the own row is written next.
+	uint64_t registrations = 0;         ///< Writes of the own row that have ended.
+	bool registered = false;            ///< The own row is in the store.
+	bool leaving = false;               ///< This instance stops: its row is not written any more.
+	bool reading = false;               ///< Reading of the other instances' rows has begun.
+	bool list_forgotten = false;        ///< The store may have lost rows of instances: those that are linked live all the same.
+	uint64_t register_call = 0;         ///< Call under way that writes it.
+	std::vector<std::string> readers;   ///< This instance and its live peers.
 };
 
 } // namespace cottonspool
--- a/src/peer/peer_links.cpp
+++ b/src/peer/peer_links.cpp
@@ -86,12 +86,17 @@
 size_t PeerLinks::Broadcast(const PeerMessage &message, const std::set<std::string> &except)
 {
 	std::string bytes = EncodePeerMessage(message);
+	this->BroadcastBytes(bytes, except);
+	return bytes.size();
+}
+
+void PeerLinks::BroadcastBytes(const std::string &bytes, const std::set<std::string> &except)
+{
 	std::vector<std::shared_ptr<WebsocketSession>> sessions;
 	for (const auto &[address, link] : this->links) {
 		if (link.open && !except.contains(address)) sessions.push_back(link.session);
 	}
 	for (const auto &session : sessions) this->SendOn(session, bytes);
-	return bytes.size();
 }
 
 void PeerLinks::SendTo(const std::string &address, const PeerMessage &message)
--- a/src/peer/peer_links.h
+++ b/src/peer/peer_links.h
@@ -42,6 +42,9 @@
 	/** Send \a message on every link that this instance dialled, but for those to \a except. @return Its size in bytes. */
 	size_t Broadcast(const PeerMessage &message, const std::set<std::string> &except = {});
 
+	/** The same with a message that was encoded already. */
+	void BroadcastBytes(const std::string &bytes, const std::set<std::string> &except = {});
+
 	/** Close everything. */
 	void Shutdown();
 
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -3,6 +3,7 @@
 /** @file peer_message.cpp Messages between instances in CBOR: arrays whose first item tells the kind. */
 
 #include "peer/peer_message.h"
+#include "peer/packed_message.h"
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -22,6 +23,7 @@
 static constexpr int SIGNS = 9;
 static constexpr int LEASE_ASK = 10;
 static constexpr int LEASE_GRANT = 11;
+static constexpr int TABLES_ASK = 12;
 
 /** @return The whole number in \a item; throws where there is none or it is out of range: converting another number would be undefined. */
 template <typename Number> static Number Whole(const Json &item)
@@ -101,15 +103,23 @@
 		Json rows = Json::array();
 		for (const StoredRow &row : news.rows)
 			rows.push_back(Json::array({row.key, Json::binary({row.value.begin(), row.value.end()}), row.version, row.deleted}));
-		tables.push_back(
-		        Json::array({news.table, news.from.number, news.to.number, news.whole, news.healthy, rows, news.from.era, news.to.era}));
+		tables.push_back(Json::array({news.table, news.from.number, news.to.number, news.whole, news.healthy, rows, news.from.era,
+		                              news.to.era, news.read.number}));
 	}
-	return Json::array({TABLES, message.instance, message.hall, message.relayed, tables});
+	Json parts = Json::array();
+	for (const PoolParts &each : message.parts) parts.push_back(Json::array({each.pool, each.hall, each.parts}));
+	return Json::array({TABLES, message.instance, message.hall, message.relayed, tables, parts});
+}
+
+static Json Write(const TablesAskMessage &message)
+{
+	return Json::array({TABLES_ASK, message.instance, message.tables});
 }
 
 static Json Write(const PresenceMessage &message)
 {
-	return Json::array({PRESENCE, message.instance, message.place.address, message.place.hall, message.place.link_mbps, message.instances});
+	return Json::array({PRESENCE, message.instance, message.place.address, message.place.hall, message.place.link_mbps, message.instances,
+	                    message.cells.cells, message.cells.decided.era, message.cells.decided.number});
 }
 
 /** @return \a sums as one flat array: their names and numbers in turn. */
@@ -187,6 +197,7 @@
 	bool with_eras = item.size() > 6;
 	news.from = {with_eras ? Whole<uint64_t>(item.at(6)) : 0, Whole<uint64_t>(item.at(1))};
 	news.to = {with_eras ? Whole<uint64_t>(item.at(7)) : 0, Whole<uint64_t>(item.at(2))};
+	news.read = {news.to.era, item.size() > 8 ? Whole<uint64_t>(item.at(8)) : news.to.number};
 	news.whole = item.at(3).get<bool>();
 	news.healthy = item.at(4).get<bool>();
 	for (const Json &row : item.at(5)) {
@@ -231,7 +242,7 @@
 std::string EncodePeerMessage(const PeerMessage &message)
 {
 	std::vector<uint8_t> bytes = Json::to_cbor(std::visit([](const auto &kind) { return Write(kind); }, message));
-	return std::string(bytes.begin(), bytes.end());
+	return PackMessage(std::string(bytes.begin(), bytes.end()));
 }
 
 /** @return The message in \a array; throws what the library throws when it is none. */
@@ -267,11 +278,18 @@
 		message.hall = array.at(2).get<std::string>();
 		message.relayed = array.at(3).get<bool>();
 		for (const Json &item : array.at(4)) message.tables.push_back(ReadTableNews(item));
+		// An instance of an older release divides nothing.
+		if (array.size() <= 5) return message;
+		for (const Json &item : array.at(5))
+			message.parts.push_back({item.at(0).get<std::string>(), item.at(1).get<std::string>(), Whole<uint32_t>(item.at(2))});
 		return message;
 	}
 	case PRESENCE: {
 		PeerPlace place{array.at(2).get<std::string>(), array.at(3).get<std::string>(), array.at(4).get<double>()};
-		return PresenceMessage{array.at(1).get<std::string>(), std::move(place), Whole<uint32_t>(array.at(5))};
+		PresenceMessage message{array.at(1).get<std::string>(), std::move(place), Whole<uint32_t>(array.at(5)), {}};
+		// An instance of an older release knows no cells.
+		if (array.size() > 8) message.cells = {Whole<uint32_t>(array.at(6)), {Whole<uint64_t>(array.at(7)), Whole<uint64_t>(array.at(8))}};
+		return message;
 	}
 	case HALL_LOAD:
 		return HallLoadMessage{array.at(1).get<std::string>(), array.at(2).get<bool>(), ReadSums(array.at(3)), ReadSums(array.at(4))};
@@ -286,6 +304,8 @@
 	case LEASE_GRANT:
 		return LeaseGrantMessage{array.at(1).get<std::string>(), array.at(2).get<std::string>(), Whole<uint64_t>(array.at(3)),
 		                         Whole<uint32_t>(array.at(4))};
+	case TABLES_ASK:
+		return TablesAskMessage{array.at(1).get<std::string>(), array.at(2).get<std::vector<std::string>>()};
 	default:
 		throw std::out_of_range("unknown kind");
 	}
@@ -293,6 +313,11 @@
 
 Result<PeerMessage> DecodePeerMessage(const std::string &bytes)
 {
+	if (IsPacked(bytes)) {
+		BOOST_OUTCOME_TRY(message, UnpackMessage(bytes));
+		if (IsPacked(message)) return Error{Step::Peer, "message", "compressed twice"};
+		return DecodePeerMessage(message);
+	}
 	try {
 		return Read(Json::from_cbor(bytes));
 	} catch (const std::exception &error) {
--- a/src/peer/peer_message.h
+++ b/src/peer/peer_message.h
@@ -43,6 +43,13 @@
 	std::string hall;              ///< Data hall it stands in.
 	bool relayed = false;          ///< It was passed on by an instance of the receiver's hall.
 	std::vector<TableNews> tables; ///< News by table.
+	std::vector<PoolParts> parts;  ///< How the teller divides targets among cells, if the list of targets is told whole.
+};
+
+/** An instance that has started asks for tables, to read them from nobody else. */
+struct TablesAskMessage {
+	std::string instance;            ///< Who asks.
+	std::vector<std::string> tables; ///< Tables.
 };
 
 /** Where an instance is, told to each peer when the link to it opens: whoever is dialled thereby knows who dials. */
@@ -50,6 +57,7 @@
 	std::string instance;   ///< Who tells it.
 	PeerPlace place;        ///< Where it is.
 	uint32_t instances = 0; ///< Instances that the store lists, as far as the teller knows; 0 if it has not read that.
+	CellCount cells;        ///< Into how many cells it divides them.
 };
 
 /** What targets have said of themselves lately. */
@@ -77,7 +85,7 @@
 };
 
 using PeerMessage = std::variant<HeartbeatMessage, EntriesMessage, FetchMessage, SnapshotMessage, LoadMessage, TablesMessage,
-                                 PresenceMessage, HallLoadMessage, SignsMessage, LeaseAskMessage, LeaseGrantMessage>;
+                                 PresenceMessage, HallLoadMessage, SignsMessage, LeaseAskMessage, LeaseGrantMessage, TablesAskMessage>;
 
 /** @return \a message in CBOR. */
 std::string EncodePeerMessage(const PeerMessage &message);
--- a/src/peer/websocket_session.cpp
+++ b/src/peer/websocket_session.cpp
@@ -35,10 +35,11 @@
 		        [this](websocketpp::connection_hdl, const char *data, size_t size) { return this->WriteOut(data, size); });
 		this->endpoint.set_open_handler([this](websocketpp::connection_hdl) {
 			this->open = true;
-			if (this->callbacks.on_open) this->callbacks.on_open();
+			// Whoever is called may close this session, which drops its callbacks.
+			if (auto on_open = this->callbacks.on_open) on_open();
 		});
 		this->endpoint.set_message_handler([this](websocketpp::connection_hdl, typename Endpoint::message_ptr message) {
-			if (this->callbacks.on_message) this->callbacks.on_message(message->get_payload());
+			if (auto on_message = this->callbacks.on_message) on_message(message->get_payload());
 		});
 		this->endpoint.set_close_handler([this](websocketpp::connection_hdl) { this->ended = true; });
 		this->endpoint.set_fail_handler([this](websocketpp::connection_hdl) { this->ended = true; });
@@ -59,7 +60,9 @@
 		        [](uv_handle_t *, size_t, uv_buf_t *buffer) { *buffer = uv_buf_init(static_cast<char *>(malloc(65536)), 65536); },
 		        [](uv_stream_t *stream, ssize_t got, const uv_buf_t *buffer) {
 			        auto self = static_cast<UvSession *>(stream->data)->shared_from_this();
+			        self->reading = true;
 			        if (got > 0) self->connection->read_all(buffer->base, static_cast<size_t>(got));
+			        self->reading = false;
 			        free(buffer->base);
 			        if (got < 0 || self->ended) self->End();
 		        });
@@ -74,7 +77,10 @@
 	void Close() override
 	{
 		this->callbacks = {};
-		this->End();
+		this->open = false;
+		// websocketpp holds its lock while it hands out what it reads: ended from there, it would wait for itself for ever.
+		this->ended = true;
+		if (!this->reading) this->End();
 	}
 
 	/** @return The socket. */
@@ -127,7 +133,8 @@
 	std::shared_ptr<UvSession> self; ///< Keeps the session alive while its socket is open.
 	size_t unsent = 0;               ///< Bytes not yet written.
 	bool open = false;               ///< The handshake is over.
-	bool ended = false;              ///< websocketpp has ended it.
+	bool ended = false;              ///< It is over, by websocketpp or by Close().
+	bool reading = false;            ///< websocketpp is handing out what was read.
 	bool closing = false;            ///< The socket is being closed.
 };
 
--- a/src/store/table_sharing.cpp
+++ b/src/store/table_sharing.cpp
@@ -66,6 +66,25 @@
 	}
 }
 
+std::vector<std::string> TableSharing::Wanted() const
+{
+	std::vector<std::string> wanted;
+	for (const SharedTable &each : this->tables) {
+		if (each.watch->IsWanted()) wanted.push_back(each.watch->Table());
+	}
+	return wanted;
+}
+
+std::vector<TableNews> TableSharing::Whole(const std::vector<std::string> &asked) const
+{
+	std::vector<TableNews> known;
+	for (const SharedTable &each : this->tables) {
+		if (std::find(asked.begin(), asked.end(), each.watch->Table()) == asked.end()) continue;
+		if (std::optional<TableNews> whole = each.watch->Whole()) known.push_back(std::move(*whole));
+	}
+	return known;
+}
+
 void TableSharing::OnTick(TimePoint now)
 {
 	for (SharedTable &each : this->tables) each.watch->OnTick(now);
--- a/src/store/table_sharing.h
+++ b/src/store/table_sharing.h
@@ -40,6 +40,12 @@
 	/** @return Whether this instance is the first of its hall that reads one of the tables. */
 	bool ReadsForHall() const;
 
+	/** @return Tables that are wanted whole from other instances. */
+	std::vector<std::string> Wanted() const;
+
+	/** @return What is known here of \a tables, whole; those that are not known are left out. */
+	std::vector<TableNews> Whole(const std::vector<std::string> &asked) const;
+
 	/** Time has passed. */
 	void OnTick(TimePoint now);
 
--- a/src/store/table_store_base.h
+++ b/src/store/table_store_base.h
@@ -37,7 +37,8 @@
 	StoreVersion to;             ///< Version up to which they are.
 	bool whole = false;          ///< The rows are the whole table.
 	bool healthy = false;        ///< The store answers the teller.
-	std::vector<StoredRow> rows; ///< Rows; none in a sign of life.
+	std::vector<StoredRow> rows; ///< Rows; none in a sign of life, and where none of those that changed concerns the receivers.
+	StoreVersion read;           ///< Version of the whole store at which the teller knew the table like this.
 };
 
 /** Why the store gave no rows. */
--- a/src/store/table_watch.cpp
+++ b/src/store/table_watch.cpp
@@ -51,17 +51,31 @@
 	this->started = true;
 	// What there is to know is told by whoever reads it; a table without rows costs a start no call.
 	this->known = this->lead != nullptr;
+	this->wants_whole = !this->known;
 	if (this->known) return;
 	this->ReadPage(now);
 }
 
+void TableWatch::StartAmongOthers(TimePoint read_at)
+{
+	this->started = true;
+	this->whole_at = read_at;
+}
+
+void TableWatch::Renew(TimePoint read_at)
+{
+	this->wants_whole = true;
+	this->whole_at = read_at;
+}
+
 bool TableWatch::ReadsItself(TimePoint now) const
 {
-	return this->ReadsForAll(now) || !this->known || this->behind || this->catch_up;
+	return this->ReadsForAll(now) || this->ReadsWhole(now) || this->behind || this->catch_up;
 }
 
 bool TableWatch::ReadsForAll(TimePoint now) const
 {
+	if (!this->known && now < this->whole_at) return false;
 	if (this->lead != nullptr) return this->lead->ReadsForAll(now);
 	return this->patience == Duration(0) || now - this->news_at > this->patience;
 }
@@ -69,14 +83,35 @@
 std::optional<TableNews> TableWatch::SignOfLife() const
 {
 	if (!this->following || this->lost) return std::nullopt;
-	return TableNews{this->table, this->rows_version, this->rows_version, false, true, {}};
+	return TableNews{this->table, this->rows_version, this->rows_version, false, true, {}, this->version};
+}
+
+std::optional<TableNews> TableWatch::Whole() const
+{
+	if (!this->limits.keep || !this->known || this->wants_whole || this->behind) return std::nullopt;
+	TableNews news{this->table, StoreVersion{}, this->rows_version, true, !this->lost, {}, this->version};
+	for (const auto &[key, row] : this->kept) news.rows.push_back(row);
+	return news;
+}
+
+void TableWatch::Keep(const std::vector<StoredRow> &rows, bool whole)
+{
+	if (!this->limits.keep) return;
+	if (whole) this->kept.clear();
+	for (const StoredRow &row : rows) {
+		if (row.deleted) {
+			this->kept.erase(row.key);
+		} else {
+			this->kept[row.key] = row;
+		}
+	}
 }
 
 void TableWatch::TellRead(StoreVersion from, bool whole, const std::vector<StoredRow> &rows, TimePoint now)
 {
 	// One that only caught up has nothing to tell: the others have heard it from the one that reads for all.
 	bool reads_for_all = this->ReadsForAll(now);
-	if (this->on_read && reads_for_all) this->on_read({this->table, from, this->rows_version, whole, true, rows});
+	if (this->on_read && reads_for_all) this->on_read({this->table, from, this->rows_version, whole, true, rows, this->version});
 }
 
 void TableWatch::NoteRows(const std::vector<StoredRow> &rows)
@@ -91,7 +126,9 @@
 
 void TableWatch::OnNews(const TableNews &news, TimePoint now)
 {
-	if (news.table != this->table || !this->known) return;
+	if (news.table != this->table) return;
+	bool first = news.whole && this->wants_whole && this->started;
+	if (!this->known && !first) return;
 	// Whoever tells this has not met the store as it is now: neither its rows nor its sign of life tell anything of it.
 	if (news.to.era < this->version.era) return;
 	if (news.healthy) {
@@ -103,12 +140,16 @@
 		this->news_at = now;
 		if (returns) this->OnAnswered(now);
 		if (news.to == this->rows_version) this->confirmed = now;
+		// Whoever takes the reading over goes on from there: the store forgets what is long past.
+		if (news.to == this->rows_version && news.read.era == this->version.era) this->version = std::max(this->version, news.read);
 	}
-	if (news.to <= this->rows_version) return;
+	if (news.to < this->rows_version || (news.to == this->rows_version && !first)) return;
 	bool other = this->IsOfOtherStore(news.to);
 	// A table whose last change has no number has no rows: whoever says so has said all.
 	bool whole = news.whole || news.to.number == 0;
-	bool fits = whole || (!news.rows.empty() && !other && (this->limits.gaps || news.from <= this->rows_version));
+	// A sign of life that is ahead says that there is more to read; changes that don't concern anybody here are told without rows.
+	bool has_changes = !news.rows.empty() || news.from < news.to;
+	bool fits = whole || (has_changes && !other && (this->limits.gaps || news.from <= this->rows_version));
 	if (!fits && this->limits.gaps && !other) return;
 	// What is asked of the former store, or since one of its versions, tells nothing of the one that is there now.
 	if (other) this->GiveUpCall();
@@ -117,17 +158,38 @@
 		this->wanted = std::max(this->wanted, news.to);
 		return this->NoteRows({});
 	}
+	this->TakeNews(news, whole, other, now);
+}
+
+void TableWatch::TakeNews(const TableNews &news, bool whole, bool other, TimePoint now)
+{
 	StoreVersion before = this->version;
 	this->version = std::max(this->version, news.to);
 	this->rows_version = news.to;
+	if (whole && this->wants_whole) {
+		this->GiveUpCall();
+		this->OnWholeKnown(now);
+	}
 	if (other) this->following = true;
 	if (other && this->on_other_store) this->on_other_store({before, news.to, true}, now);
 	this->NoteRows({});
 	this->confirmed = now;
+	this->Keep(news.rows, whole);
 	if (whole && this->on_all) this->on_all(news.rows, now);
 	if (!whole && this->on_changes) this->on_changes(news.rows, now);
 }
 
+void TableWatch::OnWholeKnown(TimePoint now)
+{
+	// What was read just now is as good as news: an instance that starts among others leaves the following to them.
+	if (!this->known) this->news_at = now;
+	this->known = true;
+	this->following = true;
+	this->wants_whole = false;
+	this->pages.clear();
+	this->next_key.clear();
+}
+
 void TableWatch::GoOn(TimePoint now)
 {
 	if (this->call == 0 && now >= this->not_before && this->following && this->ReadsItself(now)) this->ReadChanges(now);
@@ -143,7 +205,7 @@
 		this->OnFailure({std::nullopt, StoreFailure::NoAnswer, "no answer in time"}, now);
 	}
 	if (this->call != 0 || !this->ReadsItself(now) || this->LeavesItToProbe(now) || now < this->not_before) return;
-	if (this->following) {
+	if (this->following && !this->ReadsWhole(now)) {
 		this->ReadChanges(now);
 	} else {
 		this->ReadPage(now);
@@ -261,16 +323,14 @@
 	StoreVersion before = this->version;
 	this->version = this->pages_version;
 	if (other) this->rows_version = StoreVersion{};
-	// What was read just now is as good as news: an instance that starts among others leaves the following to them.
-	if (!this->known) this->news_at = now;
-	this->known = true;
-	this->following = true;
+	std::vector<StoredRow> rows = std::move(this->pages);
+	this->OnWholeKnown(now);
 	this->DropDisproved();
 	this->OnAnswered(now);
 	if (other && this->on_other_store) this->on_other_store({before, this->version, false}, now);
-	std::vector<StoredRow> rows = std::move(this->pages);
-	this->pages.clear();
 	this->NoteRows(rows);
+	if (this->select) this->select(rows, true);
+	this->Keep(rows, true);
 	this->TellRead(StoreVersion{}, true, rows, now);
 	if (this->on_all) this->on_all(rows, now);
 	this->GoOn(now);
@@ -289,11 +349,15 @@
 	this->catch_up = false;
 	StoreVersion before = this->rows_version;
 	this->version = std::max(this->version, read);
-	this->NoteRows(answer.page->rows);
+	std::vector<StoredRow> rows = std::move(answer.page->rows);
+	bool changed = !rows.empty();
+	this->NoteRows(rows);
+	if (this->select) this->select(rows, false);
+	this->Keep(rows, false);
 	this->OnAnswered(now);
-	this->TellRead(answer.page->rows.empty() ? this->rows_version : before, false, answer.page->rows, now);
-	if (!answer.page->rows.empty()) this->not_before = now + this->limits.gather;
-	if (!answer.page->rows.empty() && this->on_changes) this->on_changes(answer.page->rows, now);
+	this->TellRead(changed ? before : this->rows_version, false, rows, now);
+	if (changed) this->not_before = now + this->limits.gather;
+	if (!rows.empty() && this->on_changes) this->on_changes(rows, now);
 	this->GoOn(now);
 }
 
--- a/src/store/table_watch.h
+++ b/src/store/table_watch.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "store/table_store_base.h"
+#include <map>
 #include <memory>
 
 namespace cottonspool {
@@ -22,6 +23,7 @@
 	Duration read_most = std::chrono::seconds(4); ///< Longest such time: a slow store must not be asked in vain for ever.
 	Duration gather = std::chrono::milliseconds(
 	        150);      ///< Time after a change before the next is asked for: changes come in bursts, and each call is paid for.
+	bool keep = false; ///< Rows are kept, to be handed to instances that start.
 	bool gaps = false; ///< Rows that others tell are taken in even if earlier ones are missing: what was missed is learned elsewhere.
 	Duration pause_least = std::chrono::milliseconds(150); ///< Pause after a first failure; doubles.
 	Duration pause_most = std::chrono::milliseconds(1200); ///< Longest pause: with it a return is seen well inside the operators' bounds.
@@ -64,6 +66,9 @@
 	/** The store is another one than before: what it lost may be missing from the whole table, which follows at once. */
 	std::function<void(const StoreChange &, TimePoint)> on_other_store;
 	std::function<void(const TableNews &)> on_read; ///< This instance has asked the store for all; rows may be none.
+	/** Takes out of the rows that were read those that concern neither this instance nor those for which it reads; given the whole table
+	 *  or changes. */
+	std::function<void(std::vector<StoredRow> &, bool whole)> select;
 
 	using Clock = std::function<TimePoint()>;
 
@@ -75,6 +80,18 @@
 	/** Begin to read. */
 	void Start(TimePoint now);
 
+	/** Begin by taking the whole table from another instance; it is read here if none has told it by \a read_at. */
+	void StartAmongOthers(TimePoint read_at);
+
+	/** The table is wanted whole once more, from whoever tells it; it is read here if nobody has by \a read_at. */
+	void Renew(TimePoint read_at);
+
+	/** @return Whether the whole table is wanted from others. */
+	bool IsWanted() const { return this->started && this->wants_whole; }
+
+	/** @return The whole table as it is known here, for an instance that starts; nothing while it is not known or not kept. */
+	std::optional<TableNews> Whole() const;
+
 	/** Time has passed; to be called some ten times a second. */
 	void OnTick(TimePoint now);
 
@@ -153,42 +170,50 @@
 	void OnFailure(const RowsAnswer &answer, TimePoint now);
 	void OnAnswered(TimePoint now);
 	void TellRead(StoreVersion from, bool whole, const std::vector<StoredRow> &rows, TimePoint now);
+	/** @return Whether the whole table is to be read here now. */
+	bool ReadsWhole(TimePoint now) const { return this->wants_whole && now >= this->whole_at; }
+	void OnWholeKnown(TimePoint now);
+	void Keep(const std::vector<StoredRow> &rows, bool whole);
+	void TakeNews(const TableNews &news, bool whole, bool other, TimePoint now);
 	void GoOn(TimePoint now);
 	bool LeavesItToProbe(TimePoint now);
 	void NoteRows(const std::vector<StoredRow> &rows);
 
-	TableStore &store;                 ///< Store.
-	Clock clock;                       ///< Tells the time at which an answer comes.
-	std::string table;                 ///< Table.
-	WatchLimits limits;                ///< Times.
-	std::vector<StoredRow> pages;      ///< Rows of a read that is under way.
-	std::string next_key;              ///< Where its next page begins.
-	StoreVersion pages_version;        ///< Version of its first page: changes are read from there.
-	StoreVersion version;              ///< Version up to which the table is known: the store's, which rises with every table's writes.
-	StoreVersion rows_version;         ///< Version of the table's last change that is known; the same at all who know it.
-	StoreVersion wanted;               ///< Version that another instance told of, up to which the rest is read here.
-	StoreVersion asked;                ///< What was known when the call under way began.
-	StoreVersion asked_wanted;         ///< What was wanted then.
-	uint64_t call = 0;                 ///< Call under way; 0 for none.
-	uint64_t calls = 0;                ///< Calls made.
-	TimePoint call_limit;              ///< When it is given up.
-	TimePoint not_before;              ///< Earliest next call.
-	TimePoint confirmed;               ///< When the store last confirmed what is known.
-	TimePoint lost_since;              ///< When the first call failed.
-	Duration pause{0};                 ///< Pause after the last failure.
-	Duration read_time{0};             ///< Time that a page may take now.
-	Duration patience{0};              ///< Time without news after which it is read here; zero for always.
-	TimePoint news_at;                 ///< When another instance last told that the store answers it.
-	const TableWatch *probe = nullptr; ///< Watch that finds out for this one that the store is back; null for none.
-	const TableWatch *lead = nullptr;  ///< Watch whose readers read this table too; null for none.
-	bool waits_for_probe = false;      ///< It is left to that one now.
-	bool behind = false;               ///< Another instance knows more than was told: the rest is read here.
-	bool catch_up = false;             ///< CatchUp() was called, and no changes were read since.
-	bool started = false;              ///< Start() was called.
-	bool known = false;                ///< Read whole once.
-	bool following = false;            ///< Changes are followed; otherwise the table is read whole.
-	bool lost = false;                 ///< The last call failed.
-	std::shared_ptr<bool> alive;       ///< False once this is gone; calls hold it.
+	TableStore &store;                     ///< Store.
+	Clock clock;                           ///< Tells the time at which an answer comes.
+	std::string table;                     ///< Table.
+	WatchLimits limits;                    ///< Times.
+	std::vector<StoredRow> pages;          ///< Rows of a read that is under way.
+	std::string next_key;                  ///< Where its next page begins.
+	StoreVersion pages_version;            ///< Version of its first page: changes are read from there.
+	StoreVersion version;                  ///< Version up to which the table is known: the store's, which rises with every table's writes.
+	StoreVersion rows_version;             ///< Version of the table's last change that is known; the same at all who know it.
+	StoreVersion wanted;                   ///< Version that another instance told of, up to which the rest is read here.
+	StoreVersion asked;                    ///< What was known when the call under way began.
+	StoreVersion asked_wanted;             ///< What was wanted then.
+	uint64_t call = 0;                     ///< Call under way; 0 for none.
+	uint64_t calls = 0;                    ///< Calls made.
+	TimePoint call_limit;                  ///< When it is given up.
+	TimePoint not_before;                  ///< Earliest next call.
+	TimePoint confirmed;                   ///< When the store last confirmed what is known.
+	TimePoint lost_since;                  ///< When the first call failed.
+	Duration pause{0};                     ///< Pause after the last failure.
+	Duration read_time{0};                 ///< Time that a page may take now.
+	Duration patience{0};                  ///< Time without news after which it is read here; zero for always.
+	TimePoint news_at;                     ///< When another instance last told that the store answers it.
+	const TableWatch *probe = nullptr;     ///< Watch that finds out for this one that the store is back; null for none.
+	const TableWatch *lead = nullptr;      ///< Watch whose readers read this table too; null for none.
+	bool waits_for_probe = false;          ///< It is left to that one now.
+	bool behind = false;                   ///< Another instance knows more than was told: the rest is read here.
+	bool catch_up = false;                 ///< CatchUp() was called, and no changes were read since.
+	bool started = false;                  ///< Start() was called.
+	bool known = false;                    ///< Read whole once.
+	bool following = false;                ///< Changes are followed; otherwise the table is read whole.
+	bool wants_whole = true;               ///< The whole table is taken from whoever tells it first.
+	TimePoint whole_at;                    ///< When it is read here otherwise.
+	std::map<std::string, StoredRow> kept; ///< Rows by key, if they are kept.
+	bool lost = false;                     ///< The last call failed.
+	std::shared_ptr<bool> alive;           ///< False once this is gone; calls hold it.
 };
 
 } // namespace cottonspool
--- a/src/tests/table_watch_test.cpp
+++ b/src/tests/table_watch_test.cpp
@@ -365,3 +365,87 @@
 	world.led_store.Answer(Page({}, 11));
 	CHECK_FALSE(world.led.IsLost());
 }
+
+TEST_CASE("Watch - an instance that starts takes the whole table from another one, and reads it only if nobody tells it in time")
+{
+	TimePoint now = MonotonicNow();
+	for (bool told : {true, false}) {
+		HandStore store;
+		WatchLimits limits;
+		limits.keep = true;
+		TableWatch watch(store, "table", limits, [&] { return now; });
+		watch.SetPatience(limits.patience);
+		std::vector<std::string> rows;
+		watch.on_all = [&](const std::vector<StoredRow> &all, TimePoint) {
+			for (const StoredRow &row : all) rows.push_back(row.key);
+		};
+		watch.StartAmongOthers(now + milliseconds(500));
+		watch.OnTick(now);
+		CHECK(store.calls.empty());
+		CHECK(watch.IsWanted());
+		// Changes of what it does not know tell it nothing.
+		watch.OnNews({"table", {0, 6}, {0, 7}, false, true, {{"x", "v", 7, false}}, {0, 7}}, now);
+		CHECK_FALSE(watch.IsKnown());
+		if (told) watch.OnNews({"table", {}, {0, 9}, true, true, {{"a", "v", 5, false}, {"b", "v", 9, false}}, {0, 40}}, now);
+		CHECK(watch.IsKnown() == told);
+		watch.OnTick(now + milliseconds(600));
+		CHECK(store.calls.size() == (told ? 0 : 1));
+		if (!told) store.Answer(Page({"a", "b"}, 9));
+		CHECK(rows == std::vector<std::string>{"a", "b"});
+		CHECK_FALSE(watch.IsWanted());
+		// By now it can hand the table on itself, with what has changed since.
+		watch.OnNews({"table", {0, 9}, {0, 12}, false, true, {{"a", "", 12, true}, {"c", "v", 11, false}}, {0, 12}}, now);
+		std::optional<TableNews> whole = watch.Whole();
+		REQUIRE(whole);
+		CHECK(whole->whole);
+		CHECK(whole->to == StoreVersion{0, 12});
+		REQUIRE(whole->rows.size() == 2);
+		CHECK(whole->rows[0].key == "b");
+		CHECK(whole->rows[1].key == "c");
+	}
+}
+
+TEST_CASE("Watch - changes that concern nobody here are told without rows, and nobody reads them")
+{
+	TimePoint now = MonotonicNow();
+	HandStore store;
+	TableWatch reader(store, "table", WatchLimits{}, [&] { return now; });
+	reader.select = [](std::vector<StoredRow> &rows, bool) { std::erase_if(rows, [](const StoredRow &row) { return row.key != "own"; }); };
+	std::vector<TableNews> told;
+	reader.on_read = [&](const TableNews &news) { told.push_back(news); };
+	reader.Start(now);
+	store.Answer(Page({"other", "own"}, 5));
+	REQUIRE(told.size() == 1);
+	CHECK(told[0].rows.size() == 1);
+	store.Answer(Page({"other"}, 7));
+	REQUIRE(told.size() == 2);
+	CHECK(told[1].rows.empty());
+	HandStore other_store;
+	TableWatch member(other_store, "table", WatchLimits{}, [&] { return now; });
+	member.SetPatience(WatchLimits{}.patience);
+	member.StartAmongOthers(now + std::chrono::hours(1));
+	for (const TableNews &news : told) member.OnNews(news, now);
+	CHECK(member.RowsVersion() == reader.RowsVersion());
+	member.OnTick(now);
+	CHECK(other_store.calls.empty());
+	// A sign of life that is ahead still means that there is more to read.
+	member.OnNews({"table", {0, 9}, {0, 9}, false, true, {}, {0, 9}}, now);
+	member.OnTick(now);
+	CHECK(other_store.calls.size() == 1);
+}
+
+TEST_CASE("Watch - who takes the reading over goes on from the version that was last told, which the store still remembers")
+{
+	TimePoint now = MonotonicNow();
+	HandStore store;
+	TableWatch watch(store, "table", WatchLimits{}, [&] { return now; });
+	watch.SetPatience(WatchLimits{}.patience);
+	watch.Start(now);
+	store.Answer(Page({"a"}, 5));
+	watch.OnNews({"table", {0, 5}, {0, 5}, false, true, {}, {0, 800}}, now);
+	now += WatchLimits{}.patience + milliseconds(1);
+	watch.OnTick(now);
+	REQUIRE(store.calls.size() == 1);
+	CHECK(store.Newest().changes);
+	CHECK(store.Newest().version == 800);
+}
