Change: [Gateway] Tables are told one by one from one kept message, by the first of a hall, and only in a divided fleet

Ruled out: the links; tables of 1,250 targets take some 50 KB compressed.

Change: each table is told as soon as it is known; the message is kept; the same order tells who reads at a start, whom other halls dial and whom a hall asks; only cells of a divided fleet ask at all.

--- a/src/decision/peer_directory.cpp
+++ b/src/decision/peer_directory.cpp
@@ -9,8 +9,6 @@
 
 namespace cottonspool {
 
-static constexpr const char *RELAY_KEY = "relay"; ///< Key by which all choose the same instance of a hall to pass news on there.
-
 void PeerDirectory::Note(const std::string &peer, const PeerPlace &place)
 {
 	if (peer == this->own_name) return;
--- a/src/decision/peer_directory.h
+++ b/src/decision/peer_directory.h
@@ -13,6 +13,9 @@
 
 namespace cottonspool {
 
+/** Key by which all choose the same instance of a hall to pass news on there. */
+inline constexpr const char *RELAY_KEY = "relay";
+
 /** Where an instance is. */
 struct PeerPlace {
 	std::string address;  ///< IP:PORT for peers.
--- a/src/gateway/gateway_store.cpp
+++ b/src/gateway/gateway_store.cpp
@@ -33,7 +33,7 @@
 	this->tables_begun = true;
 	this->cells = this->peers.Cells();
 	for (TableWatch *watch : {&this->configuration_watch, &this->target_watch}) {
-		Duration wait = start == TableStart::Ask ? this->peers.WaitForTable(*watch) : Duration(0);
+		Duration wait = start == TableStart::Ask ? this->peers.WaitForTable() : Duration(0);
 		Log(LogLevel::Info, "table-begun",
 		    {{"table", watch->Table()}, {"ask", start == TableStart::Ask ? "yes" : "no"}, {"read_in_ms", FormatMilliseconds(wait)}});
 		if (wait > Duration(0)) {
@@ -52,7 +52,7 @@
 	if (!this->tables_begun || this->cells == this->peers.Cells()) return;
 	this->cells = this->peers.Cells();
 	this->sharers.clear();
-	this->target_watch.Renew(now + this->peers.WaitForTable(this->target_watch));
+	this->target_watch.Renew(now + this->peers.WaitForTable());
 }
 
 void Gateway::SelectTargets(std::vector<StoredRow> &rows, bool whole)
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -40,16 +40,6 @@
 	return row;
 }
 
-static constexpr double PACKED = 4; ///< Times that rows are longer than what they take on a link, at least.
-
-/** @return Bytes of the rows of \a news. */
-static double BytesOf(const TableNews &news)
-{
-	double bytes = 0;
-	for (const StoredRow &row : news.rows) bytes += static_cast<double>(row.key.size() + row.value.size());
-	return bytes;
-}
-
 PeerExchange::PeerExchange(uv_loop_s *loop, TableStore &store, PeerLoad &load, std::string name, std::string hall, ExchangeLimits limits,
                            ReportHandler on_report)
     : store(store), load(load), name(std::move(name)), hall(std::move(hall)), incarnation(StartNumber()), limits(limits),
@@ -87,6 +77,7 @@
 void PeerExchange::TellTables(TablesMessage message, const std::set<std::string> &except)
 {
 	this->AddParts(message);
+	this->asks_at = TimePoint{};
 	std::string bytes = EncodePeerMessage(message);
 	bool has_rows = std::any_of(message.tables.begin(), message.tables.end(), [](const TableNews &news) { return !news.rows.empty(); });
 	if (has_rows && !this->pass_on.Take(static_cast<double>(bytes.size() * this->links.OpenLinks()), MonotonicNow())) {
@@ -112,24 +103,30 @@
 	// Who starts with all others sees them come one by one: how many there will be shows when no more do.
 	bool complete = now - this->list_changed >= this->limits.list_quiet || since >= this->limits.list_most;
 	if (this->limits.first_start && !complete) return TableStart::NotYet;
-	return this->directory.InCell() + 1 >= this->limits.ask_from ? TableStart::Ask : TableStart::Read;
+	// A list of few targets is read faster than handed over; of a divided fleet's list each would read many times what it needs.
+	return this->Cells() > 1 ? TableStart::Ask : TableStart::Read;
 }
 
-Duration PeerExchange::WaitForTable(const TableWatch &table) const
+Duration PeerExchange::WaitForTable() const
 {
-	std::vector<std::string> order = ReaderOrder(table.OrderedBy(), this->Listed());
+	// The first of all is the one that the other halls dial to be told of tables.
+	std::vector<std::string> order = ReaderOrder(RELAY_KEY, this->Listed());
 	auto place = std::find(order.begin(), order.end(), this->name) - order.begin();
 	return place == 0 ? Duration(0) : this->limits.table_wait + this->limits.table_wait_each * place;
 }
 
-std::vector<std::string> PeerExchange::Askable() const
+std::vector<std::string> PeerExchange::HallOrder() const
 {
 	std::vector<Reader> of_hall{{this->name, this->limits.link_mbps}};
 	for (const Reader &reader : this->Listed()) {
 		const PeerPlace *place = this->directory.Find(reader.name);
 		if (place != nullptr && place->hall == this->hall) of_hall.push_back(reader);
 	}
-	std::vector<std::string> order = ReaderOrder(HALL_LOAD_KEY, of_hall);
+	return ReaderOrder(RELAY_KEY, of_hall);
+}
+
+std::vector<std::string> PeerExchange::Askable(const std::vector<std::string> &order) const
+{
 	std::vector<std::string> askable;
 	auto add = [&](const std::string &address) {
 		if (this->links.StateOf(address) == LinkState::Open) askable.push_back(address);
@@ -144,15 +141,24 @@
 
 void PeerExchange::AskTables(TimePoint now)
 {
-	if (now < this->ask_at) return;
 	std::vector<std::string> wanted = this->sharing.Wanted();
 	std::erase(wanted, this->watch.Table());
+	this->asks_halls = false;
 	if (wanted.empty()) return;
-	std::vector<std::string> askable = this->Askable();
+	std::vector<std::string> order = this->HallOrder();
+	this->asks_halls = order.front() == this->name;
+	if (this->asks_halls) this->Dial(now);
+	std::vector<std::string> askable = this->Askable(order);
 	if (askable.empty()) return;
+	// The first in the order is asked as soon as it is linked; the others in turn, as long as nobody has answered.
+	bool again = now >= this->ask_at;
+	bool first = askable.front() != this->asked_first;
+	if (!first && !again) return;
+	if (first) this->asked_first = askable.front();
+	const std::string &to = first ? askable.front() : askable[++this->asked % askable.size()];
 	this->ask_at = now + this->limits.ask_pause;
-	this->links.SendTo(askable[this->asked++ % askable.size()], TablesAskMessage{this->name, wanted});
-	Log(LogLevel::Info, "tables-asked", {{"tables", std::to_string(wanted.size())}, {"asks", std::to_string(this->asked)}});
+	this->links.SendTo(to, TablesAskMessage{this->name, wanted});
+	Log(LogLevel::Info, "tables-asked", {{"tables", std::to_string(wanted.size())}, {"peer", to}});
 }
 
 void PeerExchange::OnTablesAsk(const TablesAskMessage &ask, const PeerLinks::Reply &reply, TimePoint now)
@@ -164,25 +170,41 @@
 
 void PeerExchange::AnswerAsks(TimePoint now)
 {
-	static constexpr Duration PAUSE = std::chrono::milliseconds(100); // Whole tables are copied to see whether they can be told.
+	static constexpr Duration PAUSE = std::chrono::milliseconds(100); // Many ask while nothing has changed here.
 	std::erase_if(this->asks, [&](const TablesAsk &each) { return now >= each.until; });
 	if (this->asks.empty() || now < this->asks_at) return;
 	this->asks_at = now + PAUSE;
-	std::erase_if(this->asks, [&](const TablesAsk &each) { return this->AnswerAsk(each, now); });
+	for (TablesAsk &each : this->asks) this->AnswerAsk(each, now);
+	std::erase_if(this->asks, [](const TablesAsk &each) { return each.ask.tables.empty(); });
 }
 
-bool PeerExchange::AnswerAsk(const TablesAsk &ask, TimePoint now)
+void PeerExchange::AnswerAsk(TablesAsk &ask, TimePoint now)
 {
-	TablesMessage answer{this->name, this->hall, true, this->sharing.Whole(ask.ask.tables), {}};
-	if (answer.tables.size() < ask.ask.tables.size()) return false;
-	double bytes = 0;
-	for (const TableNews &news : answer.tables) bytes += BytesOf(news) / PACKED;
-	// Beyond what the link bears the asker turns to another one, which has them by then.
-	if (!this->hand_over.Take(bytes, now)) return false;
-	this->AddParts(answer);
-	ask.reply(answer);
-	Log(LogLevel::Info, "tables-told", {{"instance", ask.ask.instance}, {"tables", std::to_string(answer.tables.size())}});
-	return true;
+	// What is known is told at once: who reads one table may wait for another one itself.
+	for (auto table = ask.ask.tables.begin(); table != ask.ask.tables.end();) {
+		const std::string *answer = this->WholeTable(*table);
+		// Beyond what the link bears the asker turns to another one, which has them by then.
+		if (answer == nullptr || !this->hand_over.Take(static_cast<double>(answer->size()), now)) {
+			++table;
+			continue;
+		}
+		ask.reply.Bytes(*answer);
+		Log(LogLevel::Info, "table-told", {{"instance", ask.ask.instance}, {"table", *table}, {"bytes", std::to_string(answer->size())}});
+		table = ask.ask.tables.erase(table);
+	}
+}
+
+const std::string *PeerExchange::WholeTable(const std::string &table)
+{
+	std::optional<StoreVersion> version = this->sharing.WholeVersion(table);
+	if (!version) return nullptr;
+	auto [found, added] = this->whole_tables.try_emplace(table);
+	if (added || found->second.version != *version) {
+		TablesMessage message{this->name, this->hall, true, this->sharing.Whole({table}), {}};
+		this->AddParts(message);
+		found->second = {*version, EncodePeerMessage(message)};
+	}
+	return &found->second.bytes;
 }
 
 void PeerExchange::AddParts(TablesMessage &message) const
@@ -214,6 +236,7 @@
 {
 	this->NoteParts(message);
 	for (const TableNews &news : message.tables) this->sharing.OnNews(message.instance, message.hall, news, now);
+	this->asks_at = now;
 	if (!this->sharing.PassesOn(message.hall, message.relayed)) return;
 	TablesMessage relayed = message;
 	relayed.relayed = true;
@@ -479,7 +502,8 @@
 void PeerExchange::Dial(TimePoint now)
 {
 	auto state_of = [this](const std::string &to) { return this->links.StateOf(to); };
-	WantedLinks wanted = this->directory.Wanted(state_of, this->sharing.ReadsForHall() || this->tells_halls, now);
+	bool links_halls = this->sharing.ReadsForHall() || this->tells_halls || this->asks_halls;
+	WantedLinks wanted = this->directory.Wanted(state_of, links_halls, now);
 	this->relays = {wanted.relays.begin(), wanted.relays.end()};
 	wanted.peers.insert(wanted.peers.end(), wanted.relays.begin(), wanted.relays.end());
 	this->links.SetWanted(wanted.peers);
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -36,21 +36,21 @@
 	Duration settle = std::chrono::milliseconds(600); ///< Time after the start in which this instance doesn't read for others: those that
 	                                                  ///< start together need it to hear of each other, and each would take itself for the
 	                                                  ///< first until then (61 instances: 241 calls that follow a table in two seconds).
-	size_t ask_from = 64; ///< Instances in a cell from which those that start take tables from each other: each row read is paid for.
-	Duration ask_pause = std::chrono::milliseconds(400);   ///< Time for an answer, after which another instance is asked.
-	Duration ask_kept = std::chrono::seconds(2);           ///< Time for which an instance that asked too early is remembered.
+	Duration ask_pause =
+	        std::chrono::milliseconds(400);      ///< Time for tables that were asked for to come, after which another instance is asked.
+	Duration ask_kept = std::chrono::seconds(2); ///< Time for which an instance that asked too early is remembered.
 	Duration list_wait = std::chrono::milliseconds(300);   ///< Time after the start at which tables are read though nobody is known.
 	Duration list_quiet = std::chrono::milliseconds(1500); ///< At the first start of all: time without a new instance after which they are
 	                                                       ///< taken for complete.
-	Duration list_most = std::chrono::seconds(8);  ///< Longest wait for that.
-	Duration table_wait = std::chrono::seconds(3); ///< Time after which a table that nobody tells is read here.
+	Duration list_most = std::chrono::seconds(8);          ///< Longest wait for that.
+	Duration table_wait = std::chrono::seconds(3);         ///< Time after which a table that nobody tells is read here.
 	Duration table_wait_each =
 	        std::chrono::milliseconds(250);                 ///< Further time for each instance that comes before in the order of readers.
 	Duration readers_look = std::chrono::milliseconds(200); ///< Time between looks at who reads for whom.
 	DialLimits dial;                                        ///< Dialling of peers.
 	bool first_start = false;                               ///< The whole system starts for the first time: nobody is listed yet.
-	Duration register_limit = std::chrono::seconds(4); ///< Time after which a write of this instance's row is given up: a store that is
-	                                                   ///< asked by all at once works them off one after another.
+	Duration register_limit = std::chrono::seconds(4);  ///< Time after which a write of this instance's row is given up: a store that is
+	                                                    ///< asked by all at once works them off one after another.
 	Duration register_pause = std::chrono::seconds(1);  ///< Pause before it is written again after a failure.
 	Duration register_spread = std::chrono::seconds(1); ///< Time over which the instances write theirs again that a store has forgotten.
 	WatchLimits watch{.wait = std::chrono::seconds(10),
@@ -104,8 +104,8 @@
 	/** @return How tables that all instances need are to be taken in at the start. */
 	TableStart StartOfTables(TimePoint now) const;
 
-	/** @return Time after which \a table, which this instance asks others for, is to be read here: none at the one that reads it first. */
-	Duration WaitForTable(const TableWatch &table) const;
+	/** @return Time after which a table that this instance asks others for is to be read here: none at the one that reads for all. */
+	Duration WaitForTable() const;
 
 	/** @return Number of cells. */
 	uint32_t Cells() const { return this->directory.Cells().cells; }
@@ -183,13 +183,17 @@
 	void AskTables(TimePoint now);
 	void OnTablesAsk(const TablesAskMessage &ask, const PeerLinks::Reply &reply, TimePoint now);
 	void AnswerAsks(TimePoint now);
-	/** @return Whether \a ask could be answered: all of it is known here, and the link bears it now. */
-	bool AnswerAsk(const TablesAsk &ask, TimePoint now);
+	/** Tell those tables that \a ask wants which are known here, as far as the link bears it now, and take them off it. */
+	void AnswerAsk(TablesAsk &ask, TimePoint now);
+	/** @return The message that tells \a table whole; null while it is not known here. */
+	const std::string *WholeTable(const std::string &table);
 	void NoteParts(const TablesMessage &message);
 	/** Add to \a message how the targets are divided, if it tells all of them. */
 	void AddParts(TablesMessage &message) const;
-	/** @return Addresses of those that are linked, in the order in which they are asked for tables. */
-	std::vector<std::string> Askable() const;
+	/** @return Names of the instances of the own hall and cell, this one included, in the order in which tables go from one to others. */
+	std::vector<std::string> HallOrder() const;
+	/** @return Addresses of those that are linked, in the order in which they are asked; \a order is that of the hall. */
+	std::vector<std::string> Askable(const std::vector<std::string> &order) const;
 	/** @return This instance and all that are listed in its cell, with the speed of their links. */
 	std::vector<Reader> Listed() const;
 	void OnCellsChanged(TimePoint now);
@@ -240,33 +244,41 @@
 		PeerLinks::Reply reply; ///< Answers it.
 		TimePoint until;        ///< It is forgotten then.
 	};
-	std::vector<TablesAsk> asks;        ///< Those that wait for an answer.
-	TimePoint asks_at;                  ///< When they are next looked at.
-	TargetDivision *division = nullptr; ///< How targets are divided among cells; null if they are not.
-	std::string divided_table;          ///< Table of the targets.
-	TimePoint ask_at;                   ///< When tables are next asked for.
-	size_t asked = 0;                   ///< Asks so far.
-	TimePoint list_changed;             ///< When an instance last became known.
-	ByteBudget pass_on;                 ///< Rows that may be passed on.
-	ByteBudget hand_over;               ///< Whole tables that may be handed over.
-	TimePoint waiting_since;            ///< When the first of them came up.
-	TimePoint flushed_at;               ///< When news last went out.
-	bool urgent = false;                ///< Some of what waits is urgent.
-	TimePoint started;                  ///< When the exchange began.
-	TimePoint sent_at;                  ///< When news was last sent.
-	bool tells_halls = false;           ///< This instance tells other halls for its own.
-	TimePoint tell_halls_at;            ///< When it does next.
-	TimePoint told_halls_at;            ///< When it last did.
-	bool told_empty = false;            ///< It told of no load then.
-	TimePoint readers_at;               ///< When it was last looked who reads for whom.
-	TimePoint register_at;              ///< When the own row is written next.
-	uint64_t registrations = 0;         ///< Writes of the own row that have ended.
-	bool registered = false;            ///< The own row is in the store.
-	bool leaving = false;               ///< This instance stops: its row is not written any more.
-	bool reading = false;               ///< Reading of the other instances' rows has begun.
-	bool list_forgotten = false;        ///< The store may have lost rows of instances: those that are linked live all the same.
-	uint64_t register_call = 0;         ///< Call under way that writes it.
-	std::vector<std::string> readers;   ///< This instance and its live peers.
+	/** A message that tells a table whole. */
+	struct WholeMessage {
+		StoreVersion version; ///< Version of the table.
+		std::string bytes;    ///< Message, encoded.
+	};
+	std::vector<TablesAsk> asks;                      ///< Those that wait for an answer.
+	std::map<std::string, WholeMessage> whole_tables; ///< By table, as it was last told to one of them.
+	std::string asked_first;                          ///< Address of the first in the order that was asked.
+	bool asks_halls = false;                          ///< This instance asks other halls for tables, for its own.
+	TimePoint asks_at;                                ///< When they are next looked at.
+	TargetDivision *division = nullptr;               ///< How targets are divided among cells; null if they are not.
+	std::string divided_table;                        ///< Table of the targets.
+	TimePoint ask_at;                                 ///< When tables are next asked for.
+	size_t asked = 0;                                 ///< Asks so far.
+	TimePoint list_changed;                           ///< When an instance last became known.
+	ByteBudget pass_on;                               ///< Rows that may be passed on.
+	ByteBudget hand_over;                             ///< Whole tables that may be handed over.
+	TimePoint waiting_since;                          ///< When the first of them came up.
+	TimePoint flushed_at;                             ///< When news last went out.
+	bool urgent = false;                              ///< Some of what waits is urgent.
+	TimePoint started;                                ///< When the exchange began.
+	TimePoint sent_at;                                ///< When news was last sent.
+	bool tells_halls = false;                         ///< This instance tells other halls for its own.
+	TimePoint tell_halls_at;                          ///< When it does next.
+	TimePoint told_halls_at;                          ///< When it last did.
+	bool told_empty = false;                          ///< It told of no load then.
+	TimePoint readers_at;                             ///< When it was last looked who reads for whom.
+	TimePoint register_at;                            ///< When the own row is written next.
+	uint64_t registrations = 0;                       ///< Writes of the own row that have ended.
+	bool registered = false;                          ///< The own row is in the store.
+	bool leaving = false;                             ///< This instance stops: its row is not written any more.
+	bool reading = false;                             ///< Reading of the other instances' rows has begun.
+	bool list_forgotten = false;      ///< The store may have lost rows of instances: those that are linked live all the same.
+	uint64_t register_call = 0;       ///< Call under way that writes it.
+	std::vector<std::string> readers; ///< This instance and its live peers.
 };
 
 } // namespace cottonspool
--- a/src/peer/peer_links.cpp
+++ b/src/peer/peer_links.cpp
@@ -121,7 +121,7 @@
 		this->counters.bad_messages++;
 		return;
 	}
-	this->handler(message.value(), [this, from](const PeerMessage &answer) { this->SendOn(from.lock(), EncodePeerMessage(answer)); });
+	this->handler(message.value(), Reply([this, from](const std::string &answer) { this->SendOn(from.lock(), answer); }));
 }
 
 void PeerLinks::Shutdown()
--- a/src/peer/peer_links.h
+++ b/src/peer/peer_links.h
@@ -27,7 +27,21 @@
 class PeerLinks {
 public:
 	/** Answers a message on the link it came on. */
-	using Reply = std::function<void(const PeerMessage &)>;
+	class Reply {
+	public:
+		using Send = std::function<void(const std::string &)>;
+
+		explicit Reply(Send send) : send(std::move(send)) {}
+
+		/** Answer with \a message. */
+		void operator()(const PeerMessage &message) const { this->send(EncodePeerMessage(message)); }
+
+		/** The same with a message that was encoded already. */
+		void Bytes(const std::string &bytes) const { this->send(bytes); }
+
+	private:
+		Send send; ///< Sends an encoded message.
+	};
 	using Handler = std::function<void(const PeerMessage &, const Reply &)>;
 
 	PeerLinks(uv_loop_s *loop, Handler handler) : loop(loop), handler(std::move(handler)) {}
--- a/src/store/table_sharing.cpp
+++ b/src/store/table_sharing.cpp
@@ -85,6 +85,14 @@
 	return known;
 }
 
+std::optional<StoreVersion> TableSharing::WholeVersion(const std::string &table) const
+{
+	for (const SharedTable &each : this->tables) {
+		if (each.watch->Table() == table && each.watch->CanTellWhole()) return each.watch->RowsVersion();
+	}
+	return std::nullopt;
+}
+
 void TableSharing::OnTick(TimePoint now)
 {
 	for (SharedTable &each : this->tables) each.watch->OnTick(now);
--- a/src/store/table_sharing.h
+++ b/src/store/table_sharing.h
@@ -46,6 +46,9 @@
 	/** @return What is known here of \a tables, whole; those that are not known are left out. */
 	std::vector<TableNews> Whole(const std::vector<std::string> &asked) const;
 
+	/** @return The version of \a table, if it is known here and can be told whole. */
+	std::optional<StoreVersion> WholeVersion(const std::string &table) const;
+
 	/** Time has passed. */
 	void OnTick(TimePoint now);
 
--- a/src/store/table_watch.cpp
+++ b/src/store/table_watch.cpp
@@ -88,7 +88,7 @@
 
 std::optional<TableNews> TableWatch::Whole() const
 {
-	if (!this->limits.keep || !this->known || this->wants_whole || this->behind) return std::nullopt;
+	if (!this->CanTellWhole()) return std::nullopt;
 	TableNews news{this->table, StoreVersion{}, this->rows_version, true, !this->lost, {}, this->version};
 	for (const auto &[key, row] : this->kept) news.rows.push_back(row);
 	return news;
--- a/src/store/table_watch.h
+++ b/src/store/table_watch.h
@@ -89,6 +89,9 @@
 	/** @return Whether the whole table is wanted from others. */
 	bool IsWanted() const { return this->started && this->wants_whole; }
 
+	/** @return Whether Whole() tells the table. */
+	bool CanTellWhole() const { return this->limits.keep && this->known && !this->wants_whole && !this->behind; }
+
 	/** @return The whole table as it is known here, for an instance that starts; nothing while it is not known or not kept. */
 	std::optional<TableNews> Whole() const;
 
