--- a/src/tests/cell_division_test.cpp
+++ b/src/tests/cell_division_test.cpp
@@ -172,9 +172,9 @@
 		CHECK(cell.ShareOf("rare", HallName(1), CELLS) == doctest::Approx(1.0 / CELLS));
 		CHECK(cell.ShareOf("engines", HallName(1), CELLS) == doctest::Approx(1));
 	}
-	for (const auto &[place, least] : known_least) {
-		CAPTURE(place);
-		CHECK(least >= 1);
+	for (const auto &known : known_least) {
+		CAPTURE(known.first);
+		CHECK(known.second >= 1);
 	}
 	for (const TargetRow &row : targets) {
 		double share = cells.begin()->second.ShareOf(row.target->pool, row.target->hall, CELLS);
