Fix: [Gateway] A target that breaks the sign of life off is asked again: a process that ends takes connections until its socket is closed

Change: such a target is asked up to three times, a tick apart. One that lives and goes on breaking connections still counts as alive.

--- a/src/gateway/end_watch.cpp
+++ b/src/gateway/end_watch.cpp
@@ -7,6 +7,8 @@
 
 namespace cottonspool {
 
+static constexpr uint32_t MOST_ASKS = 3; ///< Times that a target which breaks the sign of life off is asked for one.
+
 static constexpr size_t MOST_WITHDRAWN = 256; ///< Sends taken back that are remembered: those of two seconds of an instance.
 
 bool EndWatch::HasWithdrawn(const std::string &life) const
@@ -38,19 +40,31 @@
 	if (!added) return suspect;
 	check.check.target = target;
 	check.begun = now;
+	this->Ask(found->first, check);
+	return suspect;
+}
+
+void EndWatch::Ask(const std::string &name, Pending &check)
+{
+	check.asks++;
 	check.token = this->next_token++;
-	auto done = [this, name = target.life.Name(), token = check.token](LifeSign sign) { this->OnSign(name, token, sign); };
+	auto done = [this, name, token = check.token](LifeSign sign) { this->OnSign(name, token, sign); };
+	const BrokenTarget &target = check.check.target;
 	UpstreamCall call = MakeLifeCall(target.address, target.life, target.path, done);
 	// This watch has a limit of its own, behind which the target counts as silent, not as refusing.
 	call.connect_limit = 2 * this->limit;
 	check.call = this->upstream.Start(std::move(call));
-	return suspect;
 }
 
 void EndWatch::OnSign(const std::string &name, uint64_t token, LifeSign sign)
 {
 	auto found = this->pending.find(name);
 	if (found == this->pending.end() || found->second.token != token) return;
+	// A process that ends takes connections until its socket is closed, and breaks them: asked again at the next tick, it refuses.
+	if (sign == LifeSign::Broken && found->second.asks < MOST_ASKS) {
+		found->second.call = 0;
+		return;
+	}
 	found->second.check.sign = sign;
 	this->Conclude(name, MonotonicNow());
 }
@@ -92,6 +106,9 @@
 		this->upstream.Cancel(this->pending.at(name).call);
 		this->Conclude(name, now);
 	}
+	for (auto &[name, check] : this->pending) {
+		if (check.call == 0) this->Ask(name, check);
+	}
 }
 
 } // namespace cottonspool
--- a/src/gateway/end_watch.h
+++ b/src/gateway/end_watch.h
@@ -69,7 +69,8 @@
 	struct Pending {
 		TargetCheck check;  ///< What is known of it.
 		TimePoint begun;    ///< When it began.
-		uint64_t call = 0;  ///< Call under way.
+		uint64_t call = 0;  ///< Call under way; 0 while it is to be asked again.
+		uint32_t asks = 0;  ///< Times that it was asked.
 		uint64_t token = 0; ///< Tells its answer from that of an earlier check of the same target.
 	};
 
@@ -82,6 +83,7 @@
 
 	bool HasWithdrawn(const std::string &life) const;
 	void TakeWithdrawn(TargetCheck &check);
+	void Ask(const std::string &name, Pending &check);
 	void OnSign(const std::string &name, uint64_t token, LifeSign sign);
 	void Conclude(const std::string &name, TimePoint now);
 
