Fix: [Upstream] Only a refused connection tells that nobody listens: a target that resets a new one may live

Change: the end of a connection and of a call tell "refused" apart from "not sent for another reason"; both still mean that no byte left.

--- a/src/gateway/relay_call.cpp
+++ b/src/gateway/relay_call.cpp
@@ -273,9 +273,9 @@
 	Log(LogLevel::Info, "send-ended",
 	    {{"request", this->request.info.attempt},
 	     {"target", this->gateway.dispatcher.Targets().Get(*this->target).name},
-	     {"sent", end == UpstreamEnd::NotSent ? "no" : "maybe"},
+	     {"sent", IsUnsent(end) ? "no" : "maybe"},
 	     {"cause", cause}});
-	if (end == UpstreamEnd::NotSent) return this->EndSend(SendEnd::NotSent);
+	if (IsUnsent(end)) return this->EndSend(SendEnd::NotSent);
 	this->gateway.OnSendBroken(this->request, *this->target, this->Stage(), MonotonicNow());
 	this->EndSend(SendEnd::Lost);
 	if (this->request.spec.repeatable && !this->passing) return;
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -101,7 +101,7 @@
 
 void StreamRelay::OnRunEnd(UpstreamEnd end, const char *cause)
 {
-	if (end == UpstreamEnd::NotSent) return this->EndSend(SendEnd::NotSent);
+	if (IsUnsent(end)) return this->EndSend(SendEnd::NotSent);
 	if (end == UpstreamEnd::Complete && this->streaming) return this->Finish();
 	if (end == UpstreamEnd::Complete) return this->RelayRefusal();
 	this->gateway.OnSendBroken(this->request, *this->target, this->Stage(), MonotonicNow());
--- a/src/net/http_upstream.cpp
+++ b/src/net/http_upstream.cpp
@@ -131,12 +131,19 @@
 	if (!this->reader.Resume()) this->EndCall(UpstreamEnd::Broken, "bytes that form no answer");
 }
 
+/** @return How a call ended whose connection ended with \a end before its answer was whole. */
+static UpstreamEnd EndOf(TcpEnd end)
+{
+	if (end == TcpEnd::Refused) return UpstreamEnd::Refused;
+	return end == TcpEnd::Failed ? UpstreamEnd::NotSent : UpstreamEnd::Broken;
+}
+
 void UpstreamLink::OnStreamEnd(TcpEnd end, const char *cause)
 {
 	auto keep_alive = this->shared_from_this();
 	if (this->number == 0) return this->Close();
 	if (end == TcpEnd::Closed) this->reader.AddEnd();
-	if (this->number != 0) this->EndCall(end == TcpEnd::Refused ? UpstreamEnd::NotSent : UpstreamEnd::Broken, cause);
+	if (this->number != 0) this->EndCall(EndOf(end), cause);
 }
 
 void UpstreamLink::EndCall(UpstreamEnd end, const char *cause)
--- a/src/net/http_upstream.h
+++ b/src/net/http_upstream.h
@@ -17,9 +17,16 @@
 enum class UpstreamEnd : uint8_t {
 	Complete, ///< The whole answer came.
 	NotSent,  ///< Certain: no byte of the request has left.
+	Refused,  ///< The same, as nobody listens there.
 	Broken,   ///< The connection ended before the answer was whole; the other side may have got the request.
 };
 
+/** @return Whether it is certain that no byte of a call has left that ended with \a end. */
+inline bool IsUnsent(UpstreamEnd end)
+{
+	return end == UpstreamEnd::NotSent || end == UpstreamEnd::Refused;
+}
+
 /** One call to make. Its functions are called from the loop, never from inside Start(). */
 struct UpstreamCall {
 	Endpoint to;                                             ///< Where to.
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -61,7 +61,7 @@
 	auto connected = [](uv_connect_t *request, int status) {
 		auto *self = static_cast<TcpStream *>(request->data);
 		if (self->closed) return;
-		if (status < 0) return self->End(TcpEnd::Refused, uv_strerror(status));
+		if (status < 0) return self->End(status == UV_ECONNREFUSED ? TcpEnd::Refused : TcpEnd::Failed, uv_strerror(status));
 		self->opened = true;
 		self->SetOptions();
 		self->StartReading();
@@ -77,7 +77,7 @@
 		timer->data = new std::pair<std::weak_ptr<TcpStream>, int>(stream, failed);
 		auto fire = [](uv_timer_t *t) {
 			auto *what = static_cast<std::pair<std::weak_ptr<TcpStream>, int> *>(t->data);
-			if (auto self = what->first.lock(); self && !self->closed) self->End(TcpEnd::Refused, uv_strerror(what->second));
+			if (auto self = what->first.lock(); self && !self->closed) self->End(TcpEnd::Failed, uv_strerror(what->second));
 			delete what;
 			uv_close(reinterpret_cast<uv_handle_t *>(t), [](uv_handle_t *h) { delete reinterpret_cast<uv_timer_t *>(h); });
 		};
@@ -182,7 +182,7 @@
 {
 	if (this->closed) return;
 	auto keep = this->shared_from_this();
-	if (status < 0) return this->End(this->opened ? TcpEnd::Reset : TcpEnd::Refused, uv_strerror(status));
+	if (status < 0) return this->End(this->opened ? TcpEnd::Reset : TcpEnd::Failed, uv_strerror(status));
 	if (this->Backlog() == 0 && this->on_drained) this->on_drained();
 }
 
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -33,7 +33,8 @@
 
 /** How the other side ended a connection. */
 enum class TcpEnd : uint8_t {
-	Refused, ///< It was never open: no byte has left.
+	Refused, ///< It was never open, as nobody listens: no byte has left.
+	Failed,  ///< It was never open for another reason: no byte has left.
 	Closed,  ///< The other side has sent everything and closed.
 	Reset,   ///< It broke: bytes may be lost in both directions.
 };
--- a/src/platform/wire_engine.cpp
+++ b/src/platform/wire_engine.cpp
@@ -120,7 +120,7 @@
 	call.on_end = [told, life, done = std::move(done)](UpstreamEnd end, const char *) {
 		Json root = Json::parse(told->body, nullptr, false);
 		if (root.is_object() && life.IsOther(CountOf(root, "born"))) told->sign = LifeSign::OtherLife;
-		done(end == UpstreamEnd::NotSent ? LifeSign::Refused : told->sign);
+		done(end == UpstreamEnd::Refused ? LifeSign::Refused : told->sign);
 	};
 	return call;
 }
--- a/src/platform/wire_engine.h
+++ b/src/platform/wire_engine.h
@@ -53,7 +53,7 @@
 	Answered,  ///< It answers.
 	OtherLife, ///< Another target has the address, or this one has started again.
 	Refused,   ///< Nobody listens there any more.
-	Broken,    ///< The connection came up and broke.
+	Broken,    ///< The connection broke, or did not come up although somebody may listen.
 };
 
 /** @return The name of \a sign for logs. */
--- a/src/tests/end_watch_test.cpp
+++ b/src/tests/end_watch_test.cpp
@@ -11,10 +11,17 @@
 
 namespace {
 
-/** A target that takes connections, and breaks each of them off once it was asked something. */
+/** What a target does with the connections that it takes. */
+enum class Breaking : uint8_t {
+	AsItEnds, ///< It breaks the first one off once it was asked something, and takes no more.
+	Asked,    ///< It breaks each off once it was asked something.
+	AtOnce,   ///< It breaks each off as it comes, like one that has as many as it bears.
+};
+
+/** A target that breaks connections off. */
 class BreakingTarget {
 public:
-	explicit BreakingTarget(uv_loop_t *loop)
+	BreakingTarget(uv_loop_t *loop, Breaking how) : how(how)
 	{
 		uv_tcp_init(loop, &this->listener);
 		this->listener.data = this;
@@ -34,9 +41,8 @@
 			uv_close(reinterpret_cast<uv_handle_t *>(&this->listener), nullptr);
 	}
 
-	uint16_t port = 0;      ///< Its port.
-	int connections = 0;    ///< Connections taken.
-	bool ends_then = false; ///< It ends with the first of them.
+	uint16_t port = 0;   ///< Its port.
+	int connections = 0; ///< Connections taken.
 
 private:
 	static void OnConnection(uv_stream_t *listener, int)
@@ -46,18 +52,24 @@
 		auto *connection = new uv_tcp_t;
 		uv_tcp_init(listener->loop, connection);
 		uv_accept(listener, reinterpret_cast<uv_stream_t *>(connection));
+		if (self->how == Breaking::AtOnce) return Reset(connection);
 		// What it is asked is read before it breaks the connection: whoever asked has sent it all.
 		uv_read_start(
 		        reinterpret_cast<uv_stream_t *>(connection),
 		        [](uv_handle_t *, size_t size, uv_buf_t *buffer) { *buffer = uv_buf_init(new char[size], static_cast<unsigned>(size)); },
 		        [](uv_stream_t *stream, ssize_t, const uv_buf_t *buffer) {
 			        delete[] buffer->base;
-			        auto *asked = reinterpret_cast<uv_tcp_t *>(stream);
-			        uv_tcp_close_reset(asked, [](uv_handle_t *handle) { delete reinterpret_cast<uv_tcp_t *>(handle); });
+			        Reset(reinterpret_cast<uv_tcp_t *>(stream));
 		        });
-		if (self->ends_then) self->Close();
+		if (self->how == Breaking::AsItEnds) self->Close();
+	}
+
+	static void Reset(uv_tcp_t *connection)
+	{
+		uv_tcp_close_reset(connection, [](uv_handle_t *handle) { delete reinterpret_cast<uv_tcp_t *>(handle); });
 	}
 
+	Breaking how;        ///< What it does.
 	uv_tcp_t listener{}; ///< Listening socket.
 };
 
@@ -67,12 +79,12 @@
 // on which it was asked for a sign of life, and broke it 0.3 ms later, so its end was held against nobody. Seen in one of six plays.
 TEST_CASE("Ends - a target that breaks the sign of life off as it ends has ended; one that goes on taking connections has not")
 {
-	for (bool ends : {true, false}) {
+	for (Breaking how : {Breaking::AsItEnds, Breaking::Asked, Breaking::AtOnce}) {
+		bool ends = how == Breaking::AsItEnds;
 		uv_loop_t loop;
 		uv_loop_init(&loop);
 		{
-			BreakingTarget target(&loop);
-			target.ends_then = ends;
+			BreakingTarget target(&loop, how);
 			HttpUpstream upstream(&loop);
 			std::optional<TargetCheck> found;
 			EndWatch watch(upstream, std::chrono::milliseconds(300), std::chrono::seconds(2),
--- a/src/tests/net_test.cpp
+++ b/src/tests/net_test.cpp
@@ -237,7 +237,8 @@
 	upstream.Start(probe.Make(port, "a"));
 	bench.Run(30);
 	CHECK(probe.ended == 1);
-	CHECK(probe.end == UpstreamEnd::NotSent);
+	CHECK(probe.end == UpstreamEnd::Refused);
+	CHECK(IsUnsent(probe.end));
 	upstream.Shutdown();
 }
 
