--- a/src/decision/cell_division.cpp
+++ b/src/decision/cell_division.cpp
@@ -5,6 +5,7 @@
 #include "decision/cell_division.h"
 #include "core/hash_func.h"
 #include <algorithm>
+#include <bit>
 #include <map>
 
 namespace cottonspool {
@@ -59,8 +60,7 @@
 
 bool CellDivision::OnTold(CellCount told)
 {
-	bool power_of_two = told.cells > 0 && (told.cells & (told.cells - 1)) == 0;
-	if (!power_of_two || told == this->count) return false;
+	if (!std::has_single_bit(told.cells) || told == this->count) return false;
 	if (told.decided == this->count.decided) return told.cells > this->count.cells && this->Decide(told);
 	if (told.decided < this->count.decided) return false;
 	bool knows_better = this->list.IsKnown() && !this->is_growing && told.decided < this->list && !MayKeep(told.cells, this->in_hall);
@@ -94,7 +94,7 @@
 bool TargetDivision::Set(std::vector<PoolParts> divided)
 {
 	// Hashes are compared by their last bits: only powers of two divide without moving others.
-	std::erase_if(divided, [](const PoolParts &each) { return each.parts == 0 || (each.parts & (each.parts - 1)) != 0; });
+	std::erase_if(divided, [](const PoolParts &each) { return !std::has_single_bit(each.parts); });
 	if (divided == this->parts) return false;
 	this->parts = std::move(divided);
 	return true;
--- a/src/gateway/gateway_store.cpp
+++ b/src/gateway/gateway_store.cpp
@@ -21,7 +21,7 @@
 	this->peers.ShareWith(end_watch, this->target_watch);
 	this->configuration_watch.WaitForReturnAt(this->target_watch);
 	this->peers.WaitForReturnAt(this->target_watch);
-	this->peers.Divide(this->division, TARGET_TABLE);
+	this->peers.ShareDivision(this->division, TARGET_TABLE);
 	this->peers.on_listed = [this](TimePoint at) { this->OnListed(at); };
 }
 
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -95,7 +95,7 @@
 	        on_listed; ///< Called when the list of instances was read whole, and when the number of cells has changed.
 
 	/** The targets in \a table are divided among cells as \a own tells: told with the whole table, and set by others. */
-	void Divide(TargetDivision &own, const std::string &table)
+	void ShareDivision(TargetDivision &own, const std::string &table)
 	{
 		this->division = &own;
 		this->divided_table = table;
@@ -187,6 +187,9 @@
 	void AnswerAsk(TablesAsk &ask, TimePoint now);
 	/** @return The message that tells \a table whole; null while it is not known here. */
 	const std::string *WholeTable(const std::string &table);
+	/** @return Whether \a message tells all targets. */
+	bool TellsTargets(const TablesMessage &message) const;
+	/** Take over how the teller of \a message divides the targets, if it tells all of them. */
 	void NoteParts(const TablesMessage &message);
 	/** Add to \a message how the targets are divided, if it tells all of them. */
 	void AddParts(TablesMessage &message) const;
--- a/src/gateway/peer_tables.cpp
+++ b/src/gateway/peer_tables.cpp
@@ -31,6 +31,7 @@
 
 TableStart PeerExchange::StartOfTables(TimePoint now) const
 {
+	// One that exchanges nothing with others never learns of them.
 	if (this->started == TimePoint{}) return TableStart::Read;
 	Duration since = now - this->started;
 	if (!this->watch.IsKnown()) return since < this->limits.list_wait || this->limits.first_start ? TableStart::NotYet : TableStart::Read;
@@ -141,18 +142,20 @@
 	return &found->second.bytes;
 }
 
+bool PeerExchange::TellsTargets(const TablesMessage &message) const
+{
+	auto tells = [this](const TableNews &news) { return news.whole && news.table == this->divided_table; };
+	return this->division != nullptr && std::any_of(message.tables.begin(), message.tables.end(), tells);
+}
+
 void PeerExchange::AddParts(TablesMessage &message) const
 {
-	auto tells_targets = [this](const TableNews &news) { return news.whole && news.table == this->divided_table; };
-	bool all = std::any_of(message.tables.begin(), message.tables.end(), tells_targets);
-	if (all && this->division != nullptr) message.parts = this->division->Parts();
+	if (this->TellsTargets(message)) message.parts = this->division->Parts();
 }
 
 void PeerExchange::NoteParts(const TablesMessage &message)
 {
-	auto tells_targets = [this](const TableNews &news) { return news.whole && news.table == this->divided_table; };
-	if (this->division == nullptr || std::none_of(message.tables.begin(), message.tables.end(), tells_targets)) return;
-	if (!this->division->Set(message.parts)) return;
+	if (!this->TellsTargets(message) || !this->division->Set(message.parts)) return;
 	Log(LogLevel::Info, "targets-divided", {{"source", message.instance}, {"pools", std::to_string(message.parts.size())}});
 }
 
