Fix: [Dispatcher] Where there are more instances than retries to share, names tell who gets one

Cause: each instance saved up at least one retry, so that 2,000 instances might make twice what the operators allow in one window. Found by reading, then by the test: 400 and 2,000 retries where 200 are allowed. Ruled out: a part of one each, which nobody can ever use, and beginning with none, as all have saved one up before everything fails at once.

Change: below one each, instances draw by the hash of their names, nine tenths of the slack in all. Figures: at most 200 of 200 by the test.

--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -224,11 +224,20 @@
 	return call.ends_at;
 }
 
-void Dispatcher::ShareRetries(double slack, size_t instances)
+/** @return What the instance \a own may save up where there is \a share for each, which is less than one: nobody can use a part of one. */
+static double DrawnShare(double share, std::string_view own)
+{
+	static constexpr double KEPT_BACK = 0.1; // Of as many lots now and then more win than should.
+	static constexpr uint64_t LOTS = 1U << 20;
+	double lot = static_cast<double>(HashText(own) % LOTS) / static_cast<double>(LOTS);
+	return lot < share * (1 - KEPT_BACK) ? 1 : 0;
+}
+
+void Dispatcher::ShareRetries(double slack, size_t instances, std::string_view own)
 {
 	if (!this->limits.pool_retry) return;
-	// Less than one would never allow a retry, however many first attempts were made.
-	double burst = std::max(1.0, slack / static_cast<double>(std::max<size_t>(instances, 1)));
+	double share = slack / static_cast<double>(std::max<size_t>(instances, 1));
+	double burst = share < 1 ? DrawnShare(share, own) : share;
 	if (burst == this->limits.pool_retry->burst) return;
 	this->limits.pool_retry->burst = burst;
 	for (auto &[model, budget] : this->pool_budgets) budget.SetBurst(burst);
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -55,8 +55,11 @@
 public:
 	Dispatcher(DispatchLimits limits, std::unique_ptr<Router> router);
 
-	/** Share the retries that all instances may save up, \a slack for each model or service, among \a instances. */
-	void ShareRetries(double slack, size_t instances);
+	/**
+	 * Share the retries that all instances may save up, \a slack for each model or service, among \a instances.
+	 * @param own Name of this one: where there is less than one for each, the names tell who gets one.
+	 */
+	void ShareRetries(double slack, size_t instances, std::string_view own);
 
 	/** A new call has come in. */
 	Decisions Submit(const CallSpec &call, TimePoint now);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -335,7 +335,8 @@
 	for (const auto &[id, call] : this->calls) all.push_back(call);
 	for (const auto &call : all) call->OnTick(now);
 	this->peers.OnTick(now);
-	if (size_t instances = this->peers.Instances(); instances > 0) this->dispatcher.ShareRetries(this->limits.retry_slack, instances);
+	if (size_t instances = this->peers.Instances(); instances > 0)
+		this->dispatcher.ShareRetries(this->limits.retry_slack, instances, this->settings.name);
 	if (now - this->settings_checked > SETTINGS_LOOK) {
 		this->settings_checked = now;
 		if (ReadFile(this->settings_path) != this->settings_text) this->Reload();
--- a/src/tests/dispatcher_test.cpp
+++ b/src/tests/dispatcher_test.cpp
@@ -434,7 +434,7 @@
 
 TEST_CASE("Dispatcher - instances that share the retries beyond the usual ones make no more together than one alone may")
 {
-	for (size_t instances : {1, 8, 78, 200}) {
+	for (size_t instances : {1, 8, 78, 200, 400, 2000}) {
 		constexpr double SLACK = 200;
 		size_t retries = 0;
 		for (size_t i = 0; i < instances; i++) {
@@ -446,7 +446,7 @@
 			TimePoint now{std::chrono::seconds(10)};
 			TargetNumber target = dispatcher.Targets().Configure("service", "hall", {ModelNumber{0}}, false);
 			dispatcher.Targets().SetUnreported(target, 1000);
-			dispatcher.ShareRetries(SLACK, instances);
+			dispatcher.ShareRetries(SLACK, instances, "instance-" + std::to_string(i));
 			CallSpec call = MakeCall(1, 1, now);
 			call.generated = false;
 			call.deadline = now + std::chrono::hours(10);
