--- a/src/decision/request_type.h
+++ b/src/decision/request_type.h
@@ -55,6 +55,7 @@
 	bool generated = true;                                  ///< Whether it is a generation of a model; false for a service call.
 	TimePoint response_deadline = TimePoint::max();         ///< Latest time for its complete answer.
 	Duration objective{0};                                  ///< Latency objective for its answer or first event; zero for none.
+	Duration gap_objective{0};                              ///< Objective for the time between events of its stream; zero for none.
 	double other_hall_penalty = 0.10;             ///< Pressure advantage that a hall needs to be chosen over the one preferred before it.
 	uint32_t max_attempts = 0;                    ///< Maximum number of attempts; 0 for the dispatcher's default.
 	TimePoint overcommit_from = TimePoint::max(); ///< From then on it may overcommit a target that has no headroom, up to a limit.
--- a/src/decision/target_table.h
+++ b/src/decision/target_table.h
@@ -7,6 +7,7 @@
 #include "core/name_table.h"
 #include "decision/length_estimate.h"
 #include "decision/target_restrictions.h"
+#include "decision/target_speed.h"
 #include <deque>
 #include <map>
 #include <set>
@@ -221,6 +222,12 @@
 	/** Handle the backup of a run, with an expected size of \a tokens, at \a target; counted until the next report includes it. */
 	void OnBackup(TargetNumber target, double tokens) { this->targets[target.value].backed_up_since_report += tokens; }
 
+	/**
+	 * @return The possible time factors of \a target: one for a target of known speed, those of the pool's other targets for one of
+	 *         unknown speed; empty if no target of the pool states its speed.
+	 */
+	TimeFactors TimeFactorsOf(const TargetState &target, TimePoint now) const;
+
 	/** @return Learned prefill rate of an engine, in tokens per second. */
 	double PrefillRate() const { return this->prefill_rate; }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -204,6 +204,7 @@
 	spec.max_attempts = route.max_attempts;
 	spec.response_deadline = request->response_deadline;
 	spec.objective = route.objective;
+	spec.gap_objective = route.gap_objective;
 	spec.other_hall_penalty = this->limits.other_hall_penalty;
 	spec.arrived = now;
 	spec.deadline = std::min(request->response_deadline, now + FromSeconds(Seconds(route.objective) * this->limits.queue_wait_fraction));
