Add: [Speed] Working TargetSpeed and TargetTable::TimeFactorsOf, the base factor of targets

An instance learns the time between tokens alone, from some eleven long streams in 34 s, so it does not know which targets are slow. Targets of some pools state it.

TargetSpeed estimates the base factor of a target incarnation: the lower quartile of at most 16 samples of the last minute. Samples within 600 ms, the length of a slowdown, count as one. Two own samples take precedence over received estimates; with one own sample the lower of both counts, as that sample may lie in a slowdown. TimeFactorsOf() gives the factor of a target of known speed, the distribution of the pool for one of unknown speed, and nothing if no target of the pool is known.

--- a/src/decision/target_load.cpp
+++ b/src/decision/target_load.cpp
@@ -30,11 +30,6 @@
 	return {std::max(reported.tokens, from_halls.tokens), std::max(reported.calls, from_halls.calls)};
 }
 
-TimeFactors TargetTable::TimeFactorsOf(const TargetState & /* target */, TimePoint /* now */) const
-{
-	return {};
-}
-
 HeldLoad TargetTable::TotalLoadAt(const TargetState &target, TimePoint now) const
 {
 	HeldLoad known = KnownLoadAt(target);
--- a/src/decision/target_table.cpp
+++ b/src/decision/target_table.cpp
@@ -36,6 +36,7 @@
 	bool unchanged = target.restrictions.known && target.models == new_models;
 	target.models = std::move(new_models);
 	target.restrictions.known = true;
+	if (added) this->AdoptUnlistedSpeed(target);
 	// A new configuration contains every target again, so the index is rebuilt only for actual changes.
 	if (!unchanged) this->RebuildIndex();
 	return entry->second;
@@ -51,6 +52,7 @@
 void TargetTable::RebuildIndex()
 {
 	this->by_model.clear();
+	this->pool_factors.clear();
 	for (uint32_t i = 0; i < this->Size(); i++) {
 		if (!this->targets[i].restrictions.known) continue;
 		for (ModelNumber model : this->targets[i].models) this->by_model[model.value].push_back(TargetNumber{i});
@@ -84,6 +86,8 @@
 	if (!restarted && target.restrictions.ready && report.sequence <= target.report.sequence) return;
 	if (restarted) {
 		target.sent_prefixes.clear();
+		target.speed = TargetSpeed{};
+		this->pool_factors.clear();
 	} else {
 		this->UpdateGrowth(target, report);
 	}
--- a/src/decision/target_table.h
+++ b/src/decision/target_table.h
@@ -89,6 +89,7 @@
 	uint32_t failures = 0;                ///< Consecutive failed calls.
 	uint32_t connect_failures = 0;        ///< Consecutive failed connects.
 	uint32_t ejections = 0;               ///< Consecutive ejections.
+	TargetSpeed speed;                    ///< Its speed, as far as it is known.
 	std::set<uint64_t> reported_prefixes; ///< Cached prefixes according to the latest report.
 	std::deque<std::pair<uint64_t, TimePoint>> sent_prefixes;         ///< Prefixes of calls sent lately.
 	std::unordered_map<CallId, InFlightCall, StrongIdHash> in_flight; ///< Known calls.
@@ -228,6 +229,21 @@
 	 */
 	TimeFactors TimeFactorsOf(const TargetState &target, TimePoint now) const;
 
+	/** Handle the time factor that \a target stated in an answer to this instance. */
+	void OnTimeFactor(TargetNumber target, double factor, TimePoint now);
+
+	/** @return Whether the speed of \a target is to be published now; if so, it counts as published. To be called after a sample. */
+	bool TakeFactorToPublish(TargetNumber target, TimePoint now);
+
+	/**
+	 * Handle the estimate of another instance for the target \a name. It is kept if the target is not configured yet, as an instance that
+	 * starts receives the estimates before the targets.
+	 */
+	void OnPeerTimeFactor(const std::string &name, double factor, TimePoint sampled_at, TimePoint now);
+
+	/** @return Whether a target of the pool of \a target has stated its speed since the start of this instance. */
+	bool StatesSpeeds(const TargetState &target) const;
+
 	/** @return Learned prefill rate of an engine, in tokens per second. */
 	double PrefillRate() const { return this->prefill_rate; }
 
@@ -278,12 +294,28 @@
 	/** Remove the prefill of \a flight from the pending ones of \a target, and learn the prefill rate from it if possible. */
 	void OnPrefillDone(TargetState &target, const InFlightCall &flight, TimePoint now);
 
+	/** Adopt the speed that was received for \a target before it was configured. */
+	void AdoptUnlistedSpeed(TargetState &target);
+	/** Update what depends on the speed of \a target. */
+	void OnSpeedChanged(const TargetState &target);
+	/** @return The distribution of the base factors of the targets for \a model whose speed is known. */
+	const TimeFactors &PoolFactors(ModelNumber model, TimePoint now) const;
+
+	/** Distribution of the base factors of a pool, with the time of its computation. */
+	struct PoolFactorsCache {
+		TimePoint computed_at;
+		TimeFactors factors;
+	};
+
 	AdmissionLimits limits;
 	LengthEstimate &lengths;                                          ///< Output length estimate.
 	std::vector<TargetState> targets;                                 ///< Targets by number.
 	std::unordered_map<std::string, TargetNumber> numbers;            ///< Numbers by name.
 	std::set<std::string> evacuated_halls;                            ///< Evacuated data halls.
 	std::unordered_map<uint32_t, std::vector<TargetNumber>> by_model; ///< Configured targets by model.
+	std::map<std::string, TargetSpeed> unlisted_speeds;               ///< Speeds received for targets that are not configured yet.
+	std::set<ModelNumber> pools_with_speeds;                          ///< Pools of which a target has stated its speed.
+	mutable std::map<ModelNumber, PoolFactorsCache> pool_factors;     ///< Distributions computed lately, by pool.
 	uint32_t instance_index = 0;                                      ///< Index of this instance among them.
 	uint32_t instances = 1;                                           ///< Number of instances that share the targets.
 	double mean_residual = 128; ///< Smoothed expected remaining output of a call, used for unknown calls.
