Add: [Platform] The fourth figure of X-Server-Load is the time factor of a target

Targets of one deployment send four figures: running, waiting, slots, and the time that work takes at present in percent of the usual time. ReadAnswer() accepted three and dropped the whole field, so that neither load nor speed of these targets was known.

ReadAnswer() takes three or four figures. The fourth is a time factor from 0.05 to 20; another value is ignored and the others count. Answers without the target's stamp and 421 give no speed. MakeSpeedCall() asks a target for it on its health path, and takes it from an answer that names this target (X-Instance-Id) or has the stamp.

--- a/src/platform/wire_engine.cpp
+++ b/src/platform/wire_engine.cpp
@@ -4,6 +4,7 @@
 
 #include "platform/wire_engine.h"
 #include "platform/json_func.h"
+#include "platform/wire_request.h"
 
 namespace cottonspool {
 
@@ -127,6 +128,28 @@
 	return call;
 }
 
+UpstreamCall MakeSpeedCall(const Endpoint &to, const TargetIncarnation &incarnation, const std::string &path,
+                           std::function<void(std::optional<double>)> done)
+{
+	auto factor = std::make_shared<std::optional<double>>();
+	UpstreamCall call;
+	call.to = to;
+	call.peer = incarnation.Name();
+	call.target = path;
+	call.headers = {{"Host", to.Text()}};
+	call.on_head = [factor, incarnation](const HttpHead &head) {
+		// Answers to health checks name the target; not all of them have its stamp.
+		std::string_view id = FindHeader(head.headers, "X-Instance-Id");
+		bool own = id == incarnation.id || (id.empty() && ReadAnswer(head).stamped);
+		if (own && head.status != 421) *factor = ReadTimeFactor(head);
+		return true;
+	};
+	call.on_end = [factor, done = std::move(done)](UpstreamEnd end, const char *) {
+		done(end == UpstreamEnd::Complete ? *factor : std::nullopt);
+	};
+	return call;
+}
+
 UpstreamCall MakeMigrationCall(const Endpoint &to, const std::string &peer, const std::string &attempt, const std::string &copy_to,
                                bool stop, std::function<void(const MigrationAnswer &)> done)
 {
--- a/src/platform/wire_engine.h
+++ b/src/platform/wire_engine.h
@@ -66,6 +66,14 @@
 UpstreamCall MakeProbeCall(const Endpoint &to, const TargetIncarnation &incarnation, const std::string &path,
                            std::function<void(ProbeResult)> done);
 
+/**
+ * @return A call that asks the incarnation \a incarnation of a target at \a to for its speed; \a done gets its time factor, or nothing if
+ *         it is not stated, another target answers, or the call fails.
+ * @param path Path of the health check.
+ */
+UpstreamCall MakeSpeedCall(const Endpoint &to, const TargetIncarnation &incarnation, const std::string &path,
+                           std::function<void(std::optional<double>)> done);
+
 /** Path of an engine's load report. */
 extern const char *const REPORT_PATH;
 
--- a/src/platform/wire_request.cpp
+++ b/src/platform/wire_request.cpp
@@ -3,9 +3,11 @@
 /** @file wire_request.cpp Decodes and encodes header fields of requests and answers. */
 
 #include "platform/wire_request.h"
+#include "decision/target_speed.h"
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
 #include <strings.h>
 
 namespace cottonspool {
@@ -153,6 +155,17 @@
 	return signals;
 }
 
+std::optional<double> ReadTimeFactor(const HttpHead &head)
+{
+	static constexpr double PERCENT = 100;
+	// "RUNNING,WAITING,SLOTS,PERCENT"; the last figure is missing at targets that don't state their speed.
+	std::vector<std::string_view> load = Split(FindHeader(head.headers, "X-Server-Load"));
+	if (load.size() != 4) return std::nullopt;
+	std::optional<double> percent = DecimalNumber(load[3], std::numeric_limits<double>::max());
+	if (!percent || !IsTimeFactor(*percent / PERCENT)) return std::nullopt;
+	return *percent / PERCENT;
+}
+
 AnswerInfo ReadAnswer(const HttpHead &head)
 {
 	AnswerInfo info;
@@ -161,10 +174,11 @@
 	info.not_executed = !FindHeader(head.headers, "X-Not-Executed").empty() || head.status == 421;
 	info.stamped = !FindHeader(head.headers, "X-Server-Stamp").empty();
 	std::vector<std::string_view> load = Split(FindHeader(head.headers, "X-Server-Load"));
-	if (load.size() == 3) {
+	if (load.size() == 3 || load.size() == 4) {
 		info.load = TargetLoad{LeadingUint32(load[0]), LeadingUint32(load[1]), LeadingUint32(load[2])};
 	}
 	info.signals = ReadSignals(head);
+	if (info.stamped && head.status != 421) info.time_factor = ReadTimeFactor(head);
 	return info;
 }
 
--- a/src/platform/wire_request.h
+++ b/src/platform/wire_request.h
@@ -59,11 +59,16 @@
 	bool stamped = false;           ///< The target's stamp is present.
 	std::optional<TargetLoad> load; ///< Load of the target, if reported.
 	TargetSignals signals;          ///< Other signals of the target.
+	/** Time that work takes at the target at present, relative to the usual time; nothing if it is not stated. */
+	std::optional<double> time_factor;
 };
 
 /** Decode the header fields of an answer. */
 AnswerInfo ReadAnswer(const HttpHead &head);
 
+/** @return The time factor in the load field of an answer, which may come from any target; nothing if there is no valid one. */
+std::optional<double> ReadTimeFactor(const HttpHead &head);
+
 /** @return Header fields of a target's answer to pass on to the caller. */
 HttpHeaders HeadersForCaller(const HttpHeaders &received);
 
--- a/src/tests/platform_test.cpp
+++ b/src/tests/platform_test.cpp
@@ -209,6 +209,61 @@
 	CHECK(ReadAnswer(other).load->waiting == 1);
 }
 
+TEST_CASE("Platform answers - the fourth load figure is the time factor in percent, and an invalid one does not affect the others")
+{
+	// Guards against the load of a target that is dropped because of its speed, and against the speed of another target.
+	auto read = [](int status, const char *load, bool stamped = true) {
+		HttpHead head;
+		head.status = status;
+		head.headers.push_back({"X-Server-Load", load});
+		if (stamped) head.headers.push_back({"X-Server-Stamp", "3e1b"});
+		return ReadAnswer(head);
+	};
+	CHECK(!read(200, "3,1,8").time_factor);
+	for (int percent : {5, 55, 100, 137, 300, 2000}) {
+		AnswerInfo info = read(200, ("3,1,8," + std::to_string(percent)).c_str());
+		REQUIRE(info.time_factor);
+		CHECK(*info.time_factor == doctest::Approx(percent / 100.0));
+	}
+	for (const char *bad : {"3,1,8,4", "3,1,8,2001", "3,1,8,0", "3,1,8,-55", "3,1,8,nan", "3,1,8,inf", "3,1,8,x", "3,1,8,1e2", "3,1,8, "}) {
+		CAPTURE(bad);
+		AnswerInfo info = read(200, bad);
+		CHECK(!info.time_factor);
+		REQUIRE(info.load);
+		CHECK(info.load->running == 3);
+		CHECK(info.load->waiting == 1);
+		CHECK(info.load->slots == 8);
+	}
+	CHECK(!read(200, "3,1,8,55,1").load);
+	CHECK(!read(200, "3,1,8,55", false).time_factor);
+	CHECK(!read(421, "3,1,8,55").time_factor);
+	CHECK(read(503, "3,1,8,55").time_factor == doctest::Approx(0.55));
+}
+
+TEST_CASE("Platform answers - a probe takes the speed of the target that it asked, and of no other")
+{
+	// Guards against the speed of another target that has taken over the address.
+	auto answer = [](int status, HttpHeaders headers, UpstreamEnd end = UpstreamEnd::Complete) {
+		std::optional<double> result;
+		HttpHead head;
+		head.status = status;
+		head.headers = std::move(headers);
+		head.headers.push_back({"X-Server-Load", "0,0,24,55"});
+		UpstreamCall call = MakeSpeedCall({"127.0.0.1", 1}, {"i-1", 5}, "/healthz", [&](std::optional<double> factor) { result = factor; });
+		CHECK(call.method == "GET");
+		CHECK(call.target == "/healthz");
+		call.on_head(head);
+		call.on_end(end, "");
+		return result;
+	};
+	CHECK(answer(200, {{"X-Instance-Id", "i-1"}}) == doctest::Approx(0.55));
+	CHECK(answer(200, {{"X-Server-Stamp", "3e1b"}}) == doctest::Approx(0.55));
+	CHECK(!answer(200, {{"X-Instance-Id", "i-2"}, {"X-Server-Stamp", "3e1b"}}));
+	CHECK(!answer(421, {{"X-Instance-Id", "i-1"}}));
+	CHECK(!answer(200, {}));
+	CHECK(!answer(200, {{"X-Instance-Id", "i-1"}}, UpstreamEnd::Broken));
+}
+
 /** @return The target's signals in an answer with \a status and \a headers. */
 static TargetSignals SignsOf(int status, HttpHeaders headers)
 {
