Add: [Speed] The expected time to read a prompt follows the speed of the target

The prefill rate is one figure for all targets, learned at slow and fast ones alike. It is now learned as the rate at factor 1, and multiplied by the base factor of a target of known speed. A prefill at a target of unknown speed teaches nothing while its pool states speeds. Without stated speeds everything is as before, which a test checks with the former figure.

--- a/src/decision/target_prefill.cpp
+++ b/src/decision/target_prefill.cpp
@@ -18,7 +18,7 @@
 	flight.prefills_alone = target.pending_prefills == 0;
 	if (flight.prefills_alone) target.prefill_done_at = now;
 	target.pending_prefills++;
-	target.prefill_done_at = std::max(now, target.prefill_done_at) + FromSeconds(flight.call.prompt_tokens / this->prefill_rate);
+	target.prefill_done_at = std::max(now, target.prefill_done_at) + this->PrefillTime(target, flight.call.prompt_tokens, now);
 }
 
 void TargetTable::OnPrefillDone(TargetState &target, const InFlightCall &flight, TimePoint now)
@@ -28,10 +28,18 @@
 	if (!flight.prefills_alone || flight.generated == 0) return;
 	double elapsed = Seconds(now - flight.sent);
 	if (elapsed <= 0 || flight.call.prompt_tokens < PREFILL_SAMPLE_MIN_TOKENS) return;
-	double rate = std::clamp(flight.call.prompt_tokens / elapsed, PREFILL_RATE_MIN, PREFILL_RATE_MAX);
+	std::optional<double> factor = target.speed.Factor(now);
+	// Where speeds differ, the time at a target of unknown speed tells nothing about the usual rate.
+	if (!factor && this->StatesSpeeds(target)) return;
+	double rate = std::clamp(flight.call.prompt_tokens / elapsed * factor.value_or(1), PREFILL_RATE_MIN, PREFILL_RATE_MAX);
 	this->prefill_rate += PREFILL_RATE_SMOOTHING * (rate - this->prefill_rate);
 }
 
+Duration TargetTable::PrefillTime(const TargetState &target, uint32_t prompt_tokens, TimePoint now) const
+{
+	return FromSeconds(prompt_tokens / this->prefill_rate * target.speed.Factor(now).value_or(1));
+}
+
 Duration TargetTable::PrefillWait(const TargetState &target, TimePoint now)
 {
 	if (target.pending_prefills == 0) return Duration(0);
@@ -41,7 +49,7 @@
 Duration TargetTable::FirstTokenWait(const TargetState &target, const CallSpec &call, TimePoint now) const
 {
 	Duration remote_wait = std::chrono::duration_cast<Duration>(target.remote_prefill_done_at - now);
-	return std::max(remote_wait, PrefillWait(target, now)) + FromSeconds(call.prompt_tokens / this->prefill_rate);
+	return std::max(remote_wait, PrefillWait(target, now)) + this->PrefillTime(target, call.prompt_tokens, now);
 }
 
 } // namespace cottonspool
--- a/src/decision/target_table.h
+++ b/src/decision/target_table.h
@@ -217,6 +217,9 @@
 	/** @return Expected time to first token of \a call if it is sent to \a target now; prefills are assumed to run one after another. */
 	Duration FirstTokenWait(const TargetState &target, const CallSpec &call, TimePoint now) const;
 
+	/** @return Time in which \a target reads \a prompt_tokens, at its speed if that is known and at the usual one otherwise. */
+	Duration PrefillTime(const TargetState &target, uint32_t prompt_tokens, TimePoint now) const;
+
 	/** @return Expected output length of \a call, in tokens. */
 	double ExpectedOutput(const CallSpec &call) const { return call.generated ? this->lengths.Residual(call, 0) : 0; }
 
@@ -244,7 +247,7 @@
 	/** @return Whether a target of the pool of \a target has stated its speed since the start of this instance. */
 	bool StatesSpeeds(const TargetState &target) const;
 
-	/** @return Learned prefill rate of an engine, in tokens per second. */
+	/** @return Learned prefill rate of an engine of the usual speed, in tokens per second. */
 	double PrefillRate() const { return this->prefill_rate; }
 
 	/** @return Memory in use and reserved at \a target, relative to its capacity; above 1 if it is overcommitted. */
@@ -319,7 +322,7 @@
 	uint32_t instance_index = 0;                                      ///< Index of this instance among them.
 	uint32_t instances = 1;                                           ///< Number of instances that share the targets.
 	double mean_residual = 128; ///< Smoothed expected remaining output of a call, used for unknown calls.
-	double prefill_rate = 7000; ///< Smoothed prefill rate, in tokens per second.
+	double prefill_rate = 7000; ///< Smoothed prefill rate at factor 1, in tokens per second.
 };
 
 } // namespace cottonspool
--- a/src/tests/target_speed_test.cpp
+++ b/src/tests/target_speed_test.cpp
@@ -192,6 +192,43 @@
 	CHECK(!harness.targets.Get(next).speed.Factor(START));
 }
 
+TEST_CASE("Speed - the expected time for a prompt follows the speed of its target, and the learned rate does not")
+{
+	// Guards against a prefill rate that is learned at a slow target and applied to a fast one.
+	for (bool known : {true, false}) {
+		SpeedHarness harness;
+		CallSpec call;
+		call.model = ModelNumber{1};
+		call.prompt_tokens = 3000;
+		call.generated = true;
+		double before = harness.targets.PrefillRate();
+		Duration usual = harness.targets.FirstTokenWait(harness.targets.Get(TargetNumber{1}), call, START);
+		harness.targets.OnTimeFactor(TargetNumber{0}, 2, START);
+		if (known) harness.targets.OnTimeFactor(TargetNumber{1}, 0.5, START);
+		Duration wait = harness.targets.FirstTokenWait(harness.targets.Get(TargetNumber{1}), call, START);
+		CHECK(Seconds(wait) == doctest::Approx(Seconds(usual) * (known ? 0.5 : 1)).epsilon(0.001));
+		harness.targets.OnSent(TargetNumber{1}, call, START);
+		CHECK(Seconds(TargetTable::PrefillWait(harness.targets.Get(TargetNumber{1}), START)) ==
+		      doctest::Approx(Seconds(wait)).epsilon(0.001));
+		// It takes half the usual time, which at a target of unknown speed tells nothing about the usual rate.
+		harness.targets.OnToken(TargetNumber{1}, call.id, START + usual / 2);
+		CHECK(harness.targets.PrefillRate() == doctest::Approx(before).epsilon(0.001));
+	}
+}
+
+TEST_CASE("Speed - without any stated speed the prefill rate is learned as before")
+{
+	// Guards against effects on deployments whose targets state no speed.
+	SpeedHarness harness;
+	CallSpec call;
+	call.model = ModelNumber{1};
+	call.prompt_tokens = 3000;
+	call.generated = true;
+	harness.targets.OnSent(TargetNumber{0}, call, START);
+	harness.targets.OnToken(TargetNumber{0}, call.id, START + seconds(1));
+	CHECK(harness.targets.PrefillRate() == doctest::Approx(7000 + 0.05 * (3000 - 7000)));
+}
+
 TEST_CASE("Speed - the weights of a distribution sum to 1, and it spans the factors")
 {
 	// Guards against weighted means over a distribution that are off.
