Add: [Speed] Instances share the speeds of targets and probe new ones

An instance gets an answer of a given engine about once in its life of 20 s, so it cannot know alone which engines are slow.

TargetSignalUpdate carries an optional time factor with the age of its sample, as an additional element that older releases ignore. PendingSignals merges the updates of a tick by target; a speed, a rate limit and a drain notice don't replace each other (a drain notice used to drop a pending limit). Links that open get all known speeds. The reader of an engine's reports probes its health path until there are two samples: 700 ms apart, four at most, five a second for an instance, none in pools without a stated speed.

--- a/src/decision/target_signals.h
+++ b/src/decision/target_signals.h
@@ -6,6 +6,7 @@
 
 #include "core/time_type.h"
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace cottonspool {
@@ -33,9 +34,11 @@
 	std::string target;    ///< Name of the target incarnation.
 	bool draining = false; ///< Whether the target is draining.
 	SignalState limit =
-	        SignalState::Unreadable; ///< Whether the target advertises a rate limit; Unreadable if the update does not concern it.
-	double limit_per_s = 0;          ///< The rate limit, in requests per second.
-	Duration request_age{0};         ///< Time since the request was sent whose answer had the signals.
+	        SignalState::Unreadable;   ///< Whether the target advertises a rate limit; Unreadable if the update does not concern it.
+	double limit_per_s = 0;            ///< The rate limit, in requests per second.
+	Duration request_age{0};           ///< Time since the request was sent whose answer had the drain notice or rate limit.
+	std::optional<double> time_factor; ///< Estimated base factor of the target; see TargetSpeed.
+	Duration factor_age{0};            ///< Time since the latest sample of that estimate.
 };
 
 } // namespace cottonspool
--- a/src/gateway/feature_switches.cpp
+++ b/src/gateway/feature_switches.cpp
@@ -45,6 +45,8 @@
 	         l.registry.mass_expiry_min_rows = std::numeric_limits<size_t>::max();
          }},
         {"copy-room", "the memory of copies in progress is not counted", [](GatewayLimits &l) { l.count_pending_copies = false; }},
+        {"target-speeds", "the speeds that targets state are not used, shared or probed for",
+         [](GatewayLimits &l) { l.use_target_speeds = false; }},
         {"backups", "switched on: copies of all long runs are kept at other engines", [](GatewayLimits &l) { l.backup.use = true; }},
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -49,7 +49,7 @@
       loop(loop), settings(std::move(given)), settings_path(std::move(settings_path)), store(this->upstream, this->settings.store),
       configuration_watch(this->store, CONFIGURATION_TABLE, limits.watch), target_watch(this->store, TARGET_TABLE, limits.watch),
       placement(this->settings.hall, this->settings.halls), registry(limits.registry), division(this->settings.name),
-      peer_load(this->dispatcher.Targets(), this->pools, std::chrono::seconds(2)),
+      speed_probes(limits.speed_probes), peer_load(this->dispatcher.Targets(), this->pools, std::chrono::seconds(2)),
       hall_load(this->dispatcher.Targets(), this->settings.hall),
       crash_watch(this->upstream, limits.liveness_timeout, limits.crash_suspect_window,
                   [this](const CrashCheck &check) { this->OnCrashChecked(check); }),
@@ -118,6 +118,7 @@
 	this->metrics.Gauge("cottonspool_peer_calls", static_cast<double>(this->peer_load.Calls()));
 	this->metrics.Gauge("cottonspool_cells", static_cast<double>(this->peers.Cells()));
 	this->metrics.Gauge("cottonspool_targets_usable", static_cast<double>(this->usable.size()));
+	this->metrics.Gauge("cottonspool_targets_with_speed", static_cast<double>(this->TargetsWithSpeed(MonotonicNow())));
 	this->metrics.Gauge("cottonspool_connections", static_cast<double>(this->front.Connections()));
 	this->metrics.Gauge("cottonspool_configuration_version", static_cast<double>(this->routes.Configuration().version));
 	this->metrics.Gauge("cottonspool_store_calls", static_cast<double>(this->configuration_watch.Calls() + this->target_watch.Calls()));
@@ -329,6 +330,7 @@
 		this->RefreshEvacuated(now);
 		this->RefreshLimits(now);
 		this->PollReports(now);
+		this->ProbeSpeeds(now);
 	}
 	this->StartTables(now);
 	this->Execute(this->dispatcher.OnTick(now));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -121,7 +121,8 @@
 		uint64_t report_call = 0;  ///< Fetch in progress; 0 for none.
 		TargetSignals signals;     ///< Its signals, as last logged.
 		TimePoint signals_logged_at;
-		bool limited_as_logged = false; ///< Whether the last logged change set a rate limit, rather than removed it.
+		std::optional<double> factor_as_logged; ///< Its time factor, as last logged.
+		bool limited_as_logged = false;         ///< Whether the last logged change set a rate limit, rather than removed it.
 		TimePoint limit_logged_at;
 	};
 
@@ -133,9 +134,23 @@
 	void OnLimitChanged(TargetNumber target, const char *source, TimePoint requested_at, TimePoint now);
 	/** Apply what another instance has learned from a target. */
 	void OnPeerSignals(const TargetSignalUpdate &update);
+	/** Apply the time factor that \a target stated to this instance. @param source As for logs: answer or probe. */
+	void OnTimeFactor(TargetNumber target, double factor, const char *source, TimePoint now);
+	/** Apply the time factor in \a update, if there is one. */
+	void OnPeerTimeFactor(const TargetSignalUpdate &update, TimePoint now);
+	/** @return The time factors of all usable targets of known speed. */
+	std::vector<TargetSignalUpdate> KnownSpeeds(TimePoint now) const;
+	/** Probe the targets whose speed this instance has to find out, and abandon late probes. */
+	void ProbeSpeeds(TimePoint now);
+	/** Ask \a target for its speed. */
+	void ProbeSpeed(TargetNumber target, TimePoint now);
+	/** Log the speed of \a target if it is new or has changed. */
+	void LogSpeed(TargetNumber target, const char *source, TimePoint now);
+	/** @return Number of usable targets of known speed. */
+	size_t TargetsWithSpeed(TimePoint now) const;
 	/** @return The state of the rate limit of \a target, for the peers. */
 	TargetSignalUpdate LimitUpdateOf(TargetNumber target, TimePoint now) const;
-	/** @return All rate limits and drain notices known here, for an instance that has just connected. */
+	/** @return All rate limits, drain notices and speeds known here, for an instance that has just connected. */
 	std::vector<TargetSignalUpdate> KnownSignals(TimePoint now) const;
 	/** @return Names of the instances that share the rate limits of targets in \a hall; see PeerExchange::SharersOf(). */
 	const std::vector<std::string> &SharersOf(const std::string &hall);
@@ -272,8 +287,15 @@
 	NameTable<AccountNumber> accounts;              ///< Numbers of client accounts.
 	std::set<TargetNumber> limited;                 ///< Targets with a rate limit.
 	std::map<std::string, TimePoint> drain_notices; ///< Target incarnations that announced their draining, with the time of the notice.
-	ArrivalCounter arrivals;                        ///< Recent calls by pool.
-	TimePoint started_at;                           ///< When this instance started.
+	/** A probe for the speed of a target in progress. */
+	struct SpeedCall {
+		uint64_t call = 0;  ///< Number of the call.
+		TimePoint deadline; ///< When it times out.
+	};
+	SpeedProbes speed_probes;                      ///< Which targets to probe for their speed.
+	std::map<TargetNumber, SpeedCall> speed_calls; ///< Probes in progress.
+	ArrivalCounter arrivals;                       ///< Recent calls by pool.
+	TimePoint started_at;                          ///< When this instance started.
 	/** Instances that share the rate limits of a hall's targets; a cache, cleared once a second. */
 	std::map<std::string, std::vector<std::string>> sharers;
 	TimePoint limits_refreshed_at;
--- a/src/gateway/gateway_signals.cpp
+++ b/src/gateway/gateway_signals.cpp
@@ -15,6 +15,7 @@
 	TimePoint now = MonotonicNow();
 	this->LogSignals(request, number, answer.signals, now);
 	if (answer.signals.draining) this->OnTargetDrainNotice(this->records[number.value].incarnation.Name(), "answer", now);
+	if (answer.time_factor) this->OnTimeFactor(number, *answer.time_factor, "answer", now);
 	bool limit_changed = this->dispatcher.Targets().OnSignals(number, answer.signals, requested_at, now);
 	if (limit_changed) this->OnLimitChanged(number, "answer", requested_at, now);
 	if (limit_changed) this->peers.PublishSignals(this->LimitUpdateOf(number, now), requested_at);
@@ -48,6 +49,8 @@
 	std::vector<TargetSignalUpdate> all;
 	for (TargetNumber number : this->limited) all.push_back(this->LimitUpdateOf(number, now));
 	for (const auto &[target, at] : this->drain_notices) all.push_back({.target = target, .draining = true, .request_age = now - at});
+	std::vector<TargetSignalUpdate> speeds = this->KnownSpeeds(now);
+	all.insert(all.end(), speeds.begin(), speeds.end());
 	return all;
 }
 
@@ -56,6 +59,7 @@
 	TimePoint now = MonotonicNow();
 	std::optional<TargetNumber> number = this->dispatcher.Targets().Find(update.target);
 	if (update.draining) this->OnTargetDrainNotice(update.target, "peer", now);
+	this->OnPeerTimeFactor(update, now);
 	if (!number || update.limit == SignalState::Unreadable) return;
 	TargetSignals signals;
 	signals.limit = update.limit;
--- a/src/gateway/gateway_targets.cpp
+++ b/src/gateway/gateway_targets.cpp
@@ -105,6 +105,8 @@
 	record.pool = listed.pool;
 	record.incarnation = listed.incarnation;
 	record.engine = engine;
+	// Its speed may have been received before the target itself.
+	this->LogSpeed(number, "peer", MonotonicNow());
 }
 
 void Gateway::DrainTarget(const ListedTarget &listed, const char *source, TimePoint now)
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -7,6 +7,7 @@
 #include "decision/backup_choice.h"
 #include "decision/dispatcher.h"
 #include "decision/route_table.h"
+#include "decision/speed_probes.h"
 #include "decision/target_registry.h"
 #include "gateway/crash_records.h"
 #include "gateway/peer_exchange.h"
@@ -63,9 +64,13 @@
 	size_t hall_scope_leave_engines = 4; ///< Engines in the local hall below which that ends; lower, as hysteresis.
 	/** Pressure by which a target in another hall has to be better, as a network partition cuts off what runs there. */
 	double other_hall_penalty = 1.2;
-	bool use_migration = true;            ///< Migrate runs away from draining engines.
-	bool count_pending_copies = true;     ///< Count the memory of a copy in progress at the engine that receives it.
-	bool use_drain_notice = true;         ///< Use the drain notice in an engine's own report.
+	bool use_migration = true;        ///< Migrate runs away from draining engines.
+	bool count_pending_copies = true; ///< Count the memory of a copy in progress at the engine that receives it.
+	bool use_drain_notice = true;     ///< Use the drain notice in an engine's own report.
+	bool use_target_speeds = true;    ///< Use and share the speeds that targets state, and probe for them.
+	SpeedProbeLimits speed_probes;    ///< Probes for the speed of targets.
+	/** Timeout of such a probe, shorter than the interval between two. */
+	Duration speed_probe_timeout = std::chrono::milliseconds(600);
 	double retry_slack = 50;              ///< Retries beyond the ratio to requests that all instances together may make.
 	BackupRules backup;                   ///< Copies of runs at other engines.
 	DispatchLimits dispatch;              ///< Dispatching of requests.
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -125,23 +125,10 @@
 	this->links.Broadcast(forwarded, this->forwarders);
 }
 
-void PeerExchange::PublishSignals(TargetSignalUpdate update, TimePoint requested_at)
-{
-	PendingSignals &waiting = this->pending_signals[update.target];
-	update.draining = update.draining || waiting.update.draining;
-	waiting = {std::move(update), requested_at};
-}
-
 void PeerExchange::FlushSignals(TimePoint now)
 {
-	if (this->pending_signals.empty()) return;
-	SignalsMessage message{this->name, this->hall, false, {}};
-	for (auto &[target, waiting] : this->pending_signals) {
-		waiting.update.request_age = now - waiting.requested_at;
-		message.signals.push_back(waiting.update);
-	}
-	this->pending_signals.clear();
-	this->links.Broadcast(message);
+	SignalsMessage message{this->name, this->hall, false, this->pending_signals.Take(now)};
+	if (!message.signals.empty()) this->links.Broadcast(message);
 }
 
 void PeerExchange::OnSignals(const SignalsMessage &message)
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -8,6 +8,7 @@
 #include "decision/dispatcher.h"
 #include "decision/hall_load.h"
 #include "decision/peer_load.h"
+#include "decision/pending_signals.h"
 #include "net/tcp_stream.h"
 #include "peer/peer_links.h"
 #include "store/table_sharing.h"
@@ -151,7 +152,7 @@
 	void PublishReport(const std::string &target, const LoadReport &report);
 
 	/** Publish a signal \a update that a target sent with the answer to a request of time \a requested_at, at the next tick. */
-	void PublishSignals(TargetSignalUpdate update, TimePoint requested_at);
+	void PublishSignals(const TargetSignalUpdate &update, TimePoint requested_at) { this->pending_signals.Add(update, requested_at); }
 
 	/** Send what is due; to be called several times a second. */
 	void OnTick(TimePoint now);
@@ -265,12 +266,7 @@
 	uint32_t max_known_instances = 0;         ///< Largest number of instances known at a time, here or at a peer.
 	std::map<uint64_t, CallUpdate> own_calls; ///< Own calls at targets by number.
 	LoadMessage pending;                      ///< Pending updates of calls and reports.
-	/** A pending signal of a target. */
-	struct PendingSignals {
-		TargetSignalUpdate update;
-		TimePoint requested_at; ///< When the request was sent whose answer contained it.
-	};
-	std::map<std::string, PendingSignals> pending_signals; ///< Pending signals by target.
+	PendingSignals pending_signals;           ///< Pending signals of targets.
 	/** A stored request for tables. */
 	struct PendingTablesRequest {
 		TablesRequestMessage request;
--- a/src/gateway/relay_call.cpp
+++ b/src/gateway/relay_call.cpp
@@ -43,6 +43,7 @@
 void RelayCall::LogSend(TimePoint now)
 {
 	const TargetState &state = this->gateway.dispatcher.Targets().Get(*this->target);
+	std::optional<double> factor = state.speed.Factor(now);
 	Duration age = state.report.sequence == 0 ? Duration(0) : now - state.report_at;
 	Log(LogLevel::Info, "sent",
 	    {{"request", this->request.info.attempt},
@@ -53,6 +54,7 @@
 	     {"copy_at", this->backup ? this->gateway.dispatcher.Targets().Get(*this->backup).name : ""},
 	     {"pressure", FormatNumber(this->gateway.dispatcher.Targets().Pressure(state, now))},
 	     {"own_calls", std::to_string(state.in_flight.size())},
+	     {"factor", factor ? FormatNumber(*factor) : ""},
 	     {"report_age_ms", FormatMilliseconds(age)}});
 }
 
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -3,6 +3,7 @@
 /** @file peer_message.cpp Messages between instances in CBOR: arrays whose first item is the kind. */
 
 #include "peer/peer_message.h"
+#include "decision/target_speed.h"
 #include "peer/compressed_message.h"
 #include <limits>
 #include <nlohmann/json.hpp>
@@ -145,9 +146,11 @@
 	Json signals = Json::array();
 	for (const TargetSignalUpdate &each : message.signals) {
 		bool limit_readable = each.limit != SignalState::Unreadable;
-		signals.push_back(
-		        Json::array({each.target, each.draining, limit_readable,
-		                     each.limit == SignalState::Present ? Json(each.limit_per_s) : Json(nullptr), each.request_age.count()}));
+		Json item = Json::array({each.target, each.draining, limit_readable,
+		                         each.limit == SignalState::Present ? Json(each.limit_per_s) : Json(nullptr), each.request_age.count()});
+		// Instances of older releases ignore this element.
+		if (each.time_factor) item.push_back(Json::array({*each.time_factor, each.factor_age.count()}));
+		signals.push_back(std::move(item));
 	}
 	return Json::array({SIGNALS, message.instance, message.hall, message.forwarded, signals});
 }
@@ -162,6 +165,14 @@
 	return Json::array({LEASE_GRANT, message.instance, message.target, message.number, message.granted});
 }
 
+/** @return The age in \a item, in microseconds; throws if it is malformed. */
+static Duration ReadAge(const Json &item)
+{
+	auto age = Duration(ReadInteger<int64_t>(item));
+	if (age < Duration(0) || age > std::chrono::hours(1)) throw std::out_of_range("age out of range");
+	return age;
+}
+
 /** @return The signal in \a item; throws if it is malformed. */
 static TargetSignalUpdate ReadSignalUpdate(const Json &item)
 {
@@ -174,8 +185,12 @@
 	if (update.limit == SignalState::Present) update.limit_per_s = limit.get<double>();
 	if (!(update.limit_per_s >= 0 && update.limit_per_s < std::numeric_limits<double>::infinity()))
 		throw std::out_of_range("rate limit out of range");
-	update.request_age = Duration(ReadInteger<int64_t>(item.at(4)));
-	if (update.request_age < Duration(0) || update.request_age > std::chrono::hours(1)) throw std::out_of_range("age out of range");
+	update.request_age = ReadAge(item.at(4));
+	// Instances of older releases send no speeds.
+	if (item.size() <= 5) return update;
+	update.time_factor = item.at(5).at(0).get<double>();
+	if (!IsTimeFactor(*update.time_factor)) throw std::out_of_range("time factor out of range");
+	update.factor_age = ReadAge(item.at(5).at(1));
 	return update;
 }
 
--- a/src/tests/feature_switches_test.cpp
+++ b/src/tests/feature_switches_test.cpp
@@ -19,6 +19,14 @@
 	CHECK(limits.router.use_interval);
 }
 
+TEST_CASE("Switches - the speeds of targets can be left unused")
+{
+	GatewayLimits limits;
+	CHECK(limits.use_target_speeds);
+	REQUIRE(ApplySwitches("target-speeds", limits).has_value());
+	CHECK_FALSE(limits.use_target_speeds);
+}
+
 TEST_CASE("Switches - an empty list changes nothing, and an unknown name is an error")
 {
 	GatewayLimits limits;
--- a/tests/fuzz/decoders.cpp
+++ b/tests/fuzz/decoders.cpp
@@ -38,7 +38,7 @@
 static const char *const REQUEST = "POST /p/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 9c41\r\nX-Token-Count: 1460,80\r\n"
                                    "X-Prompt-Prefix: 5c1e07a2:800,91bd:410\r\nX-Deadline-Ms: 39000\r\nAuthorization: Bearer k\r\n"
                                    "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
-static const char *const ANSWER = "HTTP/1.1 200 OK\r\nX-Attempt-Id: 9c41\r\nX-Server-Stamp: 3e1b\r\nX-Server-Load: 3,0,8\r\n"
+static const char *const ANSWER = "HTTP/1.1 200 OK\r\nX-Attempt-Id: 9c41\r\nX-Server-Stamp: 3e1b\r\nX-Server-Load: 3,0,8,120\r\n"
                                   "Keep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nbody";
 static const char *const REFUSAL = "HTTP/1.1 503 Busy\r\nX-Attempt-Id: 9c41\r\nX-Not-Executed: 1\r\nServer-Limit: 2.4\r\n"
                                    "Server-Leaving: 1\r\nRetry-After: 1.5\r\nContent-Length: 0\r\n\r\n";
@@ -96,6 +96,7 @@
 	halls.hall = "hall";
 	halls.local_targets.push_back({"i-1", 100, 2, 30});
 	SignalsMessage signals{"g1", "hall", false, {{"i-1@abc123", true, SignalState::Present, 2.4, std::chrono::milliseconds(5)}, {"i-2"}}};
+	signals.signals.push_back({.target = "i-3@abc123", .time_factor = 1.2, .factor_age = std::chrono::milliseconds(40)});
 	PresenceMessage presence{"g1", {"127.0.0.1:1", "hall", 10}, 3};
 	HeartbeatMessage heartbeat;
 	heartbeat.echoes.emplace_back("g1", 5);
--- a/tests/standins/simulation.cpp
+++ b/tests/standins/simulation.cpp
@@ -118,6 +118,10 @@
 		            {"state", this->draining ? "draining" : "ready"}};
 		return exchange->Respond(200, {}, report.dump());
 	}
+	if (target == "/healthz") {
+		this->record.health[this->id]++;
+		return exchange->Respond(200, {{"X-Instance-Id", this->id}, this->LoadField("0,0,64")}, {});
+	}
 	if (target == "/-/kv-move") return this->MigrateRun(exchange);
 	std::string attempt(FindHeader(exchange->head.headers, "X-Attempt-Id"));
 	if (FindHeader(exchange->head.headers, "X-Expect-Instance") != this->id) return exchange->Respond(421, {}, {});
@@ -165,7 +169,7 @@
 	                             {"hall", this->hall},
 	                             {"account", FindHeader(exchange->head.headers, "X-Tenant")}});
 	HttpHeaders headers = this->Headers(attempt);
-	headers.push_back({"X-Server-Load", "1,0,6"});
+	headers.push_back(this->LoadField("1,0,6"));
 	std::string body = "answer to " + attempt;
 	bool fails = static_cast<double>(this->answers % 10) < this->error_ratio * 10;
 	std::string how = this->corruption;
@@ -214,6 +218,7 @@
 	};
 	HttpHeaders headers = this->Headers(attempt);
 	headers.push_back({"Content-Type", "text/event-stream"});
+	if (!this->percent.empty()) headers.push_back(this->LoadField("1,0,64"));
 	run.exchange->Start(200, headers, std::nullopt);
 	this->running.push_back(std::move(run));
 }
@@ -281,6 +286,7 @@
 			Json answer{{"runs", this->record.runs},       {"late", this->record.late},         {"overlaps", this->record.overlaps},
 			            {"crashes", this->record.crashes}, {"arrivals", this->record.arrivals}, {"pauses", this->record.pauses},
 			            {"limits", this->record.limits},   {"reports", this->record.reports},   {"store_calls", this->store.calls}};
+			answer["health"] = this->record.health;
 			for (const auto &[id, target] : this->targets) answer["targets"][id] = target->Address();
 			return exchange->Respond(200, {}, answer.dump());
 		}
@@ -326,6 +332,7 @@
 			std::string limit = this->targets.at(id)->limit = control.value("per_s", "");
 			this->record.limits.push_back({{"target", id}, {"per_s", strtod(limit.c_str(), nullptr)}, {"at", NowMs()}});
 		}
+		if (control.contains("percent")) this->targets.at(id)->percent = control["percent"];
 		if (action == "say-leaving") this->targets.at(id)->DrainByHeader();
 		if (action == "pause") this->targets.at(id)->pause_ms = control.value("ms", 0);
 		if (action == "fail") this->targets.at(id)->error_ratio = control.value("part", 0.0);
--- a/tests/standins/simulation_base.h
+++ b/tests/standins/simulation_base.h
@@ -96,13 +96,14 @@
 	Json late = Json::array();                                      ///< Requests that arrived long after the target announced its drain.
 	std::map<std::string, std::pair<std::string, uint64_t>> copies; ///< KV cache copies by handle: request and number of events.
 	std::map<std::string, int64_t> resumed_at;                      ///< When a request was resumed on another engine.
-	Json overlaps = Json::array(); ///< Time for which the previous engine kept generating after that, in milliseconds.
-	uint64_t reports = 0;          ///< Number of load reports given out.
-	Json arrivals = Json::array(); ///< Requests at targets with a rate limit or pause: target, request, time.
-	Json pauses = Json::array();   ///< Requested pauses: target, start, end.
-	Json limits = Json::array();   ///< Announced rate limits: target, requests per second (0 for none), time.
-	Json crashes = Json::array();  ///< Crashes: request, target, time.
-	uint64_t next_handle = 1;      ///< Number of the next handle.
+	Json overlaps = Json::array();     ///< Time for which the previous engine kept generating after that, in milliseconds.
+	uint64_t reports = 0;              ///< Number of load reports given out.
+	Json arrivals = Json::array();     ///< Requests at targets with a rate limit or pause: target, request, time.
+	Json pauses = Json::array();       ///< Requested pauses: target, start, end.
+	Json limits = Json::array();       ///< Announced rate limits: target, requests per second (0 for none), time.
+	Json crashes = Json::array();      ///< Crashes: request, target, time.
+	std::map<std::string, int> health; ///< Number of health checks by target.
+	uint64_t next_handle = 1;          ///< Number of the next handle.
 };
 
 /** A simulated engine or service. */
@@ -143,6 +144,7 @@
 	double error_ratio = 0; ///< Fraction of answers that are 500.
 	std::string corruption; ///< "reset" truncates and resets answers; empty for none.
 	std::string limit;      ///< Rate limit announced in answers; empty for none.
+	std::string percent;    ///< Time that work takes, as stated in answers; empty for none.
 	int64_t pause_ms = 0;   ///< Pause to request with the next rejection, in milliseconds; 0 for none.
 
 private:
@@ -167,6 +169,11 @@
 	void Serve(const Exchange &exchange, const std::string &attempt);
 	/** @return The headers of an answer, with rate limit and drain announcement. */
 	HttpHeaders Headers(const std::string &attempt);
+	/** @return The load field of an answer with \a load. */
+	HttpHeader LoadField(const std::string &load) const
+	{
+		return {"X-Server-Load", this->percent.empty() ? load : load + "," + this->percent};
+	}
 	/** Reject a request during a pause, and begin a pause that is due. @return Whether it was rejected. */
 	bool RejectWhilePaused(const Exchange &exchange, const std::string &attempt);
 	/** Copy the KV cache of a run, so that another engine can resume it. */
