Add: [Router] Placement by expected lateness in pools whose targets state their speed

On the uneven deployment a third of the long streams are late, as slow engines read prompts beside them during slowdowns. The score knows only the smoothed time between tokens and one prefill rate.

In pools with time factors the score adds the expected loss of the new call and its harm to the runs at the target, times 3, instead of the interval and first-token terms. Calls that lose nothing on slow engines get a penalty on faster ones that grows with their pressure. StreamOutlook keeps what is learned from a pool's streams; output lengths are grouped by a bucket of max_tokens, as the account's lengths mix long and short streams. Migrations use the same score without the loss of a first event and without harm, as no prompt is read, and the remaining time of a run follows from the factor. The switch lateness turns this off. Until the speeds of targets are measured, TimeFactorsOf() returns what SetBaseFactor() set, and nothing sets it outside of tests.

--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -190,16 +190,26 @@
 	}
 	this->counters.sends++;
 	this->in_flight++;
+	std::optional<ExpectedLateness> lateness = this->LatenessAt(tracked.call, *target, now);
 	this->targets.OnSent(*target, call, now);
 	this->targets.OnRequestSent(*target, now);
 	this->target_budgets.try_emplace(target->value, this->limits.retry).first->second.OnFirstAttempt();
 	if (this->account_budgets.size() > MAX_ACCOUNT_BUDGETS) this->account_budgets.clear();
 	this->account_budgets.try_emplace(call.account.value, this->limits.retry).first->second.OnFirstAttempt();
 	this->window_tokens += tracked.charged_tokens;
-	decisions.sends.push_back({call.id, *target, CLASS_PRIORITY[static_cast<size_t>(call.service_class)] + call.priority});
+	decisions.sends.push_back({call.id, *target, CLASS_PRIORITY[static_cast<size_t>(call.service_class)] + call.priority, lateness});
 	return true;
 }
 
+std::optional<ExpectedLateness> Dispatcher::LatenessAt(const CallSpec &call, TargetNumber target, TimePoint now) const
+{
+	if (!call.generated) return std::nullopt;
+	const TargetState &state = this->targets.Get(target);
+	TimeFactors factors = this->targets.PlacementFactors(state, now);
+	if (factors.empty()) return std::nullopt;
+	return this->targets.LatenessAt(state, call, factors, now);
+}
+
 void Dispatcher::DispatchWaiting(TimePoint now, Decisions &decisions)
 {
 	auto visit = [&](const CallSpec &call) { return this->TrySend(call, now, decisions); };
@@ -319,7 +329,10 @@
 	TrackedCall &tracked = found->second;
 	uint32_t generated = this->targets.OnEnded(*tracked.holder, id, SendResultOf(end), now);
 	this->in_flight--;
-	if (end == SendOutcome::Complete && tracked.call.generated) this->lengths.Learn(tracked.call, generated);
+	if (end == SendOutcome::Complete && tracked.call.generated) {
+		this->lengths.Learn(tracked.call, generated);
+		this->targets.OnOutputComplete(tracked.call, generated);
+	}
 	double cost = tracked.call.generated ? tracked.call.prompt_tokens + generated : 1;
 	this->queue.AdjustCharge(tracked.call, cost - tracked.charged_tokens);
 	bool failed = end == SendOutcome::Lost || end == SendOutcome::Failed;
@@ -381,7 +394,10 @@
 	const TargetState &source = this->targets.Get(*tracked.holder);
 	// The new target needs memory for the tokens generated so far as well.
 	auto flight = source.in_flight.find(id);
-	if (flight != source.in_flight.end()) run.prompt_tokens += flight->second.generated;
+	if (flight != source.in_flight.end()) {
+		run.prompt_tokens += flight->second.generated;
+		run.generated_tokens = flight->second.generated;
+	}
 	// Copies within a data hall are faster, so the run's own hall is preferred over the caller's preference.
 	for (HallPreference &hall : run.halls) {
 		if (hall.hall == source.hall) std::swap(hall, run.halls.front());
@@ -395,7 +411,14 @@
 	return this->router->Choose(run, this->targets, now);
 }
 
-Duration Dispatcher::MigrationCopyDelay(CallId id, const EnginePool &pool, Duration min_remaining) const
+Duration Dispatcher::RemainingTime(const InFlightCall &flight, const TargetState &source, TimePoint now) const
+{
+	if (std::optional<Duration> expected = this->targets.RemainingOutputTime(source, flight, now)) return *expected;
+	double interval = source.interval > 0 ? source.interval : DEFAULT_TOKEN_INTERVAL;
+	return FromSeconds(flight.residual * interval);
+}
+
+Duration Dispatcher::MigrationCopyDelay(CallId id, const EnginePool &pool, Duration min_remaining, TimePoint now) const
 {
 	std::optional<TargetNumber> holder = this->Holder(id);
 	if (!holder) return Duration(0);
@@ -403,10 +426,9 @@
 	auto own = source.in_flight.find(id);
 	if (own == source.in_flight.end()) return Duration(0);
 	auto held = [](const InFlightCall &flight) { return flight.call.prompt_tokens + flight.generated; };
-	double interval = source.interval > 0 ? source.interval : DEFAULT_TOKEN_INTERVAL;
 	Duration wait{0};
 	for (const auto &[other, flight] : source.in_flight) {
-		if (other == id || FromSeconds(flight.residual * interval) < min_remaining) continue;
+		if (other == id || this->RemainingTime(flight, source, now) < min_remaining) continue;
 		bool before = held(flight) != held(own->second) ? held(flight) < held(own->second) : other < id;
 		if (before) wait += CopyTime(pool, held(flight));
 	}
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -97,7 +97,10 @@
 	 * @param min_remaining Runs with a shorter expected remaining time are not migrated.
 	 * @return Expected time until the smaller runs have been copied.
 	 */
-	Duration MigrationCopyDelay(CallId call, const EnginePool &pool, Duration min_remaining) const;
+	Duration MigrationCopyDelay(CallId call, const EnginePool &pool, Duration min_remaining, TimePoint now) const;
+
+	/** @return Expected remaining time of the run \a flight at \a source. */
+	Duration RemainingTime(const InFlightCall &flight, const TargetState &source, TimePoint now) const;
 
 	/** Handle the migration of the run of \a call to \a target. */
 	void OnMigrated(CallId call, TargetNumber target, TimePoint now);
@@ -148,6 +151,8 @@
 
 	/** Send the waiting \a call if a target may get it now. @return Whether it was sent. */
 	bool TrySend(const CallSpec &call, TimePoint now, Decisions &decisions);
+	/** @return Expected lateness of \a call at \a target; nothing if the placement does not use it. */
+	std::optional<ExpectedLateness> LatenessAt(const CallSpec &call, TargetNumber target, TimePoint now) const;
 	/** Send waiting calls in the order of the queue for as long as any can be sent. */
 	void DispatchWaiting(TimePoint now, Decisions &decisions);
 	/** Reject \a call, which is no longer in the queue. */
--- a/src/decision/peer_load.cpp
+++ b/src/decision/peer_load.cpp
@@ -33,6 +33,7 @@
 		spec.service_class = update.service_class;
 		spec.prompt_tokens = update.prompt_tokens;
 		spec.max_tokens = update.max_tokens;
+		spec.gap_objective = this->targets.GapObjectiveOf(spec.model);
 		known = peer.calls.emplace(update.call, PeerCall{spec.id, *target, update.generated}).first;
 		this->targets.OnPeerCallSent(*target, spec, now, update.generated);
 	}
--- a/src/decision/request_type.h
+++ b/src/decision/request_type.h
@@ -6,6 +6,7 @@
 
 #include "core/id_type.h"
 #include "core/time_type.h"
+#include "decision/lateness.h"
 #include "decision/request_fingerprint.h"
 #include "decision/restriction_type.h"
 #include <array>
@@ -62,6 +63,7 @@
 	std::vector<TargetNumber> avoid;              ///< Targets that get it only if no other may.
 	bool exclude_avoided = false;                 ///< Targets in \c avoid never get it.
 	bool exclude_cold = false;                    ///< Cold targets never get it.
+	uint32_t generated_tokens = 0;                ///< Output tokens so far, if its run migrates; its prompt is not read again then.
 	RequestFingerprint fingerprint;               ///< Fingerprint; zero for none.
 };
 
@@ -76,7 +78,8 @@
 struct SendAction {
 	CallId call;
 	TargetNumber target;
-	int priority; ///< Priority to pass to the engine; larger goes first.
+	int priority;                                            ///< Priority to pass to the engine; larger goes first.
+	std::optional<ExpectedLateness> lateness = std::nullopt; ///< Expected lateness, if the placement uses it.
 };
 
 /** Decision to reject a call. */
--- a/src/decision/router.cpp
+++ b/src/decision/router.cpp
@@ -15,6 +15,18 @@
 static constexpr double MAX_PRESSURE = 1.5;       ///< Pressure above which no call overcommits a target.
 static constexpr double FIRST_TOKEN_WEIGHT = 1.5; ///< Weight of the expected time to first token relative to the latency objective.
 
+/** Pressure that a certainly late call counts for: several full targets, and more than the penalty of 1.2 for another hall. */
+static constexpr double LATENESS_WEIGHT = 3.0;
+
+/**
+ * Weight of the penalty for calls that lose nothing on a slow target. On a target of half the time factor that is full it is 0.3, which
+ * moved short calls away from loaded fast engines without leaving idle ones unused.
+ */
+static constexpr double FAST_TARGET_WEIGHT = 0.6;
+
+/** Difference in expected loss between the targets from which on a call has the same claim to the fast ones as any other. */
+static constexpr double FULL_CLAIM_LOSS = 0.25;
+
 /** @return Score penalty for the position of the hall of \a target in the preferences of \a call. */
 static double HallPenalty(const CallSpec &call, const TargetState &target)
 {
@@ -80,22 +92,65 @@
 	}
 
 private:
+	/** A target that may get the call. */
+	struct Candidate {
+		TargetNumber number;
+		ExpectedLateness lateness; ///< Expected lateness of the call there.
+		double factor = 0;         ///< Expected time factor; 0 if the pool has no time factors.
+	};
+
+	/** Relation of a call to all of its candidates. */
+	struct Claim {
+		double slowest = 0; ///< Largest expected time factor of a candidate.
+		double part = 1;    ///< 0 if the call loses nothing on a slow candidate; 1 if it needs a fast one.
+	};
+
 	/** @return The target with the best score; nothing if none is admissible. */
 	std::optional<TargetNumber> FindBest(const CallSpec &call, const TargetTable &targets, TimePoint now, bool require_headroom) const
 	{
+		std::vector<Candidate> candidates = this->FindCandidates(call, targets, now, require_headroom);
+		Claim claim = ClaimOf(candidates);
 		std::optional<TargetNumber> best;
 		double best_score = std::numeric_limits<double>::max();
+		for (const Candidate &candidate : candidates) {
+			const TargetState &target = targets.Get(candidate.number);
+			double score = this->Score(call, candidate, claim, targets, now) + HallPenalty(call, target);
+			if (score >= best_score) continue;
+			best = candidate.number;
+			best_score = score;
+		}
+		return best;
+	}
+
+	/** @return The admissible targets. */
+	std::vector<Candidate> FindCandidates(const CallSpec &call, const TargetTable &targets, TimePoint now, bool require_headroom) const
+	{
+		std::vector<Candidate> candidates;
 		for (TargetNumber number : targets.ForModel(call.model)) {
 			const TargetState &target = targets.Get(number);
 			if (!targets.IsEligible(target, call, now) || IsAvoided(call, number)) continue;
 			if (require_headroom && !this->HasHeadroom(call, target, targets, now)) continue;
 			if (!require_headroom && this->rules.use_headroom && targets.Pressure(target, now) > MAX_PRESSURE) continue;
-			double score = this->Score(call, target, targets, now) + HallPenalty(call, target);
-			if (score >= best_score) continue;
-			best = number;
-			best_score = score;
+			candidates.push_back({number, {}, 0});
+			if (!call.generated) continue;
+			TimeFactors factors = targets.PlacementFactors(target, now);
+			if (factors.empty()) continue;
+			candidates.back().lateness = targets.LatenessAt(target, call, factors, now);
+			candidates.back().factor = MeanOverFactors(factors, [](double factor) { return factor; });
 		}
-		return best;
+		return candidates;
+	}
+
+	/** @return The claim of a call to the faster ones of \a candidates. */
+	static Claim ClaimOf(const std::vector<Candidate> &candidates)
+	{
+		if (candidates.empty()) return {};
+		auto by_loss = [](const Candidate &one, const Candidate &other) { return one.lateness.loss < other.lateness.loss; };
+		auto [least, most] = std::minmax_element(candidates.begin(), candidates.end(), by_loss);
+		Claim claim;
+		claim.part = std::min(1.0, (most->lateness.loss - least->lateness.loss) / FULL_CLAIM_LOSS);
+		for (const Candidate &candidate : candidates) claim.slowest = std::max(claim.slowest, candidate.factor);
+		return claim;
 	}
 
 	/** @return Whether \a target has headroom for \a call, or is idle. */
@@ -107,16 +162,31 @@
 		return idle && target.sent_since_report == 0;
 	}
 
-	/** @return Score of \a target for \a call without the hall penalty; the smallest is best. */
-	double Score(const CallSpec &call, const TargetState &target, const TargetTable &targets, TimePoint now) const
+	/** @return Score of \a candidate for \a call without the hall penalty; the smallest is best. */
+	double Score(const CallSpec &call, const Candidate &candidate, const Claim &claim, const TargetTable &targets, TimePoint now) const
+	{
+		const TargetState &target = targets.Get(candidate.number);
+		double pressure = targets.Pressure(target, now);
+		double score = pressure + CALLS_WEIGHT * ReportedLoad(target);
+		if (candidate.factor > 0) {
+			score += LATENESS_WEIGHT * (candidate.lateness.loss + candidate.lateness.harm);
+			double advantage = 1 - candidate.factor / claim.slowest;
+			score += FAST_TARGET_WEIGHT * (1 - claim.part) * advantage * pressure;
+		} else {
+			score = this->AddSpeed(score, call, target, targets, now);
+		}
+		bool cached = this->rules.use_prefix && TargetTable::HasPrefix(target, call.prefix);
+		return cached ? score - PREFIX_BONUS : score;
+	}
+
+	/** @return \a score with the measured speed of \a target, in a pool without time factors. */
+	double AddSpeed(double score, const CallSpec &call, const TargetState &target, const TargetTable &targets, TimePoint now) const
 	{
-		double score = targets.Pressure(target, now) + CALLS_WEIGHT * ReportedLoad(target);
 		if (this->rules.use_first_token && call.generated && call.objective > Duration(0))
 			score += FIRST_TOKEN_WEIGHT * Seconds(targets.FirstTokenWait(target, call, now)) / Seconds(call.objective);
 		if (this->rules.use_interval && target.median_interval > 0)
 			score += INTERVAL_WEIGHT * (target.interval / target.median_interval - 1);
-		bool cached = this->rules.use_prefix && TargetTable::HasPrefix(target, call.prefix);
-		return cached ? score - PREFIX_BONUS : score;
+		return score;
 	}
 
 	HeadroomRules rules;
--- a/src/decision/target_health.cpp
+++ b/src/decision/target_health.cpp
@@ -35,6 +35,7 @@
 	// Calls of peers are no probes, as this instance does not learn how they end.
 	TargetState &target = this->targets[number.value];
 	if (target.ejections > 0) target.restrictions.probing = true;
+	if (call.gap_objective > Duration(0)) this->outlooks[call.model.value].SetObjective(call.gap_objective);
 }
 
 void TargetTable::EjectUnreachable(TargetState &target, TimePoint now)
--- /dev/null
+++ b/src/decision/target_lateness.cpp
@@ -0,0 +1,83 @@
+/* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
+
+/** @file target_lateness.cpp Expected lateness of calls at targets of known time factors, and what it is learned from. */
+
+#include "decision/target_table.h"
+
+namespace cottonspool {
+
+TimeFactors TargetTable::PlacementFactors(const TargetState &target, TimePoint now) const
+{
+	if (!this->limits.use_lateness || !target.engine) return {};
+	return this->TimeFactorsOf(target, now);
+}
+
+const StreamOutlook &TargetTable::OutlookOf(ModelNumber model) const
+{
+	static const StreamOutlook unlearned;
+	auto found = this->outlooks.find(model.value);
+	return found == this->outlooks.end() ? unlearned : found->second;
+}
+
+double TargetTable::PromptRate(const TargetState &target, ModelNumber model, TimePoint now) const
+{
+	double targets = std::max<double>(1, static_cast<double>(this->ForModel(model).size()));
+	double mean = this->OutlookOf(model).prompts.Rate(now) / targets;
+	// During a run the rate returns from its recent value towards the mean; a new target has no recent prompts, but will get some.
+	return (target.prompts.Rate(now) + mean) / 2;
+}
+
+double TargetTable::PromptHarmAt(const TargetState &target, ModelNumber model, const TimeFactors &factors) const
+{
+	const StreamOutlook &outlook = this->OutlookOf(model);
+	std::map<Duration, double> exposed; // Number of runs that the whole prompt is read beside, by gap objective.
+	for (const auto &[id, flight] : target.in_flight) {
+		if (flight.call.gap_objective <= Duration(0)) continue;
+		exposed[flight.call.gap_objective] += PromptHarm({.prompt = 1}, outlook.Expect(flight.call, flight.generated).events);
+	}
+	double harm = 0;
+	for (const auto &[objective, runs] : exposed)
+		harm += runs * MeanOverFactors(factors, [&](double factor) { return outlook.gaps.Exceeds(objective, factor).prompt; });
+	return harm;
+}
+
+ExpectedLateness TargetTable::LatenessAt(const TargetState &target, const CallSpec &call, const TimeFactors &factors, TimePoint now) const
+{
+	const StreamOutlook &outlook = this->OutlookOf(call.model);
+	bool reads_prompt = call.generated_tokens == 0;
+	bool has_first = reads_prompt && call.objective > Duration(0);
+	RunOutlook rest = outlook.Expect(call, call.generated_tokens);
+	rest.prompts_per_second = this->PromptRate(target, call.model, now);
+	double loss = MeanOverFactors(factors, [&](double factor) {
+		Duration left = std::chrono::duration_cast<Duration>(call.arrived + call.objective - now);
+		double first = has_first ? FirstEventLoss(this->FirstTokenWaitAt(target, call, factor, now), left) : 0;
+		return EitherLoss(first, GapLoss(outlook.gaps.Exceeds(call.gap_objective, factor), ExpectedEpisodes(rest, factor)));
+	});
+	return {loss, reads_prompt ? this->PromptHarmAt(target, call.model, factors) : 0};
+}
+
+std::optional<Duration> TargetTable::RemainingOutputTime(const TargetState &target, const InFlightCall &flight, TimePoint now) const
+{
+	TimeFactors factors = this->PlacementFactors(target, now);
+	if (factors.empty()) return std::nullopt;
+	double factor = MeanOverFactors(factors, [](double possible) { return possible; });
+	return this->OutlookOf(flight.call.model).TimeLeft(flight.call, flight.generated, factor);
+}
+
+void TargetTable::LearnGap(const TargetState &target, InFlightCall &flight, TimePoint now, uint32_t tokens)
+{
+	auto gap = std::chrono::duration_cast<Duration>(now - flight.last_token);
+	uint64_t prompt = target.pending_prefills > 0 ? target.prompts.Total() : 0;
+	Episode ended = flight.episodes.OnEvent(gap, tokens, prompt);
+	if (ended.weight <= 0) return;
+	TimeFactors factors = this->PlacementFactors(target, now);
+	// Gaps at a target of unknown factor cannot be compared with others.
+	if (factors.size() == 1) this->outlooks[flight.call.model.value].Learn(ended, factors.front().factor);
+}
+
+void TargetTable::OnOutputComplete(const CallSpec &call, uint32_t tokens)
+{
+	this->outlooks[call.model.value].lengths.Learn(call.max_tokens, tokens);
+}
+
+} // namespace cottonspool
--- a/src/decision/target_load.cpp
+++ b/src/decision/target_load.cpp
@@ -30,9 +30,17 @@
 	return {std::max(reported.tokens, from_halls.tokens), std::max(reported.calls, from_halls.calls)};
 }
 
-TimeFactors TargetTable::TimeFactorsOf(const TargetState & /* target */, TimePoint /* now */) const
+TimeFactors TargetTable::TimeFactorsOf(const TargetState &target, TimePoint /* now */) const
 {
-	return {};
+	if (target.base_factor > 0) return {{target.base_factor, 1}};
+	TimeFactors factors;
+	for (ModelNumber model : target.models) {
+		for (TargetNumber other : this->ForModel(model)) {
+			if (this->Get(other).base_factor > 0) factors.push_back({this->Get(other).base_factor, 1});
+		}
+	}
+	for (WeightedFactor &possible : factors) possible.weight = 1.0 / static_cast<double>(factors.size());
+	return factors;
 }
 
 HeldLoad TargetTable::TotalLoadAt(const TargetState &target, TimePoint now) const
--- a/src/decision/target_prefill.cpp
+++ b/src/decision/target_prefill.cpp
@@ -38,10 +38,15 @@
 	return std::max(Duration(0), std::chrono::duration_cast<Duration>(target.prefill_done_at - now));
 }
 
-Duration TargetTable::FirstTokenWait(const TargetState &target, const CallSpec &call, TimePoint now) const
+Duration TargetTable::FirstTokenWaitAt(const TargetState &target, const CallSpec &call, double factor, TimePoint now) const
 {
 	Duration remote_wait = std::chrono::duration_cast<Duration>(target.remote_prefill_done_at - now);
-	return std::max(remote_wait, PrefillWait(target, now)) + FromSeconds(call.prompt_tokens / this->prefill_rate);
+	return std::max(remote_wait, PrefillWait(target, now)) + FromSeconds(call.prompt_tokens * factor / this->prefill_rate);
+}
+
+Duration TargetTable::FirstTokenWait(const TargetState &target, const CallSpec &call, TimePoint now) const
+{
+	return this->FirstTokenWaitAt(target, call, 1, now);
 }
 
 } // namespace cottonspool
--- a/src/decision/target_table.cpp
+++ b/src/decision/target_table.cpp
@@ -122,6 +122,10 @@
 	InFlightCall flight{call, generated, call.generated ? this->lengths.Residual(call, generated) : 0, now, now};
 	target.known_tokens += call.prompt_tokens + generated;
 	target.known_residual += flight.residual;
+	if (call.generated && generated == 0 && target.engine) {
+		target.prompts.Add(now);
+		this->outlooks[call.model.value].prompts.Add(now);
+	}
 	if (call.prefix != 0) target.sent_prefixes.emplace_back(call.prefix, now);
 	if (target.sent_prefixes.size() > MAX_SENT_PREFIXES) target.sent_prefixes.pop_front();
 	target.sent_since_report += call.prompt_tokens + generated + target.growth * flight.residual;
@@ -138,6 +142,7 @@
 	if (flight.generated > 0) {
 		double interval = Seconds(now - flight.last_token) / tokens;
 		target.interval = target.interval == 0 ? interval : target.interval + INTERVAL_SMOOTHING * (interval - target.interval);
+		this->LearnGap(target, flight, now, tokens);
 	}
 	this->AddTokens(target, flight, now, tokens);
 }
@@ -184,6 +189,7 @@
 	if (source.in_flight.empty()) source.known_tokens = source.known_residual = 0;
 	flight.sent = now;
 	flight.last_token = now;
+	flight.episodes.Restart();
 	target.known_tokens += held;
 	target.known_residual += flight.residual;
 	target.sent_since_report += held + target.growth * flight.residual;
--- a/src/decision/target_table.h
+++ b/src/decision/target_table.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "core/name_table.h"
-#include "decision/length_estimate.h"
+#include "decision/stream_outlook.h"
 #include "decision/target_restrictions.h"
 #include "decision/target_speed.h"
 #include <deque>
@@ -30,6 +30,7 @@
 	double slow_factor = 3.0;                      ///< Ratio of a target's token interval to the median above which the target is slow.
 	bool use_shares = true;                        ///< Whether each instance uses only a share of the reported headroom.
 	bool use_growth_feedback = true;               ///< Whether the reserved fraction adapts to preemptions.
+	bool use_lateness = true;                      ///< Whether placement uses the expected lateness at engines of known time factors.
 };
 
 /** Result of one call for the health of its target. */
@@ -48,6 +49,7 @@
 	TimePoint sent;              ///< When it was sent.
 	TimePoint last_token;        ///< When the last token arrived.
 	bool prefills_alone = false; ///< Whether no other known prefill was pending when it was sent, so that its time gives the prefill rate.
+	EpisodeTracker episodes;     ///< Gaps between its events; of own calls only.
 };
 
 /** Load of a set of calls at a target. */
@@ -80,6 +82,8 @@
 	double known_tokens = 0;            ///< Tokens in memory of known calls, which are those of this instance and its peers.
 	double known_residual = 0;          ///< Expected remaining output tokens of known calls.
 	uint32_t pending_prefills = 0;      ///< Known calls without a first token.
+	PromptCounter prompts;              ///< Prompts of known calls that were sent to it.
+	double base_factor = 0;             ///< Time factor of its work, as set by SetBaseFactor(); 0 while unknown.
 	TimePoint prefill_done_at;          ///< Expected end of the prefills of all known calls.
 	std::map<std::string, RemoteHallLoad> hall_loads; ///< Load of the calls of other data halls, by hall.
 	TimePoint remote_prefill_done_at;                 ///< Expected end of all prefills, as published by the target's own hall.
@@ -213,6 +217,9 @@
 	/** @return Expected time until the pending prefills of known calls at \a target are done. */
 	static Duration PrefillWait(const TargetState &target, TimePoint now);
 
+	/** @return FirstTokenWait() if the prompt of \a call itself takes \a factor times the usual time. */
+	Duration FirstTokenWaitAt(const TargetState &target, const CallSpec &call, double factor, TimePoint now) const;
+
 	/** @return Expected time to first token of \a call if it is sent to \a target now; prefills are assumed to run one after another. */
 	Duration FirstTokenWait(const TargetState &target, const CallSpec &call, TimePoint now) const;
 
@@ -228,6 +235,24 @@
 	 */
 	TimeFactors TimeFactorsOf(const TargetState &target, TimePoint now) const;
 
+	/** Set the time factor of \a target; 0 for unknown. */
+	void SetBaseFactor(TargetNumber target, double factor) { this->targets[target.value].base_factor = factor; }
+
+	/** @return TimeFactorsOf(\a target) if placement uses the expected lateness there; empty otherwise. */
+	TimeFactors PlacementFactors(const TargetState &target, TimePoint now) const;
+
+	/** @return Expected lateness that follows from sending \a call to \a target, with the possible time factors \a factors, now. */
+	ExpectedLateness LatenessAt(const TargetState &target, const CallSpec &call, const TimeFactors &factors, TimePoint now) const;
+
+	/** @return Expected time for the rest of the output of \a flight at \a target; nothing if its time factor is unknown. */
+	std::optional<Duration> RemainingOutputTime(const TargetState &target, const InFlightCall &flight, TimePoint now) const;
+
+	/** @return The gap objective of this instance's calls for \a model; zero if they have none. */
+	Duration GapObjectiveOf(ModelNumber model) const { return this->OutlookOf(model).Objective(); }
+
+	/** Learn from the complete output of \a call with \a tokens tokens. */
+	void OnOutputComplete(const CallSpec &call, uint32_t tokens);
+
 	/** @return Learned prefill rate of an engine, in tokens per second. */
 	double PrefillRate() const { return this->prefill_rate; }
 
@@ -271,6 +296,14 @@
 	static HeldLoad OthersLoadAt(const TargetState &target, TimePoint now);
 	/** Add \a tokens output tokens to \a flight and to the sums of \a target. */
 	void AddTokens(TargetState &target, InFlightCall &flight, TimePoint now, uint32_t tokens);
+	/** @return What is learned from the streams of \a model. */
+	const StreamOutlook &OutlookOf(ModelNumber model) const;
+	/** @return Prompts per second to expect at \a target, which serves \a model. */
+	double PromptRate(const TargetState &target, ModelNumber model, TimePoint now) const;
+	/** @return Expected number of runs at \a target that miss their gap objective because one more prompt is read there. */
+	double PromptHarmAt(const TargetState &target, ModelNumber model, const TimeFactors &factors) const;
+	/** Learn from an event with \a tokens tokens of the own run \a flight, before it is counted. */
+	void LearnGap(const TargetState &target, InFlightCall &flight, TimePoint now, uint32_t tokens);
 	/** Remove a call in flight. @return Its output tokens. */
 	uint32_t RemoveCall(TargetState &target, CallId call, TimePoint now);
 	/** Add the prefill of \a flight to the pending ones of \a target. */
@@ -284,6 +317,7 @@
 	std::unordered_map<std::string, TargetNumber> numbers;            ///< Numbers by name.
 	std::set<std::string> evacuated_halls;                            ///< Evacuated data halls.
 	std::unordered_map<uint32_t, std::vector<TargetNumber>> by_model; ///< Configured targets by model.
+	std::unordered_map<uint32_t, StreamOutlook> outlooks;             ///< What is learned from streams, by model.
 	uint32_t instance_index = 0;                                      ///< Index of this instance among them.
 	uint32_t instances = 1;                                           ///< Number of instances that share the targets.
 	double mean_residual = 128; ///< Smoothed expected remaining output of a call, used for unknown calls.
--- a/src/gateway/feature_switches.cpp
+++ b/src/gateway/feature_switches.cpp
@@ -18,6 +18,8 @@
         {"first-token", "the expected time to first token is ignored", [](GatewayLimits &l) { l.router.use_first_token = false; }},
         {"cached-prefix", "cached prompt prefixes are ignored", [](GatewayLimits &l) { l.router.use_prefix = false; }},
         {"interval", "the time between tokens is ignored", [](GatewayLimits &l) { l.router.use_interval = false; }},
+        {"lateness", "placement ignores how late calls will be at engines that state their speed",
+         [](GatewayLimits &l) { l.dispatch.targets.use_lateness = false; }},
         {"room-binds", "generations may overcommit engines, up to a limit", [](GatewayLimits &l) { l.router.use_overcommit = true; }},
         {"growth-kept", "switched on: the memory reserved for growth adapts to preemptions in engines' reports",
          [](GatewayLimits &l) { l.dispatch.targets.use_growth_feedback = true; }},
--- a/src/gateway/relay_call.cpp
+++ b/src/gateway/relay_call.cpp
@@ -35,12 +35,12 @@
 	this->attempts++;
 	this->sent_at = now;
 	this->backup = this->ChooseBackupFor(action.target, now);
-	this->LogSend(now);
+	this->LogSend(action, now);
 	this->gateway.OnCallProgress(this->request, action.target, true);
 	this->upstream_call = this->StartUpstream(action.target, std::nullopt, this->backup);
 }
 
-void RelayCall::LogSend(TimePoint now)
+void RelayCall::LogSend(const SendAction &action, TimePoint now)
 {
 	const TargetState &state = this->gateway.dispatcher.Targets().Get(*this->target);
 	Duration age = state.report.sequence == 0 ? Duration(0) : now - state.report_at;
@@ -53,7 +53,9 @@
 	     {"copy_at", this->backup ? this->gateway.dispatcher.Targets().Get(*this->backup).name : ""},
 	     {"pressure", FormatNumber(this->gateway.dispatcher.Targets().Pressure(state, now))},
 	     {"own_calls", std::to_string(state.in_flight.size())},
-	     {"report_age_ms", FormatMilliseconds(age)}});
+	     {"report_age_ms", FormatMilliseconds(age)},
+	     {"expected_loss", action.lateness ? FormatNumber(action.lateness->loss) : ""},
+	     {"harm", action.lateness ? FormatNumber(action.lateness->harm) : ""}});
 }
 
 std::optional<TargetNumber> RelayCall::ChooseBackupFor(TargetNumber holder, TimePoint now)
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -122,7 +122,7 @@
 	/** Cancel everything, as nobody waits for the answer. */
 	void OnCallerDisconnected();
 	/** Log the send to the current target. */
-	void LogSend(TimePoint now);
+	void LogSend(const SendAction &action, TimePoint now);
 };
 
 /** A request whose answer is buffered until it is complete. */
