--- a/src/decision/target_prefill.cpp
+++ b/src/decision/target_prefill.cpp
@@ -52,4 +52,10 @@
 	return std::max(remote_wait, PrefillWait(target, now)) + this->PrefillTime(target, call.prompt_tokens, now);
 }
 
+Duration TargetTable::FirstTokenWaitAt(const TargetState &target, const CallSpec &call, double factor, TimePoint now) const
+{
+	Duration remote_wait = std::chrono::duration_cast<Duration>(target.remote_prefill_done_at - now);
+	return std::max(remote_wait, PrefillWait(target, now)) + FromSeconds(call.prompt_tokens * factor / this->prefill_rate);
+}
+
 } // namespace cottonspool
