Add: [Dispatcher] Generations of less urgent routes leave room for those of more urgent ones

Cause: in a burst of long generations their memory fills all engines, and what becomes free is taken by the next long one. Short generations of a more urgent route, which need a tenth of an engine for half a second, wait behind them at the engine or in their account's queue.

Change: a call of a less urgent route leaves free, at its target, the room for one call of the largest smaller and more urgent kind of the same pool, and waits behind those in its account's queue. Without such a route nothing changes.

--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -104,7 +104,14 @@
 {
 	Decisions decisions;
 	this->counters.submitted++;
-	this->calls.emplace(call.id, TrackedCall{.call = call});
+	TrackedCall &tracked = this->calls.emplace(call.id, TrackedCall{.call = call}).first->second;
+	if (call.generated && this->limits.leave_urgent_room) {
+		double need = this->ExpectedTokens(call);
+		this->urgent_room.OnCall(call.model, call.route_priority, need);
+		tracked.call.urgent_room = this->urgent_room.RoomFor(call.model, call.route_priority, need);
+		// In the queue of its account, it must not hold up the calls that it leaves room for.
+		if (tracked.call.urgent_room > 0) tracked.call.priority--;
+	}
 	if (this->IsQuarantined(call, now)) {
 		this->Reject(call, RejectReason::Quarantined, now, decisions);
 		return decisions;
@@ -118,7 +125,7 @@
 		this->Reject(call, RejectReason::WaitTooLong, now, decisions);
 		return decisions;
 	}
-	if (!this->queue.Push(call, this->ExpectedTokens(call))) {
+	if (!this->queue.Push(tracked.call, this->ExpectedTokens(call))) {
 		this->Reject(call, RejectReason::QueueFull, now, decisions);
 		return decisions;
 	}
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -10,6 +10,7 @@
 #include "decision/retry_budget.h"
 #include "decision/router_base.h"
 #include "decision/serving_type.h"
+#include "decision/urgent_room.h"
 
 namespace cottonspool {
 
@@ -23,6 +24,7 @@
 	LengthEstimateLimits lengths;          ///< Output length estimate.
 	QuarantineLimits quarantine;           ///< Quarantine of requests that crash targets.
 	bool refuse_early = true;              ///< Reject a call at once if its expected wait exceeds its deadline.
+	bool leave_urgent_room = true;         ///< Calls of less urgent routes leave room for a call of a more urgent one.
 	bool retry_failed = true;              ///< Retry repeatable calls that failed at a target on another one.
 	uint32_t max_attempts = 3;             ///< Maximum number of attempts per call, unless the call sets its own.
 	size_t max_heads_tried = 24;           ///< Maximum number of flows tried per class, model and pass over the queue.
@@ -195,6 +197,7 @@
 	std::unordered_map<uint32_t, RetryBudget> account_budgets;   ///< Retry budgets by client account.
 	std::unordered_map<uint32_t, RetryBudget> pool_budgets;      ///< Retry budgets by model or service.
 	std::unordered_map<uint32_t, OverloadTracker> overloads;     ///< Duration of the present overload, by model or service.
+	UrgentRoom urgent_room;                                      ///< Memory to leave free for calls of more urgent routes.
 	Quarantine quarantine;                                       ///< Requests that are suspected of crashing targets.
 	DispatchCounters counters;
 	size_t in_flight = 0;      ///< Number of calls in flight.
--- a/src/decision/request_type.h
+++ b/src/decision/request_type.h
@@ -52,6 +52,8 @@
 	TimePoint arrived;                                      ///< Time of arrival.
 	TimePoint deadline;                                     ///< Time at which it is rejected if it still waits.
 	std::vector<HallPreference> halls;                      ///< Data halls in order of preference; empty for any.
+	int route_priority = 0;                                 ///< Priority of its route; 0 is the most urgent.
+	double urgent_room = 0;                                 ///< Memory of its target, in tokens, that it leaves free for more urgent calls.
 	bool generated = true;                                  ///< Whether it is a generation of a model; false for a service call.
 	TimePoint response_deadline = TimePoint::max();         ///< Latest time for its complete answer.
 	Duration objective{0};                                  ///< Latency objective for its answer or first event; zero for none.
--- a/src/decision/router.cpp
+++ b/src/decision/router.cpp
@@ -101,7 +101,7 @@
 	/** @return Whether \a target has headroom for \a call, or is idle. */
 	bool HasHeadroom(const CallSpec &call, const TargetState &target, const TargetTable &targets, TimePoint now) const
 	{
-		double need = targets.MemoryNeed(target, call);
+		double need = targets.MemoryNeed(target, call) + call.urgent_room;
 		if (targets.Headroom(target, call, now) >= need) return true;
 		bool idle = target.in_flight.empty() && target.report.running + target.report.waiting == 0;
 		return idle && target.sent_since_report == 0;
--- a/src/gateway/feature_switches.cpp
+++ b/src/gateway/feature_switches.cpp
@@ -21,6 +21,8 @@
         {"room-binds", "generations may overcommit engines, up to a limit", [](GatewayLimits &l) { l.router.use_overcommit = true; }},
         {"growth-kept", "switched on: the memory reserved for growth adapts to preemptions in engines' reports",
          [](GatewayLimits &l) { l.dispatch.targets.use_growth_feedback = true; }},
+        {"urgent-room", "generations leave no memory free for those of more urgent routes",
+         [](GatewayLimits &l) { l.dispatch.leave_urgent_room = false; }},
         {"pressing", "plain requests never go to a service without headroom",
          [](GatewayLimits &l) { l.overcommit_fraction = std::numeric_limits<double>::infinity(); }},
         {"learned-lengths", "output lengths are not learned", [](GatewayLimits &l) { l.dispatch.lengths.learn = false; }},
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -205,6 +205,7 @@
 	spec.response_deadline = request->response_deadline;
 	spec.objective = route.objective;
 	spec.gap_objective = route.gap_objective;
+	spec.route_priority = route.priority_level;
 	spec.other_hall_penalty = this->limits.other_hall_penalty;
 	spec.arrived = now;
 	spec.deadline = std::min(request->response_deadline, now + FromSeconds(Seconds(route.objective) * this->limits.queue_wait_fraction));
