Add: [Targets] Headroom for a run that migrates counts all that is known

Change: CallSpec::migrated_output marks a run that migrates. For it TargetTable::Headroom takes calls that ended since the report was made, and known waiting ones, off the unknown load, and MemoryNeed reserves what remains of the output. A removed copy gives its reserve back. TargetTable::HeadroomRevision changes whenever headroom may have grown. TargetState::shutdown_at keeps the announced time of the shutdown. Calls that don't migrate have the same headroom as before.

--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -381,7 +381,9 @@
 	const TargetState &source = this->targets.Get(*tracked.holder);
 	// The new target needs memory for the tokens generated so far as well.
 	auto flight = source.in_flight.find(id);
-	if (flight != source.in_flight.end()) run.prompt_tokens += flight->second.generated;
+	uint32_t output = flight != source.in_flight.end() ? flight->second.generated : 0;
+	if (this->targets.UsesMigrationHeadroom()) run.migrated_output = output;
+	if (!this->targets.UsesMigrationHeadroom()) run.prompt_tokens += output;
 	// Copies within a data hall are faster, so the run's own hall is preferred over the caller's preference.
 	for (HallPreference &hall : run.halls) {
 		if (hall.hall == source.hall) std::swap(hall, run.halls.front());
--- a/src/decision/request_type.h
+++ b/src/decision/request_type.h
@@ -62,6 +62,7 @@
 	std::vector<TargetNumber> avoid;              ///< Targets that get it only if no other may.
 	bool exclude_avoided = false;                 ///< Targets in \c avoid never get it.
 	bool exclude_cold = false;                    ///< Cold targets never get it.
+	std::optional<uint32_t> migrated_output;      ///< Output tokens so far of a run that migrates; nothing for other calls.
 	RequestFingerprint fingerprint;               ///< Fingerprint; zero for none.
 };
 
@@ -106,6 +107,8 @@
 	bool draining = false;          ///< Whether the target is draining.
 	std::string incarnation;        ///< Identifies the run of the target's process; changes with each restart.
 	std::vector<uint64_t> prefixes; ///< Hashes of cached prompt prefixes; may be outdated or incomplete.
+
+	std::optional<Duration> shutdown_in; ///< Time from the report until the target shuts down, if announced.
 };
 
 } // namespace cottonspool
--- a/src/decision/target_table.cpp
+++ b/src/decision/target_table.cpp
@@ -18,6 +18,8 @@
 static constexpr double RESIDUAL_SMOOTHING = 0.02;        ///< Weight of the newest sample in the mean remaining output.
 static constexpr Duration SENT_PREFIX_TTL = std::chrono::seconds(10); ///< Time for which the prefix of a sent call is taken for cached.
 static constexpr size_t MAX_SENT_PREFIXES = 64;                       ///< Maximum number of such prefixes per target.
+/** Time for which ended calls are remembered; longer than the age of a report at its receipt, which is some 450 ms. */
+static constexpr Duration ENDED_CALL_TTL = std::chrono::seconds(2);
 static constexpr double TURN_FRACTION = 0.5; ///< Fraction of the headroom that goes to a single instance, in rotation.
 
 TargetNumber TargetTable::Configure(std::string_view name, std::string_view hall, const std::vector<ModelNumber> &models, bool engine)
@@ -37,7 +39,9 @@
 	target.models = std::move(new_models);
 	target.restrictions.known = true;
 	// A new configuration contains every target again, so the index is rebuilt only for actual changes.
-	if (!unchanged) this->RebuildIndex();
+	if (unchanged) return entry->second;
+	this->headroom_revision++;
+	this->RebuildIndex();
 	return entry->second;
 }
 
@@ -88,6 +92,8 @@
 		this->UpdateGrowth(target, report);
 	}
 	if (report.draining) target.restrictions.draining = true;
+	if (report.shutdown_in) target.shutdown_at = now - report.age + *report.shutdown_in;
+	this->headroom_revision++;
 	target.report = report;
 	target.report_at = now;
 	target.restrictions.ready = true;
@@ -96,14 +102,24 @@
 	target.sent_since_report = 0;
 	target.backed_up_since_report = 0;
 	TimePoint made_at = now - report.age;
-	for (const auto &[id, flight] : target.in_flight) {
+	for (auto &[id, flight] : target.in_flight) {
+		bool is_copy = flight.copy_reserve > 0;
 		if (flight.sent < made_at) {
 			target.known_at_report += flight.call.prompt_tokens + flight.generated;
 			target.known_calls_at_report++;
+			flight.copy_reserve = 0;
 		} else {
-			target.sent_since_report += this->MemoryNeed(target, flight.call);
+			double need = this->MemoryNeed(target, flight.call);
+			target.sent_since_report += need;
+			if (is_copy) flight.copy_reserve = need;
 		}
 	}
+	target.ended_at_report = {};
+	for (const EndedCall &ended : target.ended_calls) {
+		if (ended.sent >= made_at || ended.ended_at < made_at) continue;
+		target.ended_at_report.tokens += ended.tokens;
+		target.ended_at_report.calls++;
+	}
 	target.reported_prefixes = std::set<uint64_t>(report.prefixes.begin(), report.prefixes.end());
 	target.report.prefixes.clear();
 	while (!target.sent_prefixes.empty() && target.sent_prefixes.front().second + SENT_PREFIX_TTL < now) target.sent_prefixes.pop_front();
@@ -124,7 +140,9 @@
 	target.known_residual += flight.residual;
 	if (call.prefix != 0) target.sent_prefixes.emplace_back(call.prefix, now);
 	if (target.sent_prefixes.size() > MAX_SENT_PREFIXES) target.sent_prefixes.pop_front();
-	target.sent_since_report += call.prompt_tokens + generated + target.growth * flight.residual;
+	double reserve = call.prompt_tokens + generated + target.growth * flight.residual;
+	target.sent_since_report += reserve;
+	if (generated > 0) flight.copy_reserve = reserve;
 	this->OnPrefillQueued(target, flight, now);
 	target.in_flight.emplace(call.id, std::move(flight));
 }
@@ -175,6 +193,7 @@
 	if (found == source.in_flight.end() || from == to) return;
 	InFlightCall flight = std::move(found->second);
 	source.in_flight.erase(found);
+	this->headroom_revision++;
 	// The run's outcome will not be seen here, so it no longer counts as a probe.
 	source.restrictions.probing = false;
 	if (flight.generated == 0) this->OnPrefillDone(source, flight, now);
@@ -203,20 +222,39 @@
 	if (generated == 0) this->OnPrefillDone(target, found->second, now);
 	target.known_tokens -= found->second.call.prompt_tokens + generated;
 	target.known_residual -= found->second.residual;
+	// The reserve of a copy that failed would keep the run from an idle engine, of which no further report is fetched.
+	if (found->second.copy_reserve > 0) {
+		target.sent_since_report -= found->second.copy_reserve;
+		// Rounding must not make an idle engine look used; any call needs at least one token.
+		if (target.sent_since_report < 1) target.sent_since_report = 0;
+	}
+	if (target.engine) this->RememberEnded(target, found->second, now);
 	target.in_flight.erase(found);
 	if (target.in_flight.empty()) target.known_tokens = target.known_residual = 0;
 	return generated;
 }
 
+void TargetTable::RememberEnded(TargetState &target, const InFlightCall &flight, TimePoint now)
+{
+	this->headroom_revision++;
+	while (!target.ended_calls.empty() && target.ended_calls.front().ended_at + ENDED_CALL_TTL < now) target.ended_calls.pop_front();
+	target.ended_calls.push_back({flight.sent, now, static_cast<double>(flight.call.prompt_tokens) + flight.generated});
+}
+
 double TargetTable::MemoryNeed(const TargetState &target, const CallSpec &call) const
 {
 	if (!call.generated) return 1;
-	return call.prompt_tokens + target.growth * this->lengths.Residual(call, 0);
+	uint32_t output = call.migrated_output.value_or(0);
+	return call.prompt_tokens + output + target.growth * this->lengths.Residual(call, output);
 }
 
 double TargetTable::OthersCommitted(const TargetState &target, TimePoint now) const
 {
-	HeldLoad others = OthersLoadAt(target, now);
+	return this->CommittedFor(target, OthersLoadAt(target, now));
+}
+
+double TargetTable::CommittedFor(const TargetState &target, HeldLoad others) const
+{
 	if (!target.engine) return others.tokens;
 	return others.tokens + target.growth * others.calls * this->mean_residual;
 }
@@ -249,7 +287,8 @@
 		if (!has_report) return capacity - own;
 		return capacity / this->instances - own;
 	}
-	double free = capacity - own - this->OthersCommitted(target, now);
+	bool counts_known = call.migrated_output && this->limits.use_migration_headroom;
+	double free = counts_known ? this->MigrationHeadroom(target, call, now) : capacity - own - this->OthersCommitted(target, now);
 	if (!this->limits.use_shares || this->instances <= 1) return free;
 	double at_report = std::max(0.0, free + target.sent_since_report);
 	double share = target.share_factor * ((1 - TURN_FRACTION) / this->instances + (this->HasTurn(target) ? TURN_FRACTION : 0));
--- a/src/decision/target_table.h
+++ b/src/decision/target_table.h
@@ -30,6 +30,7 @@
 	double slow_factor = 3.0;                      ///< Ratio of a target's token interval to the median above which the target is slow.
 	bool use_shares = true;                        ///< Whether each instance uses only a share of the reported headroom.
 	bool use_growth_feedback = true;               ///< Whether the reserved fraction adapts to preemptions.
+	bool use_migration_headroom = true;            ///< Whether the headroom for a run that migrates counts all that is known.
 };
 
 /** Result of one call for the health of its target. */
@@ -47,6 +48,7 @@
 	double residual = 0;         ///< Expected remaining output tokens.
 	TimePoint sent;              ///< When it was sent.
 	TimePoint last_token;        ///< When the last token arrived.
+	double copy_reserve = 0;     ///< Part of TargetState::sent_since_report that the copy of a run accounts for; 0 for other calls.
 	bool prefills_alone = false; ///< Whether no other known prefill was pending when it was sent, so that its time gives the prefill rate.
 };
 
@@ -62,6 +64,13 @@
 	TimePoint received_at; ///< When it was received.
 };
 
+/** A known call that has ended at a target. */
+struct EndedCall {
+	TimePoint sent;     ///< When it was sent.
+	TimePoint ended_at; ///< When it ended.
+	double tokens = 0;  ///< Memory that it used, in tokens.
+};
+
 /** State of one target as seen by this instance. */
 struct TargetState {
 	std::string name;                   ///< Unique name.
@@ -92,6 +101,10 @@
 	std::set<uint64_t> reported_prefixes; ///< Cached prefixes according to the latest report.
 	std::deque<std::pair<uint64_t, TimePoint>> sent_prefixes;         ///< Prefixes of calls sent lately.
 	std::unordered_map<CallId, InFlightCall, StrongIdHash> in_flight; ///< Known calls.
+
+	std::deque<EndedCall> ended_calls;    ///< Known calls that ended lately, the oldest first.
+	HeldLoad ended_at_report;             ///< Known calls that the latest report includes, but that ended before it arrived.
+	std::optional<TimePoint> shutdown_at; ///< When it shuts down, if announced.
 };
 
 /** All targets of one instance, by number. */
@@ -204,7 +217,7 @@
 	/** @return Memory of \a target, in tokens, that this instance may still fill with calls of the class of \a call. */
 	double Headroom(const TargetState &target, const CallSpec &call, TimePoint now) const;
 
-	/** @return Memory, in tokens, to reserve at \a target for \a call. */
+	/** @return Memory, in tokens, to reserve at \a target for \a call, of a run that migrates for what remains of its output. */
 	double MemoryNeed(const TargetState &target, const CallSpec &call) const;
 
 	/** @return Whether \a prefix is probably cached at \a target. */
@@ -228,6 +241,9 @@
 	 */
 	TimeFactors TimeFactorsOf(const TargetState &target, TimePoint now) const;
 
+	/** @return Whether the headroom for a run that migrates counts all that is known. */
+	bool UsesMigrationHeadroom() const { return this->limits.use_migration_headroom; }
+
 	/** @return Learned prefill rate of an engine, in tokens per second. */
 	double PrefillRate() const { return this->prefill_rate; }
 
@@ -240,6 +256,9 @@
 	/** Set the index of this instance among the \a count instances that share the targets. */
 	void SetInstances(uint32_t instance_index, uint32_t count);
 
+	/** @return A number that changes whenever the headroom of an engine may have grown: a report, an ended call, a new target. */
+	uint64_t HeadroomRevision() const { return this->headroom_revision; }
+
 	/** @return The state of \a target. */
 	const TargetState &Get(TargetNumber target) const { return this->targets[target.value]; }
 
@@ -269,8 +288,18 @@
 	double OthersCommitted(const TargetState &target, TimePoint now) const;
 	/** @return Estimated load of unknown calls at \a target, from its report and from other data halls. */
 	static HeldLoad OthersLoadAt(const TargetState &target, TimePoint now);
+	/** @return The load of unknown calls according to the report of \a target, without the calls known to have ended since. */
+	static HeldLoad UnknownLoadInReport(const TargetState &target);
+	/** @return The larger one of \a reported and of what other data halls published for \a target. */
+	static HeldLoad WithHallLoads(const TargetState &target, HeldLoad reported, TimePoint now);
+	/** @return Memory to count at \a target for unknown calls with the load \a others. */
+	double CommittedFor(const TargetState &target, HeldLoad others) const;
+	/** @return Memory of \a target that a run which migrates may fill; it is not reduced by what is known to have ended. */
+	double MigrationHeadroom(const TargetState &target, const CallSpec &call, TimePoint now) const;
 	/** Add \a tokens output tokens to \a flight and to the sums of \a target. */
 	void AddTokens(TargetState &target, InFlightCall &flight, TimePoint now, uint32_t tokens);
+	/** Record the end of \a flight, which a report that is under way may still include. */
+	void RememberEnded(TargetState &target, const InFlightCall &flight, TimePoint now);
 	/** Remove a call in flight. @return Its output tokens. */
 	uint32_t RemoveCall(TargetState &target, CallId call, TimePoint now);
 	/** Add the prefill of \a flight to the pending ones of \a target. */
@@ -286,6 +315,7 @@
 	std::unordered_map<uint32_t, std::vector<TargetNumber>> by_model; ///< Configured targets by model.
 	uint32_t instance_index = 0;                                      ///< Index of this instance among them.
 	uint32_t instances = 1;                                           ///< Number of instances that share the targets.
+	uint64_t headroom_revision = 0;                                   ///< Changes of headroom so far; see HeadroomRevision().
 	double mean_residual = 128; ///< Smoothed expected remaining output of a call, used for unknown calls.
 	double prefill_rate = 7000; ///< Smoothed prefill rate, in tokens per second.
 };
