Add: [Dispatcher] Copy those runs of a draining engine first that can still be saved

Cause: the link of a draining engine copies one run after another, and the turn of a run depended on its size only. Runs that wait at the engine, which cannot be copied, and runs that finish in time by themselves took turns before runs that are lost without a copy.

Change: the order is a module of its own, CopyDelay (src/decision/copy_order.h). Runs that wait keep no turn. If the report states the time until the shutdown (shutdown_in), runs that finish within half of it and runs whose copy takes longer go last. Instances publish this time with the report as one more, optional element of its array, in milliseconds.

The existing test of the order by size is unchanged but for the added argument.

--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -4,6 +4,7 @@
 
 #include "decision/dispatcher.h"
 #include "core/hash_func.h"
+#include "decision/copy_order.h"
 #include "decision/placement_table.h"
 #include <algorithm>
 
@@ -397,22 +398,20 @@
 	return this->router->Choose(run, this->targets, now);
 }
 
-Duration Dispatcher::MigrationCopyDelay(CallId id, const EnginePool &pool, Duration min_remaining) const
+Duration Dispatcher::MigrationCopyDelay(CallId id, const EnginePool &pool, Duration min_remaining, TimePoint now) const
 {
 	std::optional<TargetNumber> holder = this->Holder(id);
 	if (!holder) return Duration(0);
 	const TargetState &source = this->targets.Get(*holder);
-	auto own = source.in_flight.find(id);
-	if (own == source.in_flight.end()) return Duration(0);
-	auto held = [](const InFlightCall &flight) { return flight.call.prompt_tokens + flight.generated; };
 	double interval = source.interval > 0 ? source.interval : DEFAULT_TOKEN_INTERVAL;
-	Duration wait{0};
-	for (const auto &[other, flight] : source.in_flight) {
-		if (other == id || FromSeconds(flight.residual * interval) < min_remaining) continue;
-		bool before = held(flight) != held(own->second) ? held(flight) < held(own->second) : other < id;
-		if (before) wait += CopyTime(pool, held(flight));
+	std::vector<CopyCandidate> candidates;
+	for (const auto &[run, flight] : source.in_flight) {
+		double held = static_cast<double>(flight.call.prompt_tokens) + flight.generated;
+		candidates.push_back({run, held, flight.generated > 0, FromSeconds(flight.residual * interval)});
 	}
-	return wait;
+	CopyOrderRules rules{.min_remaining = min_remaining, .rescue_order = this->limits.use_rescue_order};
+	if (source.shutdown_at) rules.time_left = std::max(Duration(0), std::chrono::duration_cast<Duration>(*source.shutdown_at - now));
+	return CopyDelay(id, candidates, pool, rules);
 }
 
 void Dispatcher::OnMigrated(CallId id, TargetNumber target, TimePoint now)
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -23,6 +23,7 @@
 	LengthEstimateLimits lengths;          ///< Output length estimate.
 	QuarantineLimits quarantine;           ///< Quarantine of requests that crash targets.
 	bool refuse_early = true;              ///< Reject a call at once if its expected wait exceeds its deadline.
+	bool use_rescue_order = false;         ///< Copy the runs of a draining engine first that can still be saved; see CopyOrderRules.
 	bool retry_failed = true;              ///< Retry repeatable calls that failed at a target on another one.
 	uint32_t max_attempts = 3;             ///< Maximum number of attempts per call, unless the call sets its own.
 	size_t max_heads_tried = 24;           ///< Maximum number of flows tried per class, model and pass over the queue.
@@ -91,13 +92,13 @@
 
 	/**
 	 * Time to wait before the migration copy of \a call is requested. Runs that migrate from an engine at the same time are copied one
-	 * after another over its link, smallest first. A copy is a snapshot from the time of its request, so an early request misses the
-	 * tokens that are generated while it waits for the link.
+	 * after another over its link, in the order of CopyDelay(). A copy is a snapshot from the time of its request, so an early request
+	 * misses the tokens that are generated while it waits for the link.
 	 * @param pool Properties of the engines of the pool.
 	 * @param min_remaining Runs with a shorter expected remaining time are not migrated.
-	 * @return Expected time until the smaller runs have been copied.
+	 * @return Expected time until the runs that go first have been copied.
 	 */
-	Duration MigrationCopyDelay(CallId call, const EnginePool &pool, Duration min_remaining) const;
+	Duration MigrationCopyDelay(CallId call, const EnginePool &pool, Duration min_remaining, TimePoint now) const;
 
 	/** Handle the migration of the run of \a call to \a target. */
 	void OnMigrated(CallId call, TargetNumber target, TimePoint now);
--- a/src/gateway/gateway_limits.cpp
+++ b/src/gateway/gateway_limits.cpp
@@ -47,6 +47,7 @@
 	limits.router.use_overcommit = false;
 	limits.dispatch.targets.use_growth_feedback = false;
 	limits.dispatch.targets.growth_start = GROWTH_RESERVE;
+	limits.dispatch.use_rescue_order = true;
 	limits.dispatch.retry.backoff_base = std::chrono::milliseconds(5);
 	limits.dispatch.retry.backoff_max = std::chrono::milliseconds(40);
 	limits.dispatch.retry_after_min = std::chrono::milliseconds(100);
--- a/src/gateway/gateway_targets.cpp
+++ b/src/gateway/gateway_targets.cpp
@@ -226,6 +226,7 @@
 	report.waiting = fetched->waiting;
 	report.waiting_tokens = fetched->waiting_tokens;
 	report.draining = fetched->draining && this->limits.use_drain_notice;
+	if (report.draining) report.shutdown_in = fetched->shutdown_in;
 	this->LogReport(number, report);
 	this->peers.PublishReport(this->dispatcher.Targets().Get(number).name, report);
 	// A drain notice that arrives by report leaves little time for migrations, so the peers get it immediately.
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -213,7 +213,7 @@
 	double interval = source.interval > 0 ? source.interval : 0.01;
 	if (this->has_event && FromSeconds(flight->second.residual * interval) < this->gateway.limits.migration_min_remaining) return;
 	if (this->ResumeFromBackup("leaving", now)) return;
-	if (!this->migration.copy_not_before) this->migration.copy_not_before = now + this->MigrationCopyDelay();
+	if (!this->migration.copy_not_before) this->migration.copy_not_before = now + this->MigrationCopyDelay(now);
 	if (now < *this->migration.copy_not_before) return;
 	std::optional<TargetNumber> to = this->gateway.dispatcher.ChooseMigrationTarget(this->request.spec.id, this->migration.refused, now);
 	if (!to) {
@@ -240,11 +240,11 @@
 	this->LogMigration("copy", "asked");
 }
 
-Duration StreamRelay::MigrationCopyDelay() const
+Duration StreamRelay::MigrationCopyDelay(TimePoint now) const
 {
 	const GatewayLimits &limits = this->gateway.limits;
 	Duration wait =
-	        this->gateway.dispatcher.MigrationCopyDelay(this->request.spec.id, this->request.engines, limits.migration_min_remaining);
+	        this->gateway.dispatcher.MigrationCopyDelay(this->request.spec.id, this->request.engines, limits.migration_min_remaining, now);
 	return FromSeconds(Seconds(wait) * limits.copy_lead_fraction);
 }
 
--- a/src/gateway/stream_relay.h
+++ b/src/gateway/stream_relay.h
@@ -69,7 +69,7 @@
 	/** Start to migrate the run if its engine drains and another one has headroom. */
 	void TryMigrate(TimePoint now);
 	/** @return Time until the earlier copies from the same engine are almost done. */
-	Duration MigrationCopyDelay() const;
+	Duration MigrationCopyDelay(TimePoint now) const;
 	/** The copy request has ended: resume the run at the new engine, or try again later. */
 	void OnCopied(const MigrationAnswer &answer);
 	/** @return Whether the run may resume at \a to; that engine or its hall may have become unavailable during the copy. */
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -4,6 +4,7 @@
 
 #include "peer/peer_message.h"
 #include "peer/compressed_message.h"
+#include <algorithm>
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -81,6 +82,13 @@
 	return Json::array({SNAPSHOT, message.snapshot});
 }
 
+/** @return The time until a shutdown as it is published: in milliseconds, at most a day. */
+static uint32_t EncodeShutdown(Duration shutdown_in)
+{
+	Duration valid = std::clamp<Duration>(shutdown_in, Duration(0), std::chrono::hours(24));
+	return static_cast<uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(valid).count());
+}
+
 static Json Write(const LoadMessage &message)
 {
 	Json calls = Json::array();
@@ -90,8 +98,10 @@
 	}
 	Json reports = Json::array();
 	for (const ReportUpdate &update : message.reports) {
-		reports.push_back(Json::array({update.target, update.report.capacity_tokens, update.report.used_tokens, update.report.running,
-		                               update.report.waiting, update.report.waiting_tokens, update.report.draining}));
+		Json report = Json::array({update.target, update.report.capacity_tokens, update.report.used_tokens, update.report.running,
+		                           update.report.waiting, update.report.waiting_tokens, update.report.draining});
+		if (update.report.shutdown_in) report.push_back(EncodeShutdown(*update.report.shutdown_in));
+		reports.push_back(std::move(report));
 	}
 	return Json::array({LOAD, message.instance, message.incarnation, message.full, calls, reports});
 }
@@ -238,6 +248,8 @@
 	update.report.waiting = ReadInteger<uint32_t>(item.at(4));
 	update.report.waiting_tokens = ReadInteger<uint64_t>(item.at(5));
 	update.report.draining = item.at(6).get<bool>();
+	// Instances of older releases don't publish the time of the shutdown.
+	if (item.size() > 7) update.report.shutdown_in = std::chrono::milliseconds(ReadInteger<uint32_t>(item.at(7)));
 	return update;
 }
 
--- a/src/tests/dispatcher_test.cpp
+++ b/src/tests/dispatcher_test.cpp
@@ -426,12 +426,12 @@
 	// A run of another instance is taken into account as well.
 	dispatcher.Targets().OnSent(engine, run(1ULL << 62, 2000, 200), now);
 	Duration least = milliseconds(300);
-	CHECK(dispatcher.MigrationCopyDelay(CallId{1}, pool, least) == Duration(0));
-	CHECK(dispatcher.MigrationCopyDelay(CallId{2}, pool, least) == milliseconds(300));
+	CHECK(dispatcher.MigrationCopyDelay(CallId{1}, pool, least, now) == Duration(0));
+	CHECK(dispatcher.MigrationCopyDelay(CallId{2}, pool, least, now) == milliseconds(300));
 	// A run that is about to end is not copied; with an unknown bandwidth there is no delay.
-	CHECK(dispatcher.MigrationCopyDelay(CallId{2}, pool, Duration(0)) == milliseconds(350));
-	CHECK(dispatcher.MigrationCopyDelay(CallId{2}, EnginePool{}, least) == Duration(0));
-	CHECK(dispatcher.MigrationCopyDelay(CallId{9}, pool, least) == Duration(0));
+	CHECK(dispatcher.MigrationCopyDelay(CallId{2}, pool, Duration(0), now) == milliseconds(350));
+	CHECK(dispatcher.MigrationCopyDelay(CallId{2}, EnginePool{}, least, now) == Duration(0));
+	CHECK(dispatcher.MigrationCopyDelay(CallId{9}, pool, least, now) == Duration(0));
 }
 
 TEST_CASE("Dispatcher - instances that share the retry burst together make no more retries than a single one may")
--- a/src/tests/peer_load_test.cpp
+++ b/src/tests/peer_load_test.cpp
@@ -130,6 +130,10 @@
 	report.used_tokens = 40;
 	report.draining = true;
 	message.reports.push_back({"t2", report});
+	report.shutdown_in = std::chrono::milliseconds(1700);
+	message.reports.push_back({"t3", report});
+	report.shutdown_in = std::chrono::milliseconds(-5);
+	message.reports.push_back({"t4", report});
 	Result<PeerMessage> read = DecodePeerMessage(EncodePeerMessage(message));
 	REQUIRE(read);
 	const LoadMessage &got = std::get<LoadMessage>(read.value());
@@ -137,6 +141,9 @@
 	CHECK(got.calls[0].target == "t1");
 	CHECK(got.reports[0].report.used_tokens == 40);
 	CHECK(got.reports[0].report.draining);
+	CHECK_FALSE(got.reports[0].report.shutdown_in);
+	CHECK(got.reports[1].report.shutdown_in == std::chrono::milliseconds(1700));
+	CHECK_MESSAGE(got.reports[2].report.shutdown_in == Duration(0), "a time that has passed must not make the message unreadable");
 	CHECK(got.full);
 }
 
