Add: [Gateway] Copies of runs are requested when the run produces events, and engines chosen when headroom changes

While no engine had headroom, the choice was repeated at the same interval, with one log line each.

Change: MigrationSchedule (src/decision) decides when a copy is requested. Before the run's first event, and after a 404 until its next event, none is. The event itself leads to the request. An engine that answers 404 twice in a row is also left alone for 60 ms. While the answer is not read, so that events go unnoticed, the delay of 60 ms applies. Without headroom the choice is due again at the tick after a change of TargetTable::HeadroomRevision, at the latest after 60 ms; one log line tells it until the next request. Waiting runs are never sent again. Switch: event-driven-moves, which also turns off the headroom for migrations and the order of copies.

--- a/src/gateway/feature_switches.cpp
+++ b/src/gateway/feature_switches.cpp
@@ -13,6 +13,12 @@
         {"moves", "runs are not migrated away from draining engines", [](GatewayLimits &l) { l.use_migration = false; }},
         {"copies-in-turn", "copies of all runs that leave an engine are requested at once instead of one after another",
          [](GatewayLimits &l) { l.copy_lead_fraction = 0; }},
+        {"event-driven-moves", "copies of runs are requested at fixed intervals, also of runs that wait at their engine",
+         [](GatewayLimits &l) {
+	         l.migration.event_driven = false;
+	         l.dispatch.targets.use_migration_headroom = false;
+	         l.dispatch.use_rescue_order = false;
+         }},
         {"own-hall-first", "targets in the local hall are not preferred", [](GatewayLimits &l) { l.other_hall_penalty = 0; }},
         {"room", "requests do not wait for headroom at an engine", [](GatewayLimits &l) { l.router.use_headroom = false; }},
         {"first-token", "the expected time to first token is ignored", [](GatewayLimits &l) { l.router.use_first_token = false; }},
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -6,6 +6,7 @@
 
 #include "decision/backup_choice.h"
 #include "decision/dispatcher.h"
+#include "decision/migration_schedule.h"
 #include "decision/route_table.h"
 #include "decision/target_registry.h"
 #include "gateway/crash_records.h"
@@ -44,7 +45,7 @@
 	Duration drain_delay = std::chrono::milliseconds(2600);
 	/** Time before the platform kills the process at which the remaining requests are aborted. */
 	Duration kill_margin = std::chrono::milliseconds(250);
-	Duration migration_retry_delay = std::chrono::milliseconds(60);    ///< Delay before a migration that failed is tried again.
+	MigrationScheduleLimits migration;                                 ///< When copies of runs that migrate are requested.
 	Duration migration_min_remaining = std::chrono::milliseconds(300); ///< Runs that are expected to finish sooner are not migrated.
 	/** Fraction of the expected wait for the engine's network link after which a copy is requested, so that the link never idles. */
 	double copy_lead_fraction = 0.9;
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -8,6 +8,11 @@
 
 namespace cottonspool {
 
+StreamRelay::StreamRelay(Gateway &gateway, std::shared_ptr<FrontExchange> exchange, RelayRequest request)
+    : RelayCall(gateway, std::move(exchange), std::move(request)), schedule(gateway.limits.migration)
+{
+}
+
 bool StreamRelay::OnHead(uint64_t from, const HttpHead &head)
 {
 	if (this->concluded) return true;
@@ -50,11 +55,15 @@
 void StreamRelay::ForwardEvents()
 {
 	TimePoint now = MonotonicNow();
+	bool awaited = this->schedule.AwaitsEvent();
 	while (std::optional<RawEvent> event = this->splitter.Next()) this->ForwardEvent(*event, now);
+	if (awaited && !this->schedule.AwaitsEvent()) this->TryMigrate(now);
 }
 
 void StreamRelay::ForwardEvent(const RawEvent &event, TimePoint now)
 {
+	// A resumed run repeats events, which show that it runs.
+	if (event.id) this->schedule.OnEvent();
 	if (event.id && this->has_event && *event.id <= this->last_event) return;
 	this->exchange->Write(event.bytes);
 	if (!event.id) return;
@@ -203,7 +212,7 @@
 	if (this->concluded || !this->target || this->upstream_call == 0 || !this->request.engines.can_migrate ||
 	    !this->gateway.limits.use_migration)
 		return;
-	if (this->migration.phase != MigrationPhase::None || now < this->migration.not_before) return;
+	if (this->migration.phase != MigrationPhase::None) return;
 	const TargetState &source = this->gateway.dispatcher.Targets().Get(*this->target);
 	// Runs in an evacuated hall finish there; only draining engines are left, and not while they ask for a pause.
 	if (!source.restrictions.draining || now < source.restrictions.paused_until) return;
@@ -215,18 +224,31 @@
 	if (this->ResumeFromBackup("leaving", now)) return;
 	if (!this->migration.copy_not_before) this->migration.copy_not_before = now + this->MigrationCopyDelay(now);
 	if (now < *this->migration.copy_not_before) return;
-	std::optional<TargetNumber> to = this->gateway.dispatcher.ChooseMigrationTarget(this->request.spec.id, this->migration.refused, now);
-	if (!to) {
-		this->migration.refused.clear();
-		this->migration.not_before = now + this->gateway.limits.migration_retry_delay;
-		return this->LogMigration("no-engine", "no engine has headroom");
-	}
+	if (!this->schedule.IsDue(this->gateway.dispatcher.Targets().HeadroomRevision(), this->paused, now)) return;
+	if (std::optional<TargetNumber> to = this->ChooseMigrationTarget(now)) this->RequestCopy(*to, now);
+}
+
+std::optional<TargetNumber> StreamRelay::ChooseMigrationTarget(TimePoint now)
+{
+	Dispatcher &dispatcher = this->gateway.dispatcher;
+	CallId id = this->request.spec.id;
+	std::optional<TargetNumber> to = dispatcher.ChooseMigrationTarget(id, this->schedule.Refused(), now);
+	if (!to && this->schedule.ForgetRefusals(now)) to = dispatcher.ChooseMigrationTarget(id, this->schedule.Refused(), now);
+	if (!to && this->schedule.OnNoHeadroom(dispatcher.Targets().HeadroomRevision(), now))
+		this->LogMigration("no-engine", "no engine has headroom");
+	return to;
+}
+
+void StreamRelay::RequestCopy(TargetNumber to, TimePoint now)
+{
+	const TargetState &source = this->gateway.dispatcher.Targets().Get(*this->target);
+	this->schedule.OnRequested();
 	this->migration.phase = MigrationPhase::Copying;
-	this->migration.to = *to;
+	this->migration.to = to;
 	this->migration.started_at = now;
 	this->migration.copies_requested++;
 	this->migration.counted = this->gateway.limits.count_pending_copies;
-	if (this->migration.counted) this->gateway.OnCopyStarted(this->request, *to);
+	if (this->migration.counted) this->gateway.OnCopyStarted(this->request, to);
 	std::weak_ptr<RelayCall> weak = this->weak_from_this();
 	auto done = [weak](const MigrationAnswer &answer) {
 		auto self = std::static_pointer_cast<StreamRelay>(weak.lock());
@@ -236,7 +258,7 @@
 	};
 	this->migration.copy_call =
 	        this->gateway.upstream.Start(MakeMigrationCall(this->gateway.AddressOf(*this->target), source.name, this->request.info.attempt,
-	                                                       this->gateway.AddressOf(*to).Text(), false, done));
+	                                                       this->gateway.AddressOf(to).Text(), false, done));
 	this->LogMigration("copy", "asked");
 }
 
@@ -251,23 +273,28 @@
 void StreamRelay::OnCopied(const MigrationAnswer &answer)
 {
 	auto keep = this->shared_from_this();
-	Duration retry_delay = this->gateway.limits.migration_retry_delay;
+	TimePoint now = MonotonicNow();
+	Duration retry_delay = this->gateway.limits.migration.retry_delay;
 	switch (answer.kind) {
 	case MigrationAnswer::Kind::Copied:
 		this->migration.handle = answer.handle;
 		this->migration.copied_events = answer.events;
 		this->LogMigration("copy", "done");
 		if (!this->MayResumeAt(this->migration.to)) return this->DiscardCopy();
-		return this->Resume({this->gateway.AddressOf(*this->target).Text(), answer.handle, this->last_event}, MonotonicNow());
+		return this->Resume({this->gateway.AddressOf(*this->target).Text(), answer.handle, this->last_event}, now);
 	case MigrationAnswer::Kind::NoCapacity:
-		this->migration.refused.push_back(this->migration.to);
-		return this->FailMigration("no-room", Duration(0));
+		this->schedule.OnRefused(this->migration.to, now);
+		this->schedule.OnFailed(Duration(0), now);
+		return this->FailMigration("no-room");
 	case MigrationAnswer::Kind::NoRun:
-		return this->FailMigration("no-run-yet", retry_delay);
+		this->schedule.OnNoRun(now);
+		return this->FailMigration("no-run-yet");
 	case MigrationAnswer::Kind::Busy:
-		return this->FailMigration("busy", retry_delay);
+		this->schedule.OnFailed(retry_delay, now);
+		return this->FailMigration("busy");
 	case MigrationAnswer::Kind::NoAnswer:
-		return this->FailMigration("no-answer", retry_delay);
+		this->schedule.OnFailed(retry_delay, now);
+		return this->FailMigration("no-answer");
 	}
 }
 
@@ -284,18 +311,19 @@
 {
 	const std::string &name = this->gateway.dispatcher.Targets().Get(*this->target).name;
 	this->gateway.upstream.Start(MakeReleaseCall(this->gateway.AddressOf(*this->target), name, this->migration.handle));
-	this->migration.refused.push_back(this->migration.to);
-	this->FailMigration("not-usable-any-more", Duration(0));
+	TimePoint now = MonotonicNow();
+	this->schedule.OnRefused(this->migration.to, now);
+	this->schedule.OnFailed(Duration(0), now);
+	this->FailMigration("not-usable-any-more");
 }
 
-void StreamRelay::FailMigration(const char *why, Duration retry_delay)
+void StreamRelay::FailMigration(const char *why)
 {
 	this->LogMigration("failed", why);
 	this->migration.phase = MigrationPhase::None;
 	if (this->migration.counted) this->gateway.OnCopyFinished(this->request, this->migration.to);
 	this->migration.counted = false;
 	this->migration.handle.clear();
-	this->migration.not_before = MonotonicNow() + retry_delay;
 	if (this->upstream_call == 0) this->FailRun(why);
 }
 
@@ -366,15 +394,18 @@
 	this->target = to;
 	this->backup = this->migration.backup;
 	this->ResetMigration();
+	this->schedule.OnMigrated();
 	this->gateway.OnCallProgress(this->request, to, true);
 	if (this->paused) this->gateway.upstream.SetReading(this->upstream_call, false);
 }
 
 void StreamRelay::OnResumeEnd(UpstreamEnd end, const char *cause)
 {
-	if (end == UpstreamEnd::Broken) this->gateway.OnSendInterrupted(this->request, this->migration.to, RunStage::Waiting, MonotonicNow());
-	this->migration.refused.push_back(this->migration.to);
-	this->FailMigration(cause, Duration(0));
+	TimePoint now = MonotonicNow();
+	if (end == UpstreamEnd::Broken) this->gateway.OnSendInterrupted(this->request, this->migration.to, RunStage::Waiting, now);
+	this->schedule.OnRefused(this->migration.to, now);
+	this->schedule.OnFailed(Duration(0), now);
+	this->FailMigration(cause);
 }
 
 void StreamRelay::LogMigration(const char *step, const char *result)
--- a/src/gateway/stream_relay.h
+++ b/src/gateway/stream_relay.h
@@ -17,7 +17,7 @@
  */
 class StreamRelay : public RelayCall {
 public:
-	using RelayCall::RelayCall;
+	StreamRelay(Gateway &gateway, std::shared_ptr<FrontExchange> exchange, RelayRequest request);
 
 	void OnTick(TimePoint now) override;
 	void OnTargetDraining(TimePoint now) override;
@@ -41,14 +41,12 @@
 	/** A migration to another engine. */
 	struct Migration {
 		MigrationPhase phase = MigrationPhase::None;
-		TargetNumber to;                   ///< New engine.
-		std::string handle;                ///< Name of the copy at the old engine; empty while there is none.
-		uint64_t copied_events = 0;        ///< Events whose KV cache is in the copy.
-		std::vector<TargetNumber> refused; ///< Engines that rejected the migration.
+		TargetNumber to;            ///< New engine.
+		std::string handle;         ///< Name of the copy at the old engine; empty while there is none.
+		uint64_t copied_events = 0; ///< Events whose KV cache is in the copy.
 		std::optional<TimePoint>
 		        copy_not_before;            ///< When the engine's network should be free for this copy; nothing before the drain notice.
 		TimePoint started_at;               ///< When the copy was requested.
-		TimePoint not_before;               ///< Earliest time of the next attempt.
 		uint64_t copy_call = 0;             ///< Copy request in progress; 0 for none.
 		uint64_t resume_call = 0;           ///< Resume request in progress; 0 for none.
 		std::optional<TargetNumber> backup; ///< Engine that keeps a copy of the run after the migration.
@@ -68,6 +66,10 @@
 	void ForwardErrorAnswer();
 	/** Start to migrate the run if its engine drains and another one has headroom. */
 	void TryMigrate(TimePoint now);
+	/** @return The engine to migrate to, or nothing while none has headroom. */
+	std::optional<TargetNumber> ChooseMigrationTarget(TimePoint now);
+	/** Request the copy of the run to the engine \a to. */
+	void RequestCopy(TargetNumber to, TimePoint now);
 	/** @return Time until the earlier copies from the same engine are almost done. */
 	Duration MigrationCopyDelay(TimePoint now) const;
 	/** The copy request has ended: resume the run at the new engine, or try again later. */
@@ -94,8 +96,8 @@
 	void OnRunEnd(UpstreamEnd end, const char *cause);
 	/** Continue with the stream of the new engine. */
 	void SwitchToNewEngine();
-	/** Give the migration up, and allow another one after \a retry_delay. */
-	void FailMigration(const char *why, Duration retry_delay);
+	/** Give this attempt to migrate up; the schedule says when the next one is due. */
+	void FailMigration(const char *why);
 	/** Fail the request, as its run is lost. */
 	void FailRun(const char *cause);
 	/** Pause or continue reading from the engine, according to the caller's backlog. */
@@ -116,6 +118,7 @@
 	Duration longest_gap{0};       ///< Longest pause between events.
 	bool paused = false;           ///< Reading from the engine is paused, as the caller reads slowly.
 	Migration migration;           ///< Migration in progress.
+	MigrationSchedule schedule;    ///< When the next copy is requested.
 	uint32_t migrations = 0;       ///< Completed migrations.
 };
 
--- a/src/tests/feature_switches_test.cpp
+++ b/src/tests/feature_switches_test.cpp
@@ -3,6 +3,7 @@
 /** @file feature_switches_test.cpp Features that can be switched off or on one by one. */
 
 #include "gateway/feature_switches.h"
+#include "platform/node_settings.h"
 #include <doctest/doctest.h>
 #include <set>
 
@@ -19,6 +20,17 @@
 	CHECK(limits.router.use_interval);
 }
 
+TEST_CASE("Switches - without event-driven moves, copies are requested at intervals, counted and ordered as before")
+{
+	GatewayLimits limits = GatewayLimitsFor(NodeSettings{});
+	CHECK(limits.migration.event_driven);
+	CHECK(limits.dispatch.use_rescue_order);
+	REQUIRE(ApplySwitches("event-driven-moves", limits).has_value());
+	CHECK_FALSE(limits.migration.event_driven);
+	CHECK_FALSE(limits.dispatch.use_rescue_order);
+	CHECK_FALSE(limits.dispatch.targets.use_migration_headroom);
+}
+
 TEST_CASE("Switches - an empty list changes nothing, and an unknown name is an error")
 {
 	GatewayLimits limits;
--- a/tests/standins/simulation.cpp
+++ b/tests/standins/simulation.cpp
@@ -220,6 +220,7 @@
 
 void SimulatedTarget::Step()
 {
+	if (this->stalled) return;
 	for (auto it = this->running.begin(); it != this->running.end();) {
 		Run &run = *it;
 		if (NowMs() < run.next_at) {
@@ -243,7 +244,9 @@
 	Json body = Json::parse(exchange->body, nullptr, false);
 	std::string attempt = body.value("id", "");
 	auto found = std::find_if(this->running.begin(), this->running.end(), [&](const Run &run) { return run.attempt == attempt; });
-	if (found == this->running.end() || found->made == 0) return exchange->Respond(404, {}, {});
+	bool runs = found != this->running.end() && found->made > 0 && !this->stalled;
+	this->record.copy_requests.push_back({{"request", attempt}, {"target", this->id}, {"at", NowMs()}, {"runs", runs}});
+	if (!runs) return exchange->Respond(404, {}, {});
 	uint64_t made = found->made;
 	After(this->loop, KV_COPY_MS, [this, exchange, attempt, made] {
 		std::string handle = "copy-" + std::to_string(this->record.next_handle++);
@@ -278,9 +281,11 @@
 	void Handle(const Exchange &exchange)
 	{
 		if (exchange->head.target == "/record") {
-			Json answer{{"runs", this->record.runs},       {"late", this->record.late},         {"overlaps", this->record.overlaps},
-			            {"crashes", this->record.crashes}, {"arrivals", this->record.arrivals}, {"pauses", this->record.pauses},
-			            {"limits", this->record.limits},   {"reports", this->record.reports},   {"store_calls", this->store.calls}};
+			Json answer{{"runs", this->record.runs},         {"late", this->record.late},
+			            {"overlaps", this->record.overlaps}, {"crashes", this->record.crashes},
+			            {"arrivals", this->record.arrivals}, {"pauses", this->record.pauses},
+			            {"limits", this->record.limits},     {"reports", this->record.reports},
+			            {"store_calls", this->store.calls},  {"copy_requests", this->record.copy_requests}};
 			for (const auto &[id, target] : this->targets) answer["targets"][id] = target->Address();
 			return exchange->Respond(200, {}, answer.dump());
 		}
@@ -329,6 +334,7 @@
 		if (action == "say-leaving") this->targets.at(id)->DrainByHeader();
 		if (action == "pause") this->targets.at(id)->pause_ms = control.value("ms", 0);
 		if (action == "fail") this->targets.at(id)->error_ratio = control.value("part", 0.0);
+		if (action == "stall") this->targets.at(id)->stalled = control.value("on", true);
 		if (action == "garble") this->targets.at(id)->corruption = control.value("how", "");
 		exchange->Respond(200, {}, "{}");
 	}
--- a/tests/standins/simulation_base.h
+++ b/tests/standins/simulation_base.h
@@ -96,13 +96,14 @@
 	Json late = Json::array();                                      ///< Requests that arrived long after the target announced its drain.
 	std::map<std::string, std::pair<std::string, uint64_t>> copies; ///< KV cache copies by handle: request and number of events.
 	std::map<std::string, int64_t> resumed_at;                      ///< When a request was resumed on another engine.
-	Json overlaps = Json::array(); ///< Time for which the previous engine kept generating after that, in milliseconds.
-	uint64_t reports = 0;          ///< Number of load reports given out.
-	Json arrivals = Json::array(); ///< Requests at targets with a rate limit or pause: target, request, time.
-	Json pauses = Json::array();   ///< Requested pauses: target, start, end.
-	Json limits = Json::array();   ///< Announced rate limits: target, requests per second (0 for none), time.
-	Json crashes = Json::array();  ///< Crashes: request, target, time.
-	uint64_t next_handle = 1;      ///< Number of the next handle.
+	Json overlaps = Json::array();      ///< Time for which the previous engine kept generating after that, in milliseconds.
+	uint64_t reports = 0;               ///< Number of load reports given out.
+	Json arrivals = Json::array();      ///< Requests at targets with a rate limit or pause: target, request, time.
+	Json pauses = Json::array();        ///< Requested pauses: target, start, end.
+	Json limits = Json::array();        ///< Announced rate limits: target, requests per second (0 for none), time.
+	Json crashes = Json::array();       ///< Crashes: request, target, time.
+	Json copy_requests = Json::array(); ///< Requests to copy a run to another engine: request, target, time, whether there was such a run.
+	uint64_t next_handle = 1;           ///< Number of the next handle.
 };
 
 /** A simulated engine or service. */
@@ -144,6 +145,7 @@
 	std::string corruption; ///< "reset" truncates and resets answers; empty for none.
 	std::string limit;      ///< Rate limit announced in answers; empty for none.
 	int64_t pause_ms = 0;   ///< Pause to request with the next rejection, in milliseconds; 0 for none.
+	bool stalled = false;   ///< All runs of the engine wait: they produce no events and cannot be copied.
 
 private:
 	/** A running generation. */
