Fix: [Standins] A target that restarts waits for its port instead of ending the whole stand-in

Cause: a simulated target that crashed listens on its former port again, which its row names. If another process had taken the port meanwhile, the bind error was unwrapped and ended the process with SIGABRT, and with it the store and all other targets.

Change: the target tries again every 50 ms until it gets the port. A target that was stopped for good while it was down stays stopped; before, its timer brought it back.

--- a/tests/standins/simulation.cpp
+++ b/tests/standins/simulation.cpp
@@ -19,6 +19,7 @@
 static constexpr uint64_t MEMORY_TOKENS = 40000;      ///< Memory size in load reports.
 static constexpr uint64_t CRASH_DELAY_MS = 40;        ///< Time until a request with a crash body crashes the target.
 static constexpr uint64_t RESTART_DELAY_MS = 1500;    ///< Time until a crashed target restarts.
+static constexpr uint64_t LISTEN_RETRY_MS = 50;       ///< Interval at which a restarting target tries to get its port back.
 static const char *const CRASH_BODY_PREFIX = "crash"; ///< Beginning of the body of requests that crash the target.
 static const char *const HALLS[] = {"hall-a", "hall-b"};
 
@@ -36,10 +37,15 @@
 
 void SimulatedTarget::Listen()
 {
+	if (this->stopped) return;
+	auto next = std::make_unique<HttpFront>(this->loop, [this](const Exchange &exchange) { this->Handle(exchange); });
+	Result<uint16_t> bound = next->Listen({"127.0.0.1", this->port});
+	// Another process may have taken the port while the target was down. The target needs the address in its row, so it waits.
+	if (!bound) return After(this->loop, LISTEN_RETRY_MS, [this] { this->Listen(); });
 	this->started_at = WallMs();
 	this->draining = this->drains_by_header = false;
-	this->front = std::make_unique<HttpFront>(this->loop, [this](const Exchange &exchange) { this->Handle(exchange); });
-	this->port = this->front->Listen({"127.0.0.1", this->port}).value();
+	this->front = std::move(next);
+	this->port = bound.value();
 	this->WriteHeartbeat();
 }
 
@@ -99,6 +105,7 @@
 
 void SimulatedTarget::Kill()
 {
+	this->stopped = true;
 	for (const Run &run : this->running) run.exchange->Abort();
 	this->running.clear();
 	this->front.reset();
--- a/tests/standins/simulation_base.h
+++ b/tests/standins/simulation_base.h
@@ -191,6 +191,7 @@
 	int64_t drain_started_at = 0;                        ///< When the drain was announced; 0 for not yet.
 	int64_t paused_until = 0;                            ///< End of the requested pause.
 	uint64_t answers = 0;                                ///< Counter of answers and rows.
+	bool stopped = false;                                ///< It has stopped for good.
 	int64_t started_at = 0;                              ///< Start time of this incarnation.
 };
 
