Fix: [Front] No null pointer for strncasecmp() in requests without Expect

Cause: FindHeader() gives a view without data for a field that is absent, and strncasecmp() must not get a null pointer, even with length 0.

Change: the view is compared only if it is not empty.

Measured: src/tests/net_test.cpp with src/net, built with -fsanitize=undefined -fno-sanitize-recover: before, it ends with "null pointer passed as argument 1" at http_front.cpp:117; now 10 of 10 cases pass. In the release build the tests pass in both cases, so the check needs the sanitizers' preset.

--- a/src/net/http_front.cpp
+++ b/src/net/http_front.cpp
@@ -114,7 +114,8 @@
 	this->waiting_since = MonotonicNow();
 	if (this->exchange->head.length.value_or(0) > this->front.limits.max_body_bytes) return this->Refuse(413);
 	std::string_view expect = FindHeader(this->exchange->head.headers, "expect");
-	if (strncasecmp(expect.data(), "100-continue", expect.size()) == 0 && !expect.empty()) {
+	// Without the field the view has no data, and a null pointer is invalid for strncasecmp() even if the length is 0.
+	if (!expect.empty() && strncasecmp(expect.data(), "100-continue", expect.size()) == 0) {
 		this->stream->Write("HTTP/1.1 100 Continue\r\n\r\n");
 	}
 }
