--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -4,6 +4,7 @@
 
 #include "decision/dispatcher.h"
 #include "core/hash_func.h"
+#include "decision/copy_order.h"
 #include "decision/placement_table.h"
 #include <algorithm>
 
@@ -401,10 +402,7 @@
 	const TargetState &source = this->targets.Get(*tracked.holder);
 	// The new target needs memory for the tokens generated so far as well.
 	auto flight = source.in_flight.find(id);
-	if (flight != source.in_flight.end()) {
-		run.prompt_tokens += flight->second.generated;
-		run.generated_tokens = flight->second.generated;
-	}
+	run.migrated_output = flight != source.in_flight.end() ? flight->second.generated : 0;
 	// Copies within a data hall are faster, so the run's own hall is preferred over the caller's preference.
 	for (HallPreference &hall : run.halls) {
 		if (hall.hall == source.hall) std::swap(hall, run.halls.front());
@@ -430,16 +428,14 @@
 	std::optional<TargetNumber> holder = this->Holder(id);
 	if (!holder) return Duration(0);
 	const TargetState &source = this->targets.Get(*holder);
-	auto own = source.in_flight.find(id);
-	if (own == source.in_flight.end()) return Duration(0);
-	auto held = [](const InFlightCall &flight) { return flight.call.prompt_tokens + flight.generated; };
-	Duration wait{0};
-	for (const auto &[other, flight] : source.in_flight) {
-		if (other == id || this->RemainingTime(flight, source, now) < min_remaining) continue;
-		bool before = held(flight) != held(own->second) ? held(flight) < held(own->second) : other < id;
-		if (before) wait += CopyTime(pool, held(flight));
+	std::vector<CopyCandidate> candidates;
+	for (const auto &[run, flight] : source.in_flight) {
+		double held = static_cast<double>(flight.call.prompt_tokens) + flight.generated;
+		candidates.push_back({run, held, flight.generated > 0, this->RemainingTime(flight, source, now)});
 	}
-	return wait;
+	CopyOrderRules rules{.min_remaining = min_remaining, .rescue_order = this->limits.use_rescue_order};
+	if (source.shutdown_at) rules.time_left = std::max(Duration(0), std::chrono::duration_cast<Duration>(*source.shutdown_at - now));
+	return CopyDelay(id, candidates, pool, rules);
 }
 
 void Dispatcher::OnMigrated(CallId id, TargetNumber target, TimePoint now)
--- a/src/decision/target_lateness.cpp
+++ b/src/decision/target_lateness.cpp
@@ -44,9 +44,10 @@
 ExpectedLateness TargetTable::LatenessAt(const TargetState &target, const CallSpec &call, const TimeFactors &factors, TimePoint now) const
 {
 	const StreamOutlook &outlook = this->OutlookOf(call.model);
-	bool reads_prompt = call.generated_tokens == 0;
+	uint32_t output = call.migrated_output.value_or(0);
+	bool reads_prompt = output == 0;
 	bool has_first = reads_prompt && call.objective > Duration(0);
-	RunOutlook rest = outlook.Expect(call, call.generated_tokens);
+	RunOutlook rest = outlook.Expect(call, output);
 	rest.prompts_per_second = this->PromptRate(target, call.model, now);
 	double loss = MeanOverFactors(factors, [&](double factor) {
 		Duration left = std::chrono::duration_cast<Duration>(call.arrived + call.objective - now);
--- a/tests/standins/simulation.cpp
+++ b/tests/standins/simulation.cpp
@@ -19,6 +19,7 @@
 static constexpr uint64_t MEMORY_TOKENS = 40000;      ///< Memory size in load reports.
 static constexpr uint64_t CRASH_DELAY_MS = 40;        ///< Time until a request with a crash body crashes the target.
 static constexpr uint64_t RESTART_DELAY_MS = 1500;    ///< Time until a crashed target restarts.
+static constexpr uint64_t LISTEN_RETRY_MS = 50;       ///< Interval at which a restarting target tries to get its port back.
 static const char *const CRASH_BODY_PREFIX = "crash"; ///< Beginning of the body of requests that crash the target.
 static const char *const HALLS[] = {"hall-a", "hall-b"};
 
@@ -36,10 +37,15 @@
 
 void SimulatedTarget::Listen()
 {
+	if (this->stopped) return;
+	auto next = std::make_unique<HttpFront>(this->loop, [this](const Exchange &exchange) { this->Handle(exchange); });
+	Result<uint16_t> bound = next->Listen({"127.0.0.1", this->port});
+	// Another process may have taken the port while the target was down. The target needs the address in its row, so it waits.
+	if (!bound) return After(this->loop, LISTEN_RETRY_MS, [this] { this->Listen(); });
 	this->started_at = WallMs();
 	this->draining = this->drains_by_header = false;
-	this->front = std::make_unique<HttpFront>(this->loop, [this](const Exchange &exchange) { this->Handle(exchange); });
-	this->port = this->front->Listen({"127.0.0.1", this->port}).value();
+	this->front = std::move(next);
+	this->port = bound.value();
 	this->WriteHeartbeat();
 }
 
@@ -99,6 +105,7 @@
 
 void SimulatedTarget::Kill()
 {
+	this->stopped = true;
 	for (const Run &run : this->running) run.exchange->Abort();
 	this->running.clear();
 	this->front.reset();
@@ -225,6 +232,7 @@
 
 void SimulatedTarget::Step()
 {
+	if (this->stalled) return;
 	for (auto it = this->running.begin(); it != this->running.end();) {
 		Run &run = *it;
 		if (NowMs() < run.next_at) {
@@ -248,7 +256,9 @@
 	Json body = Json::parse(exchange->body, nullptr, false);
 	std::string attempt = body.value("id", "");
 	auto found = std::find_if(this->running.begin(), this->running.end(), [&](const Run &run) { return run.attempt == attempt; });
-	if (found == this->running.end() || found->made == 0) return exchange->Respond(404, {}, {});
+	bool runs = found != this->running.end() && found->made > 0 && !this->stalled;
+	this->record.copy_requests.push_back({{"request", attempt}, {"target", this->id}, {"at", NowMs()}, {"runs", runs}});
+	if (!runs) return exchange->Respond(404, {}, {});
 	uint64_t made = found->made;
 	After(this->loop, KV_COPY_MS, [this, exchange, attempt, made] {
 		std::string handle = "copy-" + std::to_string(this->record.next_handle++);
@@ -283,9 +293,11 @@
 	void Handle(const Exchange &exchange)
 	{
 		if (exchange->head.target == "/record") {
-			Json answer{{"runs", this->record.runs},       {"late", this->record.late},         {"overlaps", this->record.overlaps},
-			            {"crashes", this->record.crashes}, {"arrivals", this->record.arrivals}, {"pauses", this->record.pauses},
-			            {"limits", this->record.limits},   {"reports", this->record.reports},   {"store_calls", this->store.calls}};
+			Json answer{{"runs", this->record.runs},         {"late", this->record.late},
+			            {"overlaps", this->record.overlaps}, {"crashes", this->record.crashes},
+			            {"arrivals", this->record.arrivals}, {"pauses", this->record.pauses},
+			            {"limits", this->record.limits},     {"reports", this->record.reports},
+			            {"store_calls", this->store.calls},  {"copy_requests", this->record.copy_requests}};
 			answer["health"] = this->record.health;
 			for (const auto &[id, target] : this->targets) answer["targets"][id] = target->Address();
 			return exchange->Respond(200, {}, answer.dump());
@@ -336,6 +348,7 @@
 		if (action == "say-leaving") this->targets.at(id)->DrainByHeader();
 		if (action == "pause") this->targets.at(id)->pause_ms = control.value("ms", 0);
 		if (action == "fail") this->targets.at(id)->error_ratio = control.value("part", 0.0);
+		if (action == "stall") this->targets.at(id)->stalled = control.value("on", true);
 		if (action == "garble") this->targets.at(id)->corruption = control.value("how", "");
 		exchange->Respond(200, {}, "{}");
 	}
