--- a/src/tests/lateness_router_test.cpp
+++ b/src/tests/lateness_router_test.cpp
@@ -130,6 +130,68 @@
 	CHECK(pool.ChosenOf(40, 8, TargetNumber{0}) <= 10);
 }
 
+// Guards against short calls that fill the fast engines, which long streams then cannot use.
+TEST_CASE("Lateness router - a call that loses nothing on a slow engine goes there more often than to an equally full fast one")
+{
+	SpeedPool pool({0.55, 1.2});
+	pool.Report(TargetNumber{0}, 16000);
+	pool.Report(TargetNumber{1}, 16000);
+	int fast = 0;
+	for (int i = 0; i < 400; i++) {
+		CallSpec call = pool.Stream(8);
+		call.objective = call.gap_objective = Duration(0);
+		Decisions decisions = pool.dispatcher.Submit(call, pool.now);
+		REQUIRE(decisions.sends.size() == 1);
+		REQUIRE(decisions.sends.front().lateness.has_value());
+		CHECK(decisions.sends.front().lateness->loss == 0);
+		if (decisions.sends.front().target == TargetNumber{0}) fast++;
+		pool.dispatcher.OnSendEnded(call.id, SendOutcome::CallerDisconnected, pool.now);
+		pool.now += std::chrono::seconds(1);
+		pool.Report(TargetNumber{0}, 16000);
+		pool.Report(TargetNumber{1}, 16000);
+	}
+	CHECK(fast > 40);
+	CHECK(fast < 165);
+}
+
+// Guards against a preference for the caller's hall that makes the call late.
+TEST_CASE("Lateness router - a certainly late call costs more than another hall")
+{
+	SpeedPool pool({});
+	TargetNumber slow = pool.Add(4.0, "near");
+	TargetNumber fast = pool.Add(0.55, "far");
+	pool.Report(fast, 5000);
+	TeachGaps(pool, fast);
+	pool.SendPrompts();
+	CallSpec call = pool.Stream(800);
+	call.halls = {{"near", 1}, {"far", 1}};
+	call.other_hall_penalty = 1.2;
+	TargetTable &targets = pool.dispatcher.Targets();
+	CHECK(targets.LatenessAt(targets.Get(slow), call, {{4.0, 1}}, pool.now).loss > 0.95);
+	Decisions decisions = pool.dispatcher.Submit(call, pool.now);
+	REQUIRE(decisions.sends.size() == 1);
+	CHECK(decisions.sends.front().target == fast);
+}
+
+// Guards against migrations that ignore the speed, and against a remaining time that is the same on slow and fast engines.
+TEST_CASE("Lateness router - a run migrates to a fast engine, and its remaining time follows the factor")
+{
+	SpeedPool pool({1.2});
+	TeachGaps(pool, TargetNumber{0});
+	CallSpec call = pool.Stream(800);
+	REQUIRE(pool.dispatcher.Submit(call, pool.now).sends.size() == 1);
+	pool.dispatcher.OnToken(call.id, pool.now, 4);
+	TargetNumber slow = pool.Add(4.0);
+	TargetNumber fast = pool.Add(0.55);
+	pool.SendPrompts();
+	CHECK(pool.dispatcher.ChooseMigrationTarget(call.id, {}, pool.now) == fast);
+	TargetTable &targets = pool.dispatcher.Targets();
+	const InFlightCall &run = targets.Get(TargetNumber{0}).in_flight.at(call.id);
+	double at_slow = Seconds(pool.dispatcher.RemainingTime(run, targets.Get(slow), pool.now));
+	double at_fast = Seconds(pool.dispatcher.RemainingTime(run, targets.Get(fast), pool.now));
+	CHECK(at_slow == doctest::Approx(at_fast * 4.0 / 0.55).epsilon(0.001));
+}
+
 // Guards against a call that waits for a fast engine until its deadline.
 TEST_CASE("Lateness router - a call does not wait for a fast engine without headroom")
 {
