Codechange: [Migration] AwaitsEvent() is defined in the source file

Cause: the guards that remove its rule edited the header, so that each proof compiled all files that include gateway_type.h.

No change of behaviour.

--- a/src/decision/migration_schedule.cpp
+++ b/src/decision/migration_schedule.cpp
@@ -7,6 +7,11 @@
 
 namespace cottonspool {
 
+bool MigrationSchedule::AwaitsEvent() const
+{
+	return this->limits.event_driven && this->events < this->required_events;
+}
+
 bool MigrationSchedule::IsDue(uint64_t headroom_revision, bool reading_paused, TimePoint now) const
 {
 	bool headroom_changed = this->limits.event_driven && this->without_headroom && headroom_revision != this->revision_seen;
--- a/src/decision/migration_schedule.h
+++ b/src/decision/migration_schedule.h
@@ -31,7 +31,7 @@
 	void OnEvent() { this->events++; }
 
 	/** @return Whether the copy is requested as soon as the next event arrives. */
-	bool AwaitsEvent() const { return this->limits.event_driven && this->events < this->required_events; }
+	bool AwaitsEvent() const;
 
 	/**
 	 * @param headroom_revision Number that changes whenever headroom may have changed; see TargetTable::HeadroomRevision().
