--- a/src/decision/target_lateness.cpp
+++ b/src/decision/target_lateness.cpp
@@ -31,7 +31,7 @@
 double TargetTable::GapLossAtFactor(const CallSpec &call, double factor, TimePoint now) const
 {
 	const StreamOutlook &outlook = this->OutlookOf(call.model);
-	RunOutlook rest = outlook.Expect(call, call.generated_tokens);
+	RunOutlook rest = outlook.Expect(call, call.migrated_output.value_or(0));
 	rest.prompts_per_second = this->MeanPromptRate(call.model, now);
 	return GapLoss(outlook.gaps.Exceeds(call.gap_objective, factor), ExpectedEpisodes(rest, factor));
 }
