Add: [Dispatcher] Calls of accounts above their share of a scarce pool leave room for the others

One account's burst took the engines from all others, as no instance saw how much of them each account holds. AccountUsage counts the tokens that each account holds in each pool: own calls, calls of peers (CallUpdate has the account as an additional element) and the sums of the other halls (HallLoadMessage has the largest 64 accounts of each pool). While a pool is scarce, a call of an account above its share leaves 5% of an engine's memory free, is tried after the others of its class, never overcommits, and is rejected with account-share if its account will not be below its share within the wait limit. Nobody is limited until most peers of the hall have been heard. Switch: account-shares. Log: account-limited, account in finished. Metrics: cottonspool_accounts_limited, cottonspool_rejections_total.

--- a/src/decision/account_shares.cpp
+++ b/src/decision/account_shares.cpp
@@ -85,14 +85,27 @@
 	return found != this->pools.end() && found->second.scarce && found->second.above.contains(account);
 }
 
-std::optional<Duration> AccountShares::TimeUntilBelow(ModelNumber pool, AccountNumber account, double rate) const
+std::vector<ShareChange> AccountShares::Reset()
+{
+	std::vector<ShareChange> changes;
+	for (const auto &[pool, state] : this->pools) {
+		for (const auto &[account, above] : state.above) {
+			if (above.reported) changes.push_back({pool, account, above.held, above.share, false});
+		}
+	}
+	this->pools.clear();
+	return changes;
+}
+
+std::optional<Duration> AccountShares::TimeUntilBelow(ModelNumber pool, AccountNumber account, int64_t observed, double rate) const
 {
 	auto found = this->pools.find(pool);
-	if (found == this->pools.end() || rate <= 0) return std::nullopt;
+	if (found == this->pools.end() || rate <= 0 || observed <= 0) return std::nullopt;
 	auto above = found->second.above.find(account);
 	if (above == found->second.above.end()) return Duration(0);
 	double excess = std::max(0.0, above->second.held - above->second.share);
-	return FromSeconds(std::min(excess / rate, MAX_WAIT_S));
+	double total_rate = rate * std::max(1.0, above->second.held / static_cast<double>(observed));
+	return FromSeconds(std::min(excess / total_rate, MAX_WAIT_S));
 }
 
 size_t AccountShares::Limited() const
--- a/src/decision/account_shares.h
+++ b/src/decision/account_shares.h
@@ -6,9 +6,9 @@
 
 #include "core/id_type.h"
 #include "core/time_type.h"
+#include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace cottonspool {
@@ -70,17 +70,18 @@
 	/** Update the shares of \a pool. @return Accounts that have gone above or below their share. */
 	std::vector<ShareChange> Update(ModelNumber pool, const PoolDemand &demand);
 
-	/** Forget everything, as the usage of the other instances is unknown. */
-	void Reset() { this->pools.clear(); }
+	/** Forget everything, as the usage of the other instances is unknown. @return Accounts that had been above their share. */
+	std::vector<ShareChange> Reset();
 
 	/** @return Whether calls of \a account are limited in \a pool: the pool is scarce and the account is above its share. */
 	bool IsLimited(ModelNumber pool, AccountNumber account) const;
 
 	/**
-	 * @param rate Memory of the account's calls that ends, in tokens a second.
+	 * @param observed Memory, in tokens, held by those calls of the account whose ends are observed here.
+	 * @param rate Memory of these calls that ends, in tokens a second. The other calls are assumed to end equally often.
 	 * @return Time until a limited \a account falls below its share; nothing if that is unknown, as none of its calls has ended.
 	 */
-	std::optional<Duration> TimeUntilBelow(ModelNumber pool, AccountNumber account, double rate) const;
+	std::optional<Duration> TimeUntilBelow(ModelNumber pool, AccountNumber account, int64_t observed, double rate) const;
 
 	/** @return Number of limited accounts, summed over the pools. */
 	size_t Limited() const;
--- a/src/decision/call_queue.h
+++ b/src/decision/call_queue.h
@@ -41,7 +41,13 @@
 	 * \a visit returns true is removed from the queue, and its expected cost is charged to its flow.
 	 * @return Number of calls removed.
 	 */
-	template <typename Visit> size_t ForEachHead(size_t limit, Visit visit);
+	template <typename Visit> size_t ForEachHead(size_t limit, Visit visit)
+	{
+		return this->ForEachHead(limit, visit, [](const CallSpec &) { return false; });
+	}
+
+	/** The same, where calls for which \a defer returns true are visited after the others of their class. */
+	template <typename Visit, typename Defer> size_t ForEachHead(size_t limit, Visit visit, Defer defer);
 
 	/** Remove and return all calls whose deadline is at or before \a now. */
 	std::vector<CallSpec> TakeExpired(TimePoint now);
@@ -111,7 +117,7 @@
 	std::multimap<TimePoint, CallId> deadlines;                                       ///< Waiting calls by deadline.
 };
 
-template <typename Visit> size_t CallQueue::ForEachHead(size_t limit, Visit visit)
+template <typename Visit, typename Defer> size_t CallQueue::ForEachHead(size_t limit, Visit visit, Defer defer)
 {
 	size_t taken = 0;
 	for (ClassFlows &flows : this->classes) {
@@ -122,6 +128,8 @@
 			for (auto it = own.order.begin(); it != own.order.end() && tried < limit; ++it, tried++) heads.push_back(*it);
 		}
 		std::sort(heads.begin(), heads.end());
+		std::stable_partition(heads.begin(), heads.end(),
+		                      [&](const auto &head) { return !defer(flows.by_key[head.second].calls.front().call); });
 		for (const auto &[virtual_start, key] : heads) {
 			if (!visit(flows.by_key[key].calls.front().call)) continue;
 			this->PopHead(flows, key, true);
--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -25,7 +25,7 @@
 
 Dispatcher::Dispatcher(DispatchLimits limits, std::unique_ptr<Router> router)
     : limits(limits), lengths(limits.lengths), targets(limits.targets, this->lengths), queue(limits.queue), router(std::move(router)),
-      quarantine(limits.quarantine)
+      shares(limits.shares), quarantine(limits.quarantine)
 {
 }
 
@@ -104,6 +104,7 @@
 {
 	Decisions decisions;
 	this->counters.submitted++;
+	if (call.account_weight != 1) this->account_weights.insert_or_assign(call.account.value, call.account_weight);
 	this->calls.emplace(call.id, TrackedCall{.call = call});
 	if (this->IsQuarantined(call, now)) {
 		this->Reject(call, RejectReason::Quarantined, now, decisions);
@@ -124,7 +125,10 @@
 	}
 	this->DispatchWaiting(now, decisions);
 	auto waiting = this->calls.find(call.id);
-	if (waiting != this->calls.end() && !waiting->second.holder) this->RejectIfRestricted(call, now, decisions);
+	bool waits = waiting != this->calls.end() && !waiting->second.holder;
+	if (!waits || this->RejectIfRestricted(call, now, decisions)) return decisions;
+	std::optional<Duration> retry_after = this->RejectionForShare(waiting->second, now);
+	if (retry_after) this->RejectForShare(call.id, *retry_after, decisions);
 	return decisions;
 }
 
@@ -179,7 +183,10 @@
 	// After a suspension of the process, events are handled before the tick that rejects expired calls.
 	if (now < tracked.not_before || now > tracked.call.deadline) return false;
 	// The tracked copy has the current halls, which may have changed since the call was queued.
+	tracked.call.memory_margin = this->IsLimited(call) ? this->limits.shares.margin : 0;
 	std::optional<TargetNumber> target = this->router->Choose(tracked.call, this->targets, now);
+	tracked.call.memory_margin = 0;
+	tracked.waits_for_headroom = !target && this->WaitsForHeadroom(tracked.call, now);
 	if (!target) return false;
 	tracked.holder = target;
 	tracked.charged_tokens = this->ExpectedTokens(call);
@@ -203,7 +210,8 @@
 void Dispatcher::DispatchWaiting(TimePoint now, Decisions &decisions)
 {
 	auto visit = [&](const CallSpec &call) { return this->TrySend(call, now, decisions); };
-	while (this->queue.ForEachHead(this->limits.max_heads_tried, visit) > 0) {}
+	auto defer = [&](const CallSpec &call) { return this->IsLimited(call); };
+	while (this->queue.ForEachHead(this->limits.max_heads_tried, visit, defer) > 0) {}
 }
 
 void Dispatcher::OnToken(CallId call, TimePoint now, uint32_t tokens)
@@ -366,7 +374,9 @@
 		this->targets.UpdateSlowTargets();
 		this->last_slow_check = now;
 	}
+	this->UpdateShares(now);
 	this->DispatchWaiting(now, decisions);
+	this->RejectAboveShare(now, decisions);
 	this->UpdateDispatchRate(this->window_tokens, now);
 	return decisions;
 }
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -4,12 +4,14 @@
 
 #pragma once
 
+#include "decision/account_shares.h"
 #include "decision/call_queue.h"
 #include "decision/overload_tracker.h"
 #include "decision/quarantine.h"
 #include "decision/retry_budget.h"
 #include "decision/router_base.h"
 #include "decision/serving_type.h"
+#include <utility>
 
 namespace cottonspool {
 
@@ -22,6 +24,7 @@
 	uint32_t max_unreachable_sends = 6;    ///< Consecutive unreachable targets after which a call is rejected.
 	LengthEstimateLimits lengths;          ///< Output length estimate.
 	QuarantineLimits quarantine;           ///< Quarantine of requests that crash targets.
+	ShareLimits shares;                    ///< Shares of client accounts in the memory of pools.
 	bool refuse_early = true;              ///< Reject a call at once if its expected wait exceeds its deadline.
 	bool retry_failed = true;              ///< Retry repeatable calls that failed at a target on another one.
 	uint32_t max_attempts = 3;             ///< Maximum number of attempts per call, unless the call sets its own.
@@ -108,6 +111,18 @@
 	/** Handle the end of an attempt of \a call: the call is queued for a retry, rejected, or forgotten if it is done. */
 	Decisions OnSendEnded(CallId call, SendOutcome end, TimePoint now);
 
+	/**
+	 * Set whether the calls of most instances are known here. While they are not, no account is limited to its share.
+	 * Initially they are not.
+	 */
+	void SetShareView(bool complete);
+
+	/** @return Accounts that have gone above or below their share since the last call. */
+	std::vector<ShareChange> TakeShareChanges() { return std::exchange(this->share_changes, {}); }
+
+	/** @return The shares of client accounts. */
+	const AccountShares &Shares() const { return this->shares; }
+
 	/** Handle a load report of \a target. */
 	Decisions OnReport(TargetNumber target, const LoadReport &report, TimePoint now);
 
@@ -144,6 +159,7 @@
 		uint32_t unreachable_sends = 0;     ///< Consecutive targets that could not be reached.
 		double charged_tokens = 0;          ///< Tokens charged to its flow in the queue.
 		TimePoint not_before;               ///< Earliest time of the next attempt.
+		bool waits_for_headroom = false;    ///< Whether it waits although a target without headroom may get it.
 	};
 
 	/** Send the waiting \a call if a target may get it now. @return Whether it was sent. */
@@ -157,6 +173,26 @@
 	 * @return Whether it was rejected.
 	 */
 	bool RejectIfRestricted(const CallSpec &call, TimePoint now, Decisions &decisions);
+	/** Update the shares of accounts, if it is time to. */
+	void UpdateShares(TimePoint now);
+	/** @return Whether a target may get \a call now, apart from its headroom; always false while the shares are not in use. */
+	bool WaitsForHeadroom(const CallSpec &call, TimePoint now) const;
+	/** @return The demand of all accounts for the memory of the engines of \a pool. */
+	PoolDemand DemandFor(ModelNumber pool, TimePoint now) const;
+	/** @return Whether \a call is limited, as its account is above its share of a scarce pool. */
+	bool IsLimited(const CallSpec &call) const
+	{
+		return this->share_view && call.generated && this->shares.IsLimited(call.model, call.account);
+	}
+	/**
+	 * @return Retry-After for the waiting call \a tracked, if it has to be rejected as its account does not fall below its share in time;
+	 *         nothing otherwise.
+	 */
+	std::optional<Duration> RejectionForShare(const TrackedCall &tracked, TimePoint now) const;
+	/** Reject the waiting \a call, as its account is above its share. */
+	void RejectForShare(CallId call, Duration retry_after, Decisions &decisions);
+	/** Reject the waiting calls of accounts that don't fall below their share in time. */
+	void RejectAboveShare(TimePoint now, Decisions &decisions);
 	/** @return Retry-After for the caller of \a call, which is rejected at \a now. */
 	Duration RetryAfter(const CallSpec &call, TimePoint now) const;
 	/** @return Expected time until the calls ahead of \a call are dispatched; zero while the dispatch rate is unknown. */
@@ -195,6 +231,9 @@
 	std::unordered_map<uint32_t, RetryBudget> account_budgets;   ///< Retry budgets by client account.
 	std::unordered_map<uint32_t, RetryBudget> pool_budgets;      ///< Retry budgets by model or service.
 	std::unordered_map<uint32_t, OverloadTracker> overloads;     ///< Duration of the present overload, by model or service.
+	AccountShares shares;                                        ///< Accounts above their share of a pool.
+	std::unordered_map<uint32_t, double> account_weights;        ///< Weights other than 1, by account.
+	std::vector<ShareChange> share_changes;                      ///< Changes not yet taken.
 	Quarantine quarantine;                                       ///< Requests that are suspected of crashing targets.
 	DispatchCounters counters;
 	size_t in_flight = 0;      ///< Number of calls in flight.
@@ -202,6 +241,8 @@
 	double window_tokens = 0;  ///< Tokens dispatched in the current window.
 	TimePoint window_start;    ///< Start of the current window.
 	TimePoint last_slow_check; ///< Time of the last check for slow targets.
+	TimePoint shares_updated;  ///< When the shares of accounts were last updated.
+	bool share_view = false;   ///< Whether the calls of most instances are known here.
 };
 
 } // namespace cottonspool
--- a/src/decision/hall_load.cpp
+++ b/src/decision/hall_load.cpp
@@ -31,9 +31,32 @@
 			message.remote_targets.push_back(MakeLoadSum(target, TargetTable::KnownLoadAt(target), Duration(0)));
 		}
 	}
+	message.accounts = this->AccountSums();
 	return message;
 }
 
+std::vector<AccountLoadSum> HallLoad::AccountSums() const
+{
+	std::vector<AccountLoadSum> sums;
+	if (!this->names) return sums;
+	bool any_named = false;
+	for (const AccountTokens &each : this->targets.Usage().LargestKnown()) {
+		sums.push_back({this->names->pools.Name(each.pool), this->names->accounts.Name(each.account), each.tokens});
+		any_named = any_named || !sums.back().account.empty();
+	}
+	// Without named accounts there are no shares.
+	return any_named ? sums : std::vector<AccountLoadSum>{};
+}
+
+void HallLoad::ApplyAccountSums(const HallLoadMessage &message, TimePoint now)
+{
+	if (!this->names) return;
+	std::vector<AccountTokens> sums;
+	for (const AccountLoadSum &sum : message.accounts)
+		sums.push_back({this->names->pools.Intern(sum.pool), this->names->accounts.Intern(sum.account), sum.tokens});
+	this->targets.Usage().OnHallSums(message.hall, sums, now);
+}
+
 std::vector<ReportUpdate> HallLoad::OnMessage(const HallLoadMessage &message, TimePoint now)
 {
 	std::vector<ReportUpdate> reports;
@@ -66,6 +89,7 @@
 		if (is_local) remote_loads[*number] = {static_cast<double>(sum.held_tokens), sum.calls};
 	}
 	this->targets.OnHallLoad(message.hall, remote_loads, now);
+	this->ApplyAccountSums(message, now);
 	return reports;
 }
 
--- a/src/decision/hall_load.h
+++ b/src/decision/hall_load.h
@@ -16,12 +16,20 @@
 	uint32_t wait_ms = 0;     ///< Time until all pending prompts are prefilled, in milliseconds.
 };
 
+/** KV cache that an account holds at the engines of a pool, by name. */
+struct AccountLoadSum {
+	std::string pool;    ///< Name of the pool.
+	std::string account; ///< Name of the account; empty for calls without one.
+	int64_t tokens = 0;  ///< KV cache held by calls from the sender's hall, in tokens.
+};
+
 /** Load summary that one data hall sends to the others. */
 struct HallLoadMessage {
 	std::string hall;                          ///< Hall that sends the summary.
 	bool forwarded = false;                    ///< The summary was forwarded by an instance of the receiver's hall.
 	std::vector<TargetLoadSum> local_targets;  ///< Targets in the sender's hall that have load, with the calls of all halls.
 	std::vector<TargetLoadSum> remote_targets; ///< Targets in other halls, with the calls from the sender's hall only.
+	std::vector<AccountLoadSum> accounts;      ///< The accounts that hold most in each pool, with the calls from the sender's hall only.
 
 	/** @return Whether there is no load to report. */
 	bool IsEmpty() const { return this->local_targets.empty() && this->remote_targets.empty(); }
@@ -34,7 +42,17 @@
  */
 class HallLoad {
 public:
-	HallLoad(TargetTable &targets, std::string own_hall) : targets(targets), own_hall(std::move(own_hall)) {}
+	/** Names of pools and client accounts. */
+	struct Names {
+		NameTable<ModelNumber> &pools;
+		NameTable<AccountNumber> &accounts;
+	};
+
+	/** @param names Names for exchanging the usage of accounts; nothing to leave it out. */
+	HallLoad(TargetTable &targets, std::string own_hall, std::optional<Names> names = std::nullopt)
+	    : targets(targets), own_hall(std::move(own_hall)), names(names)
+	{
+	}
 
 	/** @return The load summary of this instance's hall at \a now. */
 	HallLoadMessage BuildMessage(TimePoint now) const;
@@ -43,8 +61,14 @@
 	std::vector<ReportUpdate> OnMessage(const HallLoadMessage &message, TimePoint now);
 
 private:
+	/** @return The usage of accounts by the calls from this instance's hall; empty if no account has a name. */
+	std::vector<AccountLoadSum> AccountSums() const;
+	/** Apply the usage of accounts in \a message. */
+	void ApplyAccountSums(const HallLoadMessage &message, TimePoint now);
+
 	TargetTable &targets;                                           ///< Table of all targets.
 	std::string own_hall;                                           ///< Hall of this instance.
+	std::optional<Names> names;                                     ///< Names of pools and accounts, if their usage is exchanged.
 	std::map<std::string, std::set<TargetNumber>> reported_targets; ///< Targets with load in the last summary of each other hall.
 };
 
--- a/src/decision/peer_load.cpp
+++ b/src/decision/peer_load.cpp
@@ -34,7 +34,9 @@
 		spec.prompt_tokens = update.prompt_tokens;
 		spec.max_tokens = update.max_tokens;
 		known = peer.calls.emplace(update.call, PeerCall{spec.id, *target, update.generated}).first;
-		this->targets.OnPeerCallSent(*target, spec, now, update.generated);
+		std::optional<AccountNumber> account;
+		if (this->accounts != nullptr && update.account) account = this->accounts->Intern(*update.account);
+		this->targets.OnPeerCallSent(*target, spec, now, update.generated, account);
 	}
 	if (update.generated <= known->second.generated) return;
 	this->targets.OnPeerCallToken(*target, known->second.id, now, update.generated - known->second.generated);
--- a/src/decision/peer_load.h
+++ b/src/decision/peer_load.h
@@ -23,6 +23,7 @@
 	uint32_t max_tokens = 0;                           ///< Maximum number of output tokens.
 	std::string pool;                                  ///< Requested model or service.
 	ServiceClass service_class = ServiceClass::Stream; ///< Service class.
+	std::optional<std::string> account;                ///< Client account; nothing if the sender's release does not state it.
 };
 
 /** Load report of a target that another instance has read. */
@@ -46,7 +47,11 @@
  */
 class PeerLoad {
 public:
-	PeerLoad(TargetTable &targets, NameTable<ModelNumber> &pools, Duration timeout) : targets(targets), pools(pools), timeout(timeout) {}
+	/** @param accounts Numbers of client accounts; null if the accounts of peers' calls don't matter. */
+	PeerLoad(TargetTable &targets, NameTable<ModelNumber> &pools, Duration timeout, NameTable<AccountNumber> *accounts = nullptr)
+	    : targets(targets), pools(pools), accounts(accounts), timeout(timeout)
+	{
+	}
 
 	/** Sets the time without a message after which a peer is removed. */
 	void SetTimeout(Duration longest) { this->timeout = longest; }
@@ -86,6 +91,7 @@
 
 	TargetTable &targets;                  ///< Table of all targets.
 	NameTable<ModelNumber> &pools;         ///< Numbers of models and services.
+	NameTable<AccountNumber> *accounts;    ///< Numbers of client accounts, or null.
 	Duration timeout;                      ///< Time without a message after which a peer is removed.
 	std::map<std::string, Peer> peers;     ///< Peers by name.
 	uint64_t next_id = FIRST_PEER_CALL_ID; ///< Next id in the table of targets.
--- a/src/decision/request.cpp
+++ b/src/decision/request.cpp
@@ -8,8 +8,8 @@
 
 static constexpr std::array<const char *, SERVICE_CLASS_COUNT> CLASS_NAMES{"interactive", "stream", "background"};
 static constexpr std::array<const char *, 3> RAN_NAMES{"no", "yes", "unknown"};
-static constexpr std::array<const char *, REJECT_REASON_COUNT> REASON_NAMES{"deadline-passed", "wait-too-long", "queue-full", "no-target",
-                                                                            "retry-budget",    "quarantined",   "all-bound"};
+static constexpr std::array<const char *, REJECT_REASON_COUNT> REASON_NAMES{
+        "deadline-passed", "wait-too-long", "queue-full", "no-target", "retry-budget", "quarantined", "all-bound", "account-share"};
 
 const char *ServiceClassName(ServiceClass service_class)
 {
--- a/src/decision/request_type.h
+++ b/src/decision/request_type.h
@@ -62,12 +62,22 @@
 	std::vector<TargetNumber> avoid;              ///< Targets that get it only if no other may.
 	bool exclude_avoided = false;                 ///< Targets in \c avoid never get it.
 	bool exclude_cold = false;                    ///< Cold targets never get it.
-	RequestFingerprint fingerprint;               ///< Fingerprint; zero for none.
+	double memory_margin = 0;       ///< Fraction of an engine's memory that it has to leave free; if any, it never overcommits.
+	RequestFingerprint fingerprint; ///< Fingerprint; zero for none.
 };
 
 /** Why a call was rejected. */
-enum class RejectReason : uint8_t { DeadlinePassed, WaitTooLong, QueueFull, NoTarget, RetryBudget, Quarantined, AllRestricted };
-constexpr size_t REJECT_REASON_COUNT = 7;
+enum class RejectReason : uint8_t {
+	DeadlinePassed,
+	WaitTooLong,
+	QueueFull,
+	NoTarget,
+	RetryBudget,
+	Quarantined,
+	AllRestricted,
+	AccountShare
+};
+constexpr size_t REJECT_REASON_COUNT = 8;
 
 /** @return The name of \a reason as written in answers and metrics. */
 const char *RejectReasonName(RejectReason reason);
--- a/src/decision/router.cpp
+++ b/src/decision/router.cpp
@@ -76,6 +76,7 @@
 		// Interactive calls may overcommit, as the engine runs them first and preempts the calls of other classes.
 		bool interactive = call.service_class == ServiceClass::Interactive && call.generated;
 		bool may_overcommit = (interactive || now >= call.overcommit_from) && (!call.generated || this->rules.use_overcommit);
+		if (call.memory_margin > 0) may_overcommit = false;
 		return best || !may_overcommit ? best : this->FindBest(call, targets, now, false);
 	}
 
@@ -101,7 +102,7 @@
 	/** @return Whether \a target has headroom for \a call, or is idle. */
 	bool HasHeadroom(const CallSpec &call, const TargetState &target, const TargetTable &targets, TimePoint now) const
 	{
-		double need = targets.MemoryNeed(target, call);
+		double need = targets.MemoryNeed(target, call) + call.memory_margin * static_cast<double>(target.report.capacity_tokens);
 		if (targets.Headroom(target, call, now) >= need) return true;
 		bool idle = target.in_flight.empty() && target.report.running + target.report.waiting == 0;
 		return idle && target.sent_since_report == 0;
--- a/src/decision/target_health.cpp
+++ b/src/decision/target_health.cpp
@@ -31,7 +31,7 @@
 
 void TargetTable::OnSent(TargetNumber number, const CallSpec &call, TimePoint now)
 {
-	this->OnPeerCallSent(number, call, now);
+	this->OnPeerCallSent(number, call, now, 0, call.account);
 	// Calls of peers are no probes, as this instance does not learn how they end.
 	TargetState &target = this->targets[number.value];
 	if (target.ejections > 0) target.restrictions.probing = true;
--- a/src/decision/target_table.cpp
+++ b/src/decision/target_table.cpp
@@ -116,10 +116,12 @@
 	if (target.report.capacity_tokens == 0) target.report.capacity_tokens = slots;
 }
 
-void TargetTable::OnPeerCallSent(TargetNumber number, const CallSpec &call, TimePoint now, uint32_t generated)
+void TargetTable::OnPeerCallSent(TargetNumber number, const CallSpec &call, TimePoint now, uint32_t generated,
+                                 std::optional<AccountNumber> account)
 {
 	TargetState &target = this->targets[number.value];
-	InFlightCall flight{call, generated, call.generated ? this->lengths.Residual(call, generated) : 0, now, now};
+	InFlightCall flight{call, generated, call.generated ? this->lengths.Residual(call, generated) : 0, now, now, account};
+	if (call.generated) this->usage.OnStarted(call.model, account, int64_t{call.prompt_tokens} + generated);
 	target.known_tokens += call.prompt_tokens + generated;
 	target.known_residual += flight.residual;
 	if (call.prefix != 0) target.sent_prefixes.emplace_back(call.prefix, now);
@@ -158,6 +160,7 @@
 	flight.generated += tokens;
 	if (before == 0) this->OnPrefillDone(target, flight, now);
 	target.known_tokens += tokens;
+	if (flight.call.generated) this->usage.OnTokens(flight.call.model, flight.account, tokens);
 	double residual = std::max(0.0, flight.residual - tokens);
 	if (before / RESIDUAL_REFRESH_TOKENS != flight.generated / RESIDUAL_REFRESH_TOKENS) {
 		residual = this->lengths.Residual(flight.call, flight.generated);
@@ -202,6 +205,8 @@
 	uint32_t generated = found->second.generated;
 	if (generated == 0) this->OnPrefillDone(target, found->second, now);
 	target.known_tokens -= found->second.call.prompt_tokens + generated;
+	const CallSpec &spec = found->second.call;
+	if (spec.generated) this->usage.OnEnded(spec.model, found->second.account, int64_t{spec.prompt_tokens} + generated, now);
 	target.known_residual -= found->second.residual;
 	target.in_flight.erase(found);
 	if (target.in_flight.empty()) target.known_tokens = target.known_residual = 0;
--- a/src/decision/target_table.h
+++ b/src/decision/target_table.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "core/name_table.h"
+#include "decision/account_usage.h"
 #include "decision/length_estimate.h"
 #include "decision/target_restrictions.h"
 #include "decision/target_speed.h"
@@ -43,10 +44,11 @@
 /** A call in flight at a target, of this instance or of a peer. */
 struct InFlightCall {
 	CallSpec call;
-	uint32_t generated = 0;      ///< Output tokens so far.
-	double residual = 0;         ///< Expected remaining output tokens.
-	TimePoint sent;              ///< When it was sent.
-	TimePoint last_token;        ///< When the last token arrived.
+	uint32_t generated = 0;               ///< Output tokens so far.
+	double residual = 0;                  ///< Expected remaining output tokens.
+	TimePoint sent;                       ///< When it was sent.
+	TimePoint last_token;                 ///< When the last token arrived.
+	std::optional<AccountNumber> account; ///< Account that holds its memory; nothing if a peer did not state it.
 	bool prefills_alone = false; ///< Whether no other known prefill was pending when it was sent, so that its time gives the prefill rate.
 };
 
@@ -171,8 +173,10 @@
 	/**
 	 * Handle the sending of a peer's call, or of the backup of a run, to \a target.
 	 * @param generated Tokens generated on another target; if any, no prefill is needed.
+	 * @param account Account that holds its memory; CallSpec::account of a peer's call is not set.
 	 */
-	void OnPeerCallSent(TargetNumber target, const CallSpec &call, TimePoint now, uint32_t generated = 0);
+	void OnPeerCallSent(TargetNumber target, const CallSpec &call, TimePoint now, uint32_t generated = 0,
+	                    std::optional<AccountNumber> account = std::nullopt);
 
 	/** Handle the arrival of \a tokens output tokens of \a call from \a target. */
 	void OnToken(TargetNumber target, CallId call, TimePoint now, uint32_t tokens = 1);
@@ -231,6 +235,12 @@
 	/** @return Learned prefill rate of an engine, in tokens per second. */
 	double PrefillRate() const { return this->prefill_rate; }
 
+	/** @return KV cache held by client accounts, to query and to update with the sums of other halls. */
+	AccountUsage &Usage() { return this->usage; }
+
+	/** @return KV cache held by client accounts. */
+	const AccountUsage &Usage() const { return this->usage; }
+
 	/** @return Memory in use and reserved at \a target, relative to its capacity; above 1 if it is overcommitted. */
 	double Pressure(const TargetState &target, TimePoint now) const;
 
@@ -286,6 +296,7 @@
 	std::unordered_map<uint32_t, std::vector<TargetNumber>> by_model; ///< Configured targets by model.
 	uint32_t instance_index = 0;                                      ///< Index of this instance among them.
 	uint32_t instances = 1;                                           ///< Number of instances that share the targets.
+	AccountUsage usage;                                               ///< KV cache held by client accounts.
 	double mean_residual = 128; ///< Smoothed expected remaining output of a call, used for unknown calls.
 	double prefill_rate = 7000; ///< Smoothed prefill rate, in tokens per second.
 };
--- a/src/gateway/feature_switches.cpp
+++ b/src/gateway/feature_switches.cpp
@@ -44,6 +44,8 @@
 	         l.registry.expiry_grace = Duration(0);
 	         l.registry.mass_expiry_min_rows = std::numeric_limits<size_t>::max();
          }},
+        {"account-shares", "client accounts are not limited to their share of a scarce pool's memory",
+         [](GatewayLimits &l) { l.dispatch.shares.use = false; }},
         {"copy-room", "the memory of copies in progress is not counted", [](GatewayLimits &l) { l.count_pending_copies = false; }},
         {"backups", "switched on: copies of all long runs are kept at other engines", [](GatewayLimits &l) { l.backup.use = true; }},
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -44,13 +44,20 @@
 	return text.str();
 }
 
+/** @return Names for exchanging the usage of accounts; nothing if \a limits switch the shares of accounts off. */
+static std::optional<HallLoad::Names> AccountNamesFor(const GatewayLimits &limits, NameTable<ModelNumber> &pools,
+                                                      NameTable<AccountNumber> &accounts)
+{
+	return limits.dispatch.shares.use ? std::optional(HallLoad::Names{pools, accounts}) : std::nullopt;
+}
+
 Gateway::Gateway(uv_loop_s *loop, NodeSettings given, std::string settings_path, GatewayLimits limits)
     : limits(limits), upstream(loop), metrics(ACCOUNT_SERIES), dispatcher(limits.dispatch, MakeRouter("headroom", 0, limits.router)),
       loop(loop), settings(std::move(given)), settings_path(std::move(settings_path)), store(this->upstream, this->settings.store),
       configuration_watch(this->store, CONFIGURATION_TABLE, limits.watch), target_watch(this->store, TARGET_TABLE, limits.watch),
       placement(this->settings.hall, this->settings.halls), registry(limits.registry), division(this->settings.name),
-      peer_load(this->dispatcher.Targets(), this->pools, std::chrono::seconds(2)),
-      hall_load(this->dispatcher.Targets(), this->settings.hall),
+      peer_load(this->dispatcher.Targets(), this->pools, std::chrono::seconds(2), &this->accounts),
+      hall_load(this->dispatcher.Targets(), this->settings.hall, AccountNamesFor(limits, this->pools, this->accounts)),
       crash_watch(this->upstream, limits.liveness_timeout, limits.crash_suspect_window,
                   [this](const CrashCheck &check) { this->OnCrashChecked(check); }),
       crash_records(this->store, limits.crash_table_watch, limits.crash_record_limits, this->settings.name,
@@ -117,6 +124,7 @@
 	this->metrics.Gauge("cottonspool_peer_links", static_cast<double>(this->peers.Links()));
 	this->metrics.Gauge("cottonspool_peer_calls", static_cast<double>(this->peer_load.Calls()));
 	this->metrics.Gauge("cottonspool_cells", static_cast<double>(this->peers.Cells()));
+	this->metrics.Gauge("cottonspool_accounts_limited", static_cast<double>(this->dispatcher.Shares().Limited()));
 	this->metrics.Gauge("cottonspool_targets_usable", static_cast<double>(this->usable.size()));
 	this->metrics.Gauge("cottonspool_connections", static_cast<double>(this->front.Connections()));
 	this->metrics.Gauge("cottonspool_configuration_version", static_cast<double>(this->routes.Configuration().version));
@@ -259,7 +267,7 @@
 	const TargetState &state = this->dispatcher.Targets().Get(target);
 	auto flight = state.in_flight.find(request.spec.id);
 	uint32_t generated = flight == state.in_flight.end() ? 0 : flight->second.generated;
-	this->peers.PublishCall(request.spec, request.pool, state.name, generated, at_once);
+	this->peers.PublishCall(request.spec, request.pool, this->SharedAccountOf(request), state.name, generated, at_once);
 }
 
 /** Marks the number of a run's copy, as opposed to the run itself. */
@@ -275,8 +283,8 @@
 	CallSpec copy = request.spec;
 	copy.id = CallId{request.spec.id.value | COPY_BIT};
 	uint32_t generated = std::max<uint32_t>(1, flight->second.generated);
-	targets.OnPeerCallSent(target, copy, MonotonicNow(), generated);
-	this->peers.PublishCall(copy, request.pool, targets.Get(target).name, generated, true);
+	targets.OnPeerCallSent(target, copy, MonotonicNow(), generated, copy.account);
+	this->peers.PublishCall(copy, request.pool, this->SharedAccountOf(request), targets.Get(target).name, generated, true);
 }
 
 void Gateway::OnCopyFinished(const RelayRequest &request, TargetNumber target)
@@ -331,7 +339,9 @@
 		this->PollReports(now);
 	}
 	this->StartTables(now);
+	this->UpdateShareView();
 	this->Execute(this->dispatcher.OnTick(now));
+	this->LogShareChanges();
 	std::vector<std::shared_ptr<RelayCall>> all;
 	all.reserve(this->calls.size());
 	for (const auto &[id, call] : this->calls) all.push_back(call);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -61,6 +61,9 @@
 	/** Publish that a generation of this instance is at no target for now. */
 	void OnCallUnassigned(CallId call) { this->peers.PublishCallEnded(call); }
 
+	/** @return The account of \a request, to be published to peers; nothing without client accounts, or if their shares are not in use. */
+	std::optional<std::string> SharedAccountOf(const RelayRequest &request) const;
+
 	/** @return Halls in which the run of \a request may continue under the configuration in force. */
 	std::vector<HallPreference> HallsFor(const RelayRequest &request) const;
 
@@ -155,6 +158,10 @@
 	void OnLeaseGrant(const LeaseGrantMessage &grant);
 	/** Recompute the shares of all rate limits, as the set of instances may have changed. */
 	void RefreshLimits(TimePoint now);
+	/** Limit accounts to their shares only while the calls of most peers are known. */
+	void UpdateShareView();
+	/** Log the accounts that have gone above or below their share. */
+	void LogShareChanges();
 	/** Log the signals in \a target's answer to \a request if they are new. */
 	void LogSignals(const RelayRequest &request, TargetNumber target, const TargetSignals &signals, TimePoint now);
 
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -363,12 +363,13 @@
 	return message;
 }
 
-void PeerExchange::PublishCall(const CallSpec &call, const std::string &pool, const std::string &target, uint32_t generated, bool at_once)
+void PeerExchange::PublishCall(const CallSpec &call, const std::string &pool, std::optional<std::string> account, const std::string &target,
+                               uint32_t generated, bool at_once)
 {
 	if (!this->limits.publish_calls) return;
 	CallUpdate &update = this->own_calls[call.id.value];
-	update = CallUpdate{CallUpdate::Kind::Active, call.id.value, target, call.prompt_tokens, generated, call.max_tokens, pool,
-	                    call.service_class};
+	update = CallUpdate{CallUpdate::Kind::Active, call.id.value,     target, call.prompt_tokens, generated, call.max_tokens, pool,
+	                    call.service_class,       std::move(account)};
 	if (!at_once) return;
 	this->pending.calls.push_back(update);
 	this->urgent = true;
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -141,8 +141,13 @@
 	/** Remove this instance's row from the store, as it stops. */
 	void Deregister();
 
-	/** Publish that a call of this instance runs at a target, or has advanced there. @param at_once Don't wait for a batch. */
-	void PublishCall(const CallSpec &call, const std::string &pool, const std::string &target, uint32_t generated, bool at_once);
+	/**
+	 * Publish that a call of this instance runs at a target, or has advanced there.
+	 * @param account Client account; nothing if peers need not know it.
+	 * @param at_once Don't wait for a batch.
+	 */
+	void PublishCall(const CallSpec &call, const std::string &pool, std::optional<std::string> account, const std::string &target,
+	                 uint32_t generated, bool at_once);
 
 	/** Publish that a call of this instance has ended. */
 	void PublishCallEnded(CallId call);
--- a/src/gateway/relay_call.cpp
+++ b/src/gateway/relay_call.cpp
@@ -138,6 +138,7 @@
 		     {"bounds", FormatRestrictions(action.restrictions)},
 		     {"retry_after_ms", FormatMilliseconds(action.retry_after)}});
 	}
+	this->gateway.metrics.Count(std::string("cottonspool_rejections_total{reason=\"") + reason + "\"}");
 	if (this->outcome_unknown) return this->Fail(502, reason);
 	this->Fail(503, reason, this->RetryAfter(action.retry_after));
 }
@@ -207,6 +208,7 @@
 	Log(LogLevel::Info, "finished",
 	    {{"request", this->request.info.attempt},
 	     {"route", this->request.route.name},
+	     {"account", this->request.account},
 	     {"outcome", outcome},
 	     {"status", std::to_string(status)},
 	     {"ran", this->target || this->outcome_unknown ? "maybe" : "no"},
--- a/src/operator/explain_log.cpp
+++ b/src/operator/explain_log.cpp
@@ -24,6 +24,7 @@
         {"deadline-passed", "no target had capacity within its wait limit"},
         {"wait-too-long", "the expected wait in the queue exceeded its wait limit"},
         {"queue-full", "the queue was full"},
+        {"account-share", "the pool was full, and its account used more than its share and would not fall below it within the wait limit"},
         {"retry-budget", "a retry was needed, but the retry budget was exhausted"},
         {"time-limit", "no complete answer arrived within its time limit"},
         {"instance-stops", "the instance shut down before the answer was complete"},
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -87,6 +87,8 @@
 	for (const CallUpdate &update : message.calls) {
 		calls.push_back(Json::array({static_cast<int>(update.kind), update.call, update.target, update.prompt_tokens, update.generated,
 		                             update.max_tokens, update.pool, static_cast<int>(update.service_class)}));
+		// Decoders of older releases ignore additional elements.
+		if (update.account) calls.back().push_back(*update.account);
 	}
 	Json reports = Json::array();
 	for (const ReportUpdate &update : message.reports) {
@@ -137,7 +139,18 @@
 
 static Json Write(const HallLoadMessage &message)
 {
-	return Json::array({HALL_LOAD, message.hall, message.forwarded, WriteSums(message.local_targets), WriteSums(message.remote_targets)});
+	Json array =
+	        Json::array({HALL_LOAD, message.hall, message.forwarded, WriteSums(message.local_targets), WriteSums(message.remote_targets)});
+	if (message.accounts.empty()) return array;
+	// Decoders of older releases ignore additional elements.
+	Json accounts = Json::array();
+	for (const AccountLoadSum &sum : message.accounts) {
+		accounts.push_back(sum.pool);
+		accounts.push_back(sum.account);
+		accounts.push_back(sum.tokens);
+	}
+	array.push_back(std::move(accounts));
+	return array;
 }
 
 static Json Write(const SignalsMessage &message)
@@ -190,6 +203,15 @@
 	return sums;
 }
 
+/** @return The usage of accounts in \a flat; throws if it is malformed. */
+static std::vector<AccountLoadSum> ReadAccountSums(const Json &flat)
+{
+	std::vector<AccountLoadSum> sums;
+	for (size_t i = 0; i < flat.size(); i += 3)
+		sums.push_back({flat.at(i).get<std::string>(), flat.at(i + 1).get<std::string>(), ReadInteger<int64_t>(flat.at(i + 2))});
+	return sums;
+}
+
 /** @return The update of a table in \a item; throws if it is malformed. */
 static TableUpdate ReadTableUpdate(const Json &item)
 {
@@ -224,6 +246,8 @@
 	int service_class = ReadInteger<int>(item.at(7));
 	if (service_class < 0 || service_class >= static_cast<int>(SERVICE_CLASS_COUNT)) throw std::out_of_range("unknown service class");
 	update.service_class = static_cast<ServiceClass>(service_class);
+	// Instances of older releases don't state the account.
+	if (item.size() > 8) update.account = item.at(8).get<std::string>();
 	return update;
 }
 
@@ -294,8 +318,12 @@
 			message.cells = {ReadInteger<uint32_t>(array.at(6)), {ReadInteger<uint64_t>(array.at(7)), ReadInteger<uint64_t>(array.at(8))}};
 		return message;
 	}
-	case HALL_LOAD:
-		return HallLoadMessage{array.at(1).get<std::string>(), array.at(2).get<bool>(), ReadSums(array.at(3)), ReadSums(array.at(4))};
+	case HALL_LOAD: {
+		HallLoadMessage message{array.at(1).get<std::string>(), array.at(2).get<bool>(), ReadSums(array.at(3)), ReadSums(array.at(4)), {}};
+		// Instances of older releases don't send the usage of accounts.
+		if (array.size() > 5) message.accounts = ReadAccountSums(array.at(5));
+		return message;
+	}
 	case SIGNALS: {
 		SignalsMessage message{array.at(1).get<std::string>(), array.at(2).get<std::string>(), array.at(3).get<bool>(), {}};
 		for (const Json &item : array.at(4)) message.signals.push_back(ReadSignalUpdate(item));
--- a/src/tests/account_shares_test.cpp
+++ b/src/tests/account_shares_test.cpp
@@ -137,7 +137,8 @@
 {
 	AccountShares shares{ShareLimits{}};
 	shares.Update(POOL, DemandOf({80000, 6000, 4000}));
-	CHECK(!shares.TimeUntilBelow(POOL, AccountNumber{0}, 0));
-	CHECK(Seconds(*shares.TimeUntilBelow(POOL, AccountNumber{0}, 5000)) == doctest::Approx(2));
-	CHECK(shares.TimeUntilBelow(POOL, AccountNumber{1}, 5000) == Duration(0));
+	CHECK(!shares.TimeUntilBelow(POOL, AccountNumber{0}, 80000, 0));
+	CHECK(Seconds(*shares.TimeUntilBelow(POOL, AccountNumber{0}, 80000, 5000)) == doctest::Approx(2));
+	CHECK(Seconds(*shares.TimeUntilBelow(POOL, AccountNumber{0}, 40000, 5000)) == doctest::Approx(1));
+	CHECK(shares.TimeUntilBelow(POOL, AccountNumber{1}, 6000, 5000) == Duration(0));
 }
