--- a/src/tests/feature_switches_test.cpp
+++ b/src/tests/feature_switches_test.cpp
@@ -17,6 +17,9 @@
 	CHECK_FALSE(limits.use_migration);
 	CHECK_FALSE(limits.router.use_prefix);
 	CHECK(limits.router.use_interval);
+	CHECK(limits.dispatch.shares.use);
+	REQUIRE(ApplySwitches("account-shares", limits).has_value());
+	CHECK_FALSE(limits.dispatch.shares.use);
 }
 
 TEST_CASE("Switches - an empty list changes nothing, and an unknown name is an error")
--- a/tests/fuzz/decoders.cpp
+++ b/tests/fuzz/decoders.cpp
@@ -89,12 +89,16 @@
 /** @return One encoded peer message of each kind that gateways use. */
 static std::vector<std::string> PeerMessages()
 {
-	LoadMessage load{
-	        "g1", 7, true, {{CallUpdate::Kind::Active, 3, "i-1@abc123", 100, 20, 300, "pool", ServiceClass::Stream}}, {{"i-1", {}}}};
+	LoadMessage load{"g1",
+	                 7,
+	                 true,
+	                 {{CallUpdate::Kind::Active, 3, "i-1@abc123", 100, 20, 300, "pool", ServiceClass::Stream, "account"}},
+	                 {{"i-1", {}}}};
 	TablesMessage tables{"g1", "hall", false, {{"t", {3, 1}, {3, 2}, true, true, {{"key", "value", 2, false}}}}};
 	HallLoadMessage halls;
 	halls.hall = "hall";
 	halls.local_targets.push_back({"i-1", 100, 2, 30});
+	halls.accounts.push_back({"pool", "account", 100});
 	SignalsMessage signals{"g1", "hall", false, {{"i-1@abc123", true, SignalState::Present, 2.4, std::chrono::milliseconds(5)}, {"i-2"}}};
 	PresenceMessage presence{"g1", {"127.0.0.1:1", "hall", 10}, 3};
 	HeartbeatMessage heartbeat;
