Add: [Net] Count the held bytes, pause and reject by connection

Cause: the server and the client did not know in sum what they held, and each event of a stream that waited cost a write of its own, some 300 bytes beside its content. HeldCounter counts unsent answers and requests, bodies and pipelined bytes; waiting writes are joined; the server can pause connections and answer 503 at the head of a request, and then drops the rest of its body. A complete answer was cut off by the idle timeout while its caller was still reading; the timeout counts from the last byte taken now.

--- a/src/net/http_front.cpp
+++ b/src/net/http_front.cpp
@@ -4,6 +4,7 @@
 
 #include "net/http_front.h"
 #include <strings.h>
+#include <unordered_set>
 
 namespace cottonspool {
 
@@ -32,7 +33,20 @@
 	/** Reset the connection, so that the caller does not take the answer for complete. */
 	void Break();
 
+	/** @return The bytes that this connection holds and their properties. */
+	MemoryHolder Holder() const;
+
+	/** @return The request that is being received; null for none. */
+	const FrontExchange *Receiving() const { return this->in_handler ? nullptr : this->exchange.get(); }
+
+	/** Pause or continue everything that makes this connection hold more bytes. */
+	void SetPaused(bool pause);
+
+	/** Reject the request that is being received with 503 and \a headers, and discard the rest of its body. */
+	void RejectReceiving(const HttpHeaders &headers);
+
 	HttpFront &front;                                                    ///< Server.
+	uint64_t id;                                                         ///< Number of this connection.
 	std::shared_ptr<TcpStream> stream;                                   ///< TCP connection.
 	std::list<std::shared_ptr<FrontConnection>>::iterator list_position; ///< Position in the server's list.
 
@@ -45,6 +59,7 @@
 	void Refuse(int status);
 	void RefuseMalformed();
 	void Unregister();
+	bool HasBacklogSince(TimePoint now, Duration timeout) const;
 
 	HttpReader reader{HttpReader::Kind::Requests}; ///< Parser of the requests.
 	std::shared_ptr<FrontExchange> exchange;       ///< Request being received or processed.
@@ -53,11 +68,21 @@
 	TimePoint waiting_since;                       ///< Start of the time to which the current timeout applies.
 	bool unregistered = false;                     ///< Removed from the server's list.
 	bool refused = false;                          ///< Further input is ignored.
+	HeldPart held_pipelined;                       ///< Counts the bytes read behind the current request.
+	TimePoint paused_since;                        ///< When it was paused.
+	bool paused = false;                           ///< Reading, or the source of the answer, is paused as memory is scarce.
+	bool discarding = false;                       ///< The request was rejected, and the rest of its body is discarded.
+	bool keep_after_discarding = false;            ///< The connection stays open after that.
+	uint64_t sent_bytes = 0;                       ///< Bytes sent until the last tick.
+	TimePoint progress_at;                         ///< Last tick at which nothing was unsent, or the caller had read something.
 };
 
-FrontConnection::FrontConnection(HttpFront &front, std::shared_ptr<TcpStream> stream) : front(front), stream(std::move(stream))
+FrontConnection::FrontConnection(HttpFront &front, std::shared_ptr<TcpStream> stream)
+    : front(front), id(front.next_id++), stream(std::move(stream))
 {
-	this->waiting_since = MonotonicNow();
+	this->waiting_since = this->progress_at = MonotonicNow();
+	this->stream->held.Bind(front.held, &HeldBytes::answers);
+	this->held_pipelined.Bind(front.held, &HeldBytes::bodies);
 	this->reader.max_head_bytes = front.limits.max_head_bytes;
 	this->reader.on_head = [this](HttpHead &&head) { this->OnHead(std::move(head)); };
 	this->reader.on_body = [this](std::string_view bytes) { this->OnBody(bytes); };
@@ -90,6 +115,7 @@
 	this->in_reader = false;
 	if (!readable) this->RefuseMalformed();
 	this->ReadPipelined();
+	this->held_pipelined.Set(this->reader.BufferedBytes());
 	if (this->in_handler && this->reader.BufferedBytes() > MAX_PIPELINED_BYTES) this->stream->SetReading(false);
 }
 
@@ -111,8 +137,14 @@
 	this->exchange->connection = this;
 	this->exchange->keep_alive = head.keep_alive;
 	this->exchange->head = std::move(head);
-	this->waiting_since = MonotonicNow();
+	this->exchange->held_body.Bind(this->front.held, &HeldBytes::bodies);
+	this->exchange->held_buffer.Bind(this->front.held, &HeldBytes::answers);
+	this->waiting_since = this->exchange->begun_at = MonotonicNow();
 	if (this->exchange->head.length.value_or(0) > this->front.limits.max_body_bytes) return this->Refuse(413);
+	bool has_body = this->exchange->head.chunked || this->exchange->head.length.value_or(0) > 0;
+	if (has_body && this->front.reject_body) {
+		if (auto headers = this->front.reject_body(this->exchange->head)) return this->RejectReceiving(*headers);
+	}
 	std::string_view expect = FindHeader(this->exchange->head.headers, "expect");
 	if (strncasecmp(expect.data(), "100-continue", expect.size()) == 0 && !expect.empty()) {
 		this->stream->Write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -121,14 +153,25 @@
 
 void FrontConnection::OnBody(std::string_view bytes)
 {
-	if (this->refused || !this->exchange) return;
+	if (this->refused) return;
 	this->waiting_since = MonotonicNow();
+	if (!this->exchange) return;
 	if (this->exchange->body.size() + bytes.size() > this->front.limits.max_body_bytes) return this->Refuse(413);
 	this->exchange->body.append(bytes);
+	// Counting may reject this request.
+	std::shared_ptr<FrontExchange> counted = this->exchange;
+	counted->held_body.Set(counted->body.capacity());
 }
 
 void FrontConnection::OnComplete()
 {
+	if (this->discarding) {
+		this->discarding = false;
+		if (this->keep_after_discarding) return;
+		this->refused = true;
+		this->stream->CloseAfterWrites();
+		return this->Unregister();
+	}
 	if (this->refused || !this->exchange) return;
 	this->exchange->read_at = MonotonicNow();
 	this->in_handler = true;
@@ -143,7 +186,7 @@
 	        "HTTP/1.1 " + std::to_string(status) + " " + ReasonPhrase(status) + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 	if (this->exchange) this->exchange->connection = nullptr;
 	this->exchange.reset();
-	this->stream->Write(std::move(text));
+	if (!this->discarding) this->stream->Write(std::move(text));
 	this->stream->CloseAfterWrites();
 	this->Unregister();
 }
@@ -159,15 +202,33 @@
 	this->Refuse(this->reader.Error() == HttpReadError::HeadersTooBig ? 431 : 400);
 }
 
+bool FrontConnection::HasBacklogSince(TimePoint now, Duration timeout) const
+{
+	return this->stream->Backlog() > 0 && now - this->progress_at > timeout;
+}
+
 void FrontConnection::OnTick(TimePoint now)
 {
+	const FrontLimits &limits = this->front.limits;
+	uint64_t sent = this->stream->SentBytes();
+	if (sent != this->sent_bytes || this->stream->Backlog() == 0) this->progress_at = now;
+	this->sent_bytes = sent;
+	if (this->in_handler && limits.close_unread && this->HasBacklogSince(now, limits.idle_timeout)) return this->Close(true);
 	if (this->in_handler || this->refused) return;
 	Duration waited = now - this->waiting_since;
-	const FrontLimits &limits = this->front.limits;
 	if (this->IsIdle()) {
+		// A complete answer is delivered as long as its caller reads.
+		if (this->stream->Backlog() > 0 && !this->HasBacklogSince(now, limits.idle_timeout)) return;
 		if (waited > limits.idle_timeout) this->Close(false);
 		return;
 	}
+	if (this->discarding && waited > limits.body_timeout) return this->Close(false);
+	if (this->discarding) return;
+	if (this->paused) {
+		// The caller cannot send.
+		this->waiting_since = now;
+		return;
+	}
 	Duration timeout = this->exchange ? limits.body_timeout : limits.head_timeout;
 	if (waited > timeout) this->Refuse(408);
 }
@@ -184,8 +245,10 @@
 		this->stream->CloseAfterWrites();
 		return this->Unregister();
 	}
+	this->paused = false;
 	this->stream->SetReading(true);
 	this->ReadPipelined();
+	this->held_pipelined.Set(this->reader.BufferedBytes());
 }
 
 void FrontConnection::Break()
@@ -210,6 +273,52 @@
 	if (notify && this->in_handler && interrupted->on_disconnect) interrupted->on_disconnect();
 }
 
+MemoryHolder FrontConnection::Holder() const
+{
+	MemoryHolder holder{this->id, this->stream->held.Bytes() + this->reader.BufferedBytes(), this->waiting_since};
+	if (this->paused) holder.paused_since = this->paused_since;
+	if (!this->exchange) return holder;
+	holder.receiving = !this->in_handler;
+	// A complete body does not grow, and the source of the answer has nothing to do with it.
+	holder.bytes += this->exchange->held_buffer.Bytes() + (holder.receiving ? this->exchange->held_body.Bytes() : 0);
+	holder.completes = holder.receiving || this->exchange->held_buffer.Bytes() > 0;
+	holder.since = this->exchange->begun_at;
+	return holder;
+}
+
+void FrontConnection::SetPaused(bool pause)
+{
+	if (this->refused || (!pause && !this->paused)) return;
+	if (pause && !this->paused) this->paused_since = MonotonicNow();
+	this->paused = pause;
+	if (this->in_handler) {
+		if (this->exchange && this->exchange->on_pause) this->exchange->on_pause(pause);
+		// Without pipelined bytes it is read on, to notice a disconnect.
+		if (this->reader.BufferedBytes() == 0) return this->stream->SetReading(true);
+	}
+	this->stream->SetReading(!pause && this->reader.BufferedBytes() <= MAX_PIPELINED_BYTES);
+}
+
+void FrontConnection::RejectReceiving(const HttpHeaders &headers)
+{
+	if (this->refused || this->in_handler || !this->exchange) return;
+	// The rest of the body is read: closing the connection with unread bytes would reset it, and the caller might lose the answer.
+	std::shared_ptr<FrontExchange> rejected = std::move(this->exchange);
+	this->discarding = true;
+	this->paused = false;
+	// A caller that waits for "100 Continue" may not send the body, so that its next bytes would be ambiguous.
+	bool expects = !FindHeader(rejected->head.headers, "expect").empty();
+	this->keep_after_discarding = rejected->keep_alive && !expects && !this->front.IsClosing();
+	this->waiting_since = MonotonicNow();
+	std::string out = std::string("HTTP/1.1 503 ") + ReasonPhrase(503) + "\r\n";
+	AppendHeaders(out, headers);
+	out += this->keep_after_discarding ? "Content-Length: 0\r\n\r\n" : "Content-Length: 0\r\nConnection: close\r\n\r\n";
+	rejected->connection = nullptr;
+	rejected->held_body.Set(0);
+	this->stream->Write(std::move(out));
+	this->stream->SetReading(true);
+}
+
 void FrontConnection::Unregister()
 {
 	if (this->unregistered) return;
@@ -253,13 +362,17 @@
 void FrontExchange::Write(std::string_view bytes)
 {
 	if (this->IsOver() || bytes.empty()) return;
-	if (!this->chunked) return this->connection->stream->Write(std::string(bytes));
-	char size[24];
-	snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
-	std::string chunk = size;
+	std::string chunk;
+	if (this->chunked) {
+		char size[24];
+		snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+		chunk = size;
+	}
 	chunk += bytes;
-	chunk += "\r\n";
+	if (this->chunked) chunk += "\r\n";
 	this->connection->stream->Write(std::move(chunk));
+	// Between two decisions, hundreds of connections could each take in what they read at once.
+	if (this->connection->front.held && this->connection->front.held->full && this->Backlog() > 0) this->connection->SetPaused(true);
 }
 
 void FrontExchange::Finish()
@@ -298,6 +411,33 @@
 	connection->Begin();
 }
 
+std::vector<MemoryHolder> HttpFront::Holders() const
+{
+	std::vector<MemoryHolder> holders;
+	for (const auto &connection : this->connections) {
+		MemoryHolder holder = connection->Holder();
+		if (holder.bytes > 0 || holder.paused_since != TimePoint{}) holders.push_back(holder);
+	}
+	return holders;
+}
+
+void HttpFront::SetPaused(const std::vector<uint64_t> &ids)
+{
+	std::unordered_set<uint64_t> paused(ids.begin(), ids.end());
+	for (const auto &connection : this->connections) connection->SetPaused(paused.contains(connection->id));
+}
+
+void HttpFront::RejectReceiving(uint64_t id)
+{
+	for (const auto &connection : this->connections) {
+		const FrontExchange *receiving = connection->Receiving();
+		if (connection->id != id || receiving == nullptr) continue;
+		std::optional<HttpHeaders> headers = this->reject_body ? this->reject_body(receiving->head) : std::nullopt;
+		if (headers) connection->RejectReceiving(*headers);
+		return;
+	}
+}
+
 void HttpFront::StopListening()
 {
 	this->closing = true;
--- a/src/net/http_front.h
+++ b/src/net/http_front.h
@@ -7,6 +7,7 @@
 #include "net/http_message.h"
 #include "net/tcp_stream.h"
 #include <list>
+#include <vector>
 
 namespace cottonspool {
 
@@ -20,6 +21,7 @@
 	Duration idle_timeout = std::chrono::seconds(15); ///< Idle time after which a connection is closed.
 	Duration body_timeout = std::chrono::seconds(10); ///< Time limit between two parts of a body; then the answer is 408.
 	size_t max_backlog_bytes = 256U << 10;            ///< Unsent bytes of an answer from which its source should be paused.
+	bool close_unread = false;                        ///< The idle timeout also applies to callers that do not read their answer.
 };
 
 /** A request and its answer. */
@@ -28,9 +30,11 @@
 	HttpHead head;                       ///< Head of the request.
 	std::string body;                    ///< Body of the request.
 	Endpoint from;                       ///< Address of the caller.
+	TimePoint begun_at;                  ///< When the head of the request was received.
 	TimePoint read_at;                   ///< When the request was received completely.
 	std::function<void()> on_disconnect; ///< The caller disconnected before the answer was complete.
 	std::function<void()> on_drained;    ///< All bytes written so far have been sent.
+	std::function<void(bool)> on_pause;  ///< The source of the answer should pause (true) or may continue, as memory is scarce.
 
 	/** Send a complete answer. */
 	void Respond(int status, const HttpHeaders &headers, std::string_view answer_body, std::string_view reason = {});
@@ -59,6 +63,9 @@
 	/** @return Number of unsent bytes of the answer. */
 	size_t Backlog() const;
 
+	/** Count \a bytes of the answer that are buffered outside until it is complete. */
+	void SetBuffered(size_t bytes) { this->held_buffer.Set(bytes); }
+
 private:
 	void SendHead(int status, const HttpHeaders &headers, std::optional<uint64_t> length, std::string_view reason, std::string_view first);
 
@@ -66,6 +73,8 @@
 	bool keep_alive = true;                ///< The connection stays open after the answer.
 	bool started = false;                  ///< The head of the answer was sent.
 	bool chunked = false;                  ///< The body of the answer is sent in chunks.
+	HeldPart held_body;                    ///< Counts the memory of the body.
+	HeldPart held_buffer;                  ///< Counts the bytes of SetBuffered().
 
 	friend class FrontConnection;
 };
@@ -98,7 +107,19 @@
 	/** @return Number of open connections. */
 	size_t Connections() const { return this->connections.size(); }
 
+	/** @return All connections that hold bytes for their callers. */
+	std::vector<MemoryHolder> Holders() const;
+
+	/** Pause the connections \a ids, so that they hold no more bytes, and continue all others. */
+	void SetPaused(const std::vector<uint64_t> &ids);
+
+	/** Reject the request that the connection \a id is receiving with 503 and the fields that reject_body gives. */
+	void RejectReceiving(uint64_t id);
+
 	FrontLimits limits; ///< Current limits.
+	/** Gives the header fields of a 503 if the body of a request with this head is not to be received; empty for never. */
+	std::function<std::optional<HttpHeaders>(const HttpHead &head)> reject_body;
+	std::shared_ptr<HeldCounter> held; ///< Counts the memory of bodies and unsent answers; null for none.
 
 private:
 	void OnStream(std::shared_ptr<TcpStream> stream);
@@ -106,6 +127,7 @@
 	uv_loop_s *loop;                                         ///< Event loop.
 	Handler handler;                                         ///< Called for each request.
 	bool closing = false;                                    ///< Connections are closed after their next answer.
+	uint64_t next_id = 1;                                    ///< Number of the next connection.
 	std::list<std::shared_ptr<FrontConnection>> connections; ///< Open connections.
 	TcpListener listener;                                    ///< Listener.
 
--- a/src/net/http_upstream.cpp
+++ b/src/net/http_upstream.cpp
@@ -213,6 +213,7 @@
 	if (!connection) {
 		this->counters.connects++;
 		connection = std::make_shared<UpstreamConnection>(*this, TcpStream::Connect(this->loop, call.to), call.peer, call.to);
+		connection->stream->held.Bind(this->held, &HeldBytes::requests);
 		connection->Begin();
 	}
 	this->active.emplace(number, connection);
--- a/src/net/http_upstream.h
+++ b/src/net/http_upstream.h
@@ -81,6 +81,8 @@
 	/** @return Counters since the start. */
 	const UpstreamCounters &Counters() const { return this->counters; }
 
+	std::shared_ptr<HeldCounter> held; ///< Counts the memory of unsent requests; null for none.
+
 private:
 	std::shared_ptr<UpstreamConnection> AcquireIdle(const UpstreamCall &call, TimePoint now);
 
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -3,10 +3,12 @@
 /** @file tcp_stream.cpp TCP connections and listeners on a libuv event loop. */
 
 #include "net/tcp_stream.h"
+#include <algorithm>
 #include <charconv>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <utility>
 #include <uv.h>
 
 namespace cottonspool {
@@ -41,6 +43,9 @@
 struct QueuedWrite {
 	uv_write_t request{}; ///< libuv's request.
 	std::string bytes;    ///< Bytes to write.
+
+	/** @return The memory of this write; all of it is in use until the last byte is sent. */
+	size_t Memory() const { return sizeof(*this) + this->bytes.capacity(); }
 };
 
 TcpStream::TcpStream() : handle(new Handle)
@@ -117,9 +122,10 @@
 {
 	if (this->closed || this->reading || !this->opened || !this->want_read) return;
 	this->reading = true;
-	auto allocate = [](uv_handle_t *, size_t, uv_buf_t *buffer) {
+	auto allocate = [](uv_handle_t *handle, size_t, uv_buf_t *buffer) {
 		static char shared[READ_BUFFER]; // Shared by all connections: the bytes are consumed before the next read.
-		*buffer = uv_buf_init(shared, sizeof(shared));
+		size_t size = std::min(sizeof(shared), static_cast<TcpStream *>(handle->data)->held.MaxReadBytes());
+		*buffer = uv_buf_init(shared, static_cast<unsigned int>(size));
 	};
 	auto read = [](uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer) {
 		static_cast<TcpStream *>(stream->data)->OnRead(length, buffer->base);
@@ -159,29 +165,57 @@
 void TcpStream::Write(std::string bytes)
 {
 	if (this->closed || bytes.empty()) return;
+	this->written_bytes += bytes.size();
+	// Joined, as each write in libuv's queue costs some 300 bytes beside its content, ten times as much as a short event of a stream.
+	if (this->submitted_writes > 0) {
+		this->joined += bytes;
+		return this->CountHeld();
+	}
 	auto *stream = reinterpret_cast<uv_stream_t *>(&this->handle->tcp);
 	if (this->opened && uv_stream_get_write_queue_size(stream) == 0) {
 		uv_buf_t buffer = uv_buf_init(bytes.data(), static_cast<unsigned int>(bytes.size()));
 		int written = uv_try_write(stream, &buffer, 1);
 		if (written == static_cast<int>(bytes.size())) return;
-		if (written > 0) bytes.erase(0, static_cast<size_t>(written));
+		if (written > 0) bytes = bytes.substr(static_cast<size_t>(written));
 	}
+	this->Submit(std::move(bytes));
+}
+
+void TcpStream::Submit(std::string bytes)
+{
 	auto *queued = new QueuedWrite;
 	queued->bytes = std::move(bytes);
 	queued->request.data = queued;
 	uv_buf_t buffer = uv_buf_init(queued->bytes.data(), static_cast<unsigned int>(queued->bytes.size()));
 	auto done = [](uv_write_t *request, int status) {
 		auto *self = static_cast<TcpStream *>(request->handle->data);
-		delete static_cast<QueuedWrite *>(request->data);
-		self->OnWritten(status);
+		auto *over = static_cast<QueuedWrite *>(request->data);
+		size_t memory = over->Memory();
+		delete over;
+		self->OnWritten(memory, status);
 	};
-	uv_write(&queued->request, stream, &buffer, 1, done);
+	if (uv_write(&queued->request, reinterpret_cast<uv_stream_t *>(&this->handle->tcp), &buffer, 1, done) != 0) {
+		delete queued;
+		return;
+	}
+	this->submitted_memory += queued->Memory();
+	this->submitted_writes++;
+	this->CountHeld();
+}
+
+void TcpStream::CountHeld()
+{
+	this->held.Set(this->closed ? 0 : this->submitted_memory + (this->joined.empty() ? 0 : this->joined.capacity()));
 }
 
-void TcpStream::OnWritten(int status)
+void TcpStream::OnWritten(size_t memory, int status)
 {
+	this->submitted_memory -= memory;
+	this->submitted_writes--;
 	if (this->closed) return;
 	auto self_reference = this->shared_from_this();
+	if (status >= 0 && this->submitted_writes == 0 && !this->joined.empty()) this->Submit(std::exchange(this->joined, {}));
+	this->CountHeld();
 	if (status < 0) return this->End(this->opened ? TcpEnd::Reset : TcpEnd::Failed, uv_strerror(status));
 	if (this->Backlog() == 0 && this->on_drained) this->on_drained();
 }
@@ -198,7 +232,7 @@
 size_t TcpStream::Backlog() const
 {
 	if (this->closed) return 0;
-	return uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t *>(&this->handle->tcp));
+	return uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t *>(&this->handle->tcp)) + this->joined.size();
 }
 
 /** Delete \a handle, which releases its stream. */
@@ -212,6 +246,7 @@
 {
 	if (this->closed) return;
 	this->closed = true;
+	this->CountHeld();
 	auto *handle_base = reinterpret_cast<uv_handle_t *>(&this->handle->tcp);
 	if (!uv_is_closing(handle_base)) uv_close(handle_base, FreeHandle);
 }
@@ -220,6 +255,7 @@
 {
 	if (this->closed || this->closing_after_writes) return;
 	this->closing_after_writes = true;
+	if (!this->joined.empty()) this->Submit(std::exchange(this->joined, {}));
 	this->handle->shutdown.data = this;
 	auto done = [](uv_shutdown_t *request, int) {
 		auto *self = static_cast<TcpStream *>(request->data);
@@ -232,6 +268,7 @@
 {
 	if (this->closed) return;
 	this->closed = true;
+	this->CountHeld();
 	auto *handle_base = reinterpret_cast<uv_handle_t *>(&this->handle->tcp);
 	if (uv_is_closing(handle_base)) return;
 	if (!this->opened || this->closing_after_writes || uv_tcp_close_reset(&this->handle->tcp, FreeHandle) != 0)
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -6,6 +6,7 @@
 
 #include "core/error_type.h"
 #include "core/time_type.h"
+#include "net/held_counter.h"
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -76,6 +77,9 @@
 	/** @return Number of bytes that were written but not yet passed to the kernel. */
 	size_t Backlog() const;
 
+	/** @return Number of bytes passed to the kernel so far. */
+	uint64_t SentBytes() const { return this->written_bytes - this->Backlog(); }
+
 	/** @return Whether the connection has been established. */
 	bool WasOpen() const { return this->opened; }
 
@@ -84,10 +88,14 @@
 
 	struct Handle;
 
+	HeldPart held; ///< Counts the memory of the unsent bytes.
+
 private:
 	void StartReading();
+	void Submit(std::string bytes);
+	void CountHeld();
 	void OnRead(long length, const char *bytes);
-	void OnWritten(int status);
+	void OnWritten(size_t memory, int status);
 	void End(TcpEnd end, const char *cause);
 	void SetOptions();
 	bool IsReset() const;
@@ -98,6 +106,10 @@
 	bool reading = false;              ///< libuv is reading.
 	bool want_read = true;             ///< Reading is not paused.
 	bool closing_after_writes = false; ///< Closed once all bytes have been sent.
+	std::string joined;                ///< Bytes that wait for the current write to end.
+	size_t submitted_memory = 0;       ///< Memory of the writes in libuv's queue.
+	size_t submitted_writes = 0;       ///< Number of writes in libuv's queue.
+	uint64_t written_bytes = 0;        ///< Number of bytes passed to Write() so far.
 
 	friend class TcpListener;
 };
