Add: [Gateway] Bound the memory for slow readers, switch held-memory-bound

HeldMemory measures the own use of the process, derives the bound from memoryMb, and executes the decisions of MemoryBudget.

--- a/src/gateway/feature_switches.cpp
+++ b/src/gateway/feature_switches.cpp
@@ -45,6 +45,8 @@
 	         l.registry.mass_expiry_min_rows = std::numeric_limits<size_t>::max();
          }},
         {"copy-room", "the memory of copies in progress is not counted", [](GatewayLimits &l) { l.count_pending_copies = false; }},
+        {"held-memory-bound", "the bytes held for callers and targets that read slowly are not bounded in sum",
+         [](GatewayLimits &l) { l.memory.use = false; }},
         {"backups", "switched on: copies of all long runs are kept at other engines", [](GatewayLimits &l) { l.backup.use = true; }},
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -62,6 +62,7 @@
       front(loop, [this](const std::shared_ptr<FrontExchange> &exchange) { this->HandleRequest(exchange); }),
       readiness(loop, [this](const std::shared_ptr<FrontExchange> &exchange) { this->HandleReady(exchange); }),
       metrics_front(loop, [this](const std::shared_ptr<FrontExchange> &exchange) { this->HandleMetrics(exchange); }),
+      held_memory(this->front, this->upstream, this->metrics, limits.memory, RandomSeed(this->settings.name)),
       random(RandomSeed(this->settings.name)), timer(std::make_unique<Timer>())
 {
 }
@@ -126,6 +127,7 @@
 	this->metrics.Gauge("cottonspool_quarantined_requests", static_cast<double>(this->quarantined.size()));
 	this->metrics.Gauge("cottonspool_ends_not_written", static_cast<double>(this->crash_records.Waiting()));
 	this->metrics.Gauge("cottonspool_log_lines_dropped", static_cast<double>(DroppedLogLines()));
+	this->held_memory.SetMetrics();
 	exchange->Respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, this->metrics.Render());
 }
 
@@ -322,6 +324,7 @@
 	this->crash_watch.OnTick(now);
 	this->ExpireCrashRecords(now);
 	this->front.OnTick(now);
+	this->held_memory.OnTick(now);
 	this->readiness.OnTick(now);
 	if (now >= this->next_target_scan) {
 		this->next_target_scan = now + this->limits.target_scan_interval;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "decision/placement_table.h"
 #include "gateway/crash_records.h"
 #include "gateway/crash_watch.h"
+#include "gateway/held_memory.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/relay_call.h"
 #include "metrics/metrics.h"
@@ -287,6 +288,7 @@
 	HttpFront front;         ///< Listener for callers.
 	HttpFront readiness;     ///< Listener for the platform's load balancer.
 	HttpFront metrics_front; ///< Listener for metrics.
+	HeldMemory held_memory;  ///< Bounds the bytes held for callers and targets that read slowly.
 	pcg64 random;
 	std::unordered_map<CallId, std::shared_ptr<RelayCall>, StrongIdHash> calls; ///< Requests not yet answered.
 	DecisionExecutor<RelayCall> executor{this->calls};                          ///< Passes decisions to them.
--- a/src/gateway/gateway_limits.cpp
+++ b/src/gateway/gateway_limits.cpp
@@ -11,6 +11,8 @@
 static constexpr double GROWTH_RESERVE = 0.4;
 
 static constexpr double BYTES_PER_MBIT = 125000;
+/** The settings do not say which kind of megabyte they mean; this is the smaller one. */
+static constexpr uint64_t BYTES_PER_MB = 1000000;
 static constexpr double FORWARD_LINK_FRACTION = 0.2;  ///< Fraction of the network link for forwarding rows to other instances.
 static constexpr double SNAPSHOT_LINK_FRACTION = 0.5; ///< Fraction of the network link for sending table snapshots to instances that start.
 /** Assumed number of instances that share the slack of the retry budget until the real one is known. */
@@ -23,6 +25,7 @@
 	pool.ratio = settings.platform_bounds.retry_ratio * 0.9;
 	pool.burst = std::max(1.0, settings.platform_bounds.retry_slack / ASSUMED_INSTANCES);
 	limits.dispatch.pool_retry = pool;
+	limits.memory.memory_bytes = settings.memory_mb * BYTES_PER_MB;
 	limits.retry_slack = settings.platform_bounds.retry_slack;
 	limits.exchange.link_mbps = settings.link_mbps;
 	limits.exchange.bootstrap = settings.bootstrap;
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -6,6 +6,7 @@
 
 #include "decision/backup_choice.h"
 #include "decision/dispatcher.h"
+#include "decision/memory_budget.h"
 #include "decision/route_table.h"
 #include "decision/target_registry.h"
 #include "gateway/crash_records.h"
@@ -67,6 +68,7 @@
 	bool count_pending_copies = true;     ///< Count the memory of a copy in progress at the engine that receives it.
 	bool use_drain_notice = true;         ///< Use the drain notice in an engine's own report.
 	double retry_slack = 50;              ///< Retries beyond the ratio to requests that all instances together may make.
+	MemoryLimits memory;                  ///< Bytes held for callers and targets that read slowly.
 	BackupRules backup;                   ///< Copies of runs at other engines.
 	DispatchLimits dispatch;              ///< Dispatching of requests.
 	HeadroomRules router;                 ///< Choice of a target by headroom.
--- a/src/gateway/relay_call.cpp
+++ b/src/gateway/relay_call.cpp
@@ -24,9 +24,18 @@
 	this->exchange->on_disconnect = [weak] {
 		if (auto self = weak.lock()) self->OnCallerDisconnected();
 	};
+	this->exchange->on_pause = [weak](bool paused) {
+		if (auto self = weak.lock()) self->SetHeldBack(paused);
+	};
 	this->gateway.Execute(this->gateway.dispatcher.Submit(this->request.spec, now));
 }
 
+void RelayCall::SetHeldBack(bool paused)
+{
+	this->held_back = paused;
+	if (!this->concluded) this->UpdateFlowControl();
+}
+
 void RelayCall::OnSend(const SendAction &action)
 {
 	if (this->concluded) return;
@@ -203,6 +212,8 @@
 	this->concluded = true;
 	this->exchange->on_disconnect = nullptr;
 	this->exchange->on_drained = nullptr;
+	this->exchange->on_pause = nullptr;
+	this->exchange->SetBuffered(0);
 	Duration took = MonotonicNow() - this->request.spec.arrived;
 	Log(LogLevel::Info, "finished",
 	    {{"request", this->request.info.attempt},
@@ -257,13 +268,20 @@
 	if (this->concluded) return;
 	if (this->forwarding) return this->exchange->Write(bytes);
 	this->answer.body.append(bytes);
+	this->exchange->SetBuffered(this->answer.body.capacity());
 	bool success = this->answer.head.status / 100 == 2 && this->answer.info.stamped;
 	if (this->answer.body.size() <= this->gateway.limits.max_buffered_answer_bytes || !success) return;
 	this->forwarding = true;
 	this->exchange->Start(this->answer.head.status, HeadersForCaller(this->answer.head.headers), this->answer.head.length,
 	                      this->answer.head.reason);
 	this->exchange->Write(this->answer.body);
-	this->answer.body.clear();
+	this->answer.body = {};
+	this->exchange->SetBuffered(0);
+}
+
+void BufferedRelay::UpdateFlowControl()
+{
+	if (this->upstream_call != 0) this->gateway.upstream.SetReading(this->upstream_call, !this->held_back);
 }
 
 void BufferedRelay::OnEnd(uint64_t, UpstreamEnd end, const char *cause)
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -49,6 +49,9 @@
 	/** Abort the request, as the process ends. */
 	void AbortOnStop();
 
+	/** The answer should arrive no further (\a paused), or may continue, as memory is scarce; see HeldMemory. */
+	void SetHeldBack(bool paused);
+
 	/** @return Whether the final answer has been given or the caller has disconnected. */
 	bool IsConcluded() const { return this->concluded; }
 
@@ -71,6 +74,9 @@
 	/** @return Whether a send is in progress. */
 	virtual bool HasSend() const { return this->upstream_call != 0; }
 
+	/** Pause or continue reading from the target, as far as the present call calls for it. */
+	virtual void UpdateFlowControl() = 0;
+
 	/** @return The progress at the target. */
 	virtual RunStage Stage() const { return RunStage::Waiting; }
 
@@ -117,6 +123,7 @@
 	TimePoint sent_at;                  ///< Time of the last send.
 	bool outcome_unknown = false;       ///< A send ended with an unknown outcome, so the request may have been executed.
 	bool concluded = false;             ///< Final answer given, or caller disconnected.
+	bool held_back = false;             ///< Reading from the target is paused, as memory is scarce.
 
 private:
 	/** Cancel everything, as nobody waits for the answer. */
@@ -135,6 +142,7 @@
 	void OnBody(uint64_t from, std::string_view bytes) override;
 	void OnEnd(uint64_t from, UpstreamEnd end, const char *cause) override;
 	bool DeliverKeptAnswer() override;
+	void UpdateFlowControl() override;
 
 private:
 	/** An answer of a target. */
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -39,6 +39,7 @@
 	if (this->concluded || from != this->upstream_call) return;
 	if (!this->streaming) {
 		this->answer_body.append(bytes.substr(0, this->gateway.limits.max_buffered_answer_bytes));
+		this->exchange->SetBuffered(this->answer_body.capacity());
 		return;
 	}
 	auto keep = this->shared_from_this();
@@ -80,7 +81,7 @@
 void StreamRelay::UpdateFlowControl()
 {
 	if (this->concluded) return;
-	bool pause = this->exchange->Backlog() > this->gateway.ActiveFrontLimits().max_backlog_bytes;
+	bool pause = this->held_back || this->exchange->Backlog() > this->gateway.ActiveFrontLimits().max_backlog_bytes;
 	if (pause == this->paused) return;
 	this->paused = pause;
 	if (this->upstream_call != 0) this->gateway.upstream.SetReading(this->upstream_call, !pause);
--- a/src/gateway/stream_relay.h
+++ b/src/gateway/stream_relay.h
@@ -27,6 +27,7 @@
 	void OnBody(uint64_t from, std::string_view bytes) override;
 	void OnEnd(uint64_t from, UpstreamEnd end, const char *cause) override;
 	void CancelAuxiliaryCalls() override;
+	void UpdateFlowControl() override;
 	bool HasSend() const override { return this->upstream_call != 0 || this->migration.resume_call != 0; }
 	RunStage Stage() const override;
 
@@ -98,8 +99,6 @@
 	void FailMigration(const char *why, Duration retry_delay);
 	/** Fail the request, as its run is lost. */
 	void FailRun(const char *cause);
-	/** Pause or continue reading from the engine, according to the caller's backlog. */
-	void UpdateFlowControl();
 	/** Log a step of the migration. */
 	void LogMigration(const char *step, const char *result);
 
@@ -114,7 +113,7 @@
 	TimePoint last_event_at;       ///< When the last event was forwarded.
 	Duration first_event_after{0}; ///< Time from the request's arrival to the first event.
 	Duration longest_gap{0};       ///< Longest pause between events.
-	bool paused = false;           ///< Reading from the engine is paused, as the caller reads slowly.
+	bool paused = false;           ///< Reading from the engine is paused, as the caller reads slowly or memory is scarce.
 	Migration migration;           ///< Migration in progress.
 	uint32_t migrations = 0;       ///< Completed migrations.
 };
--- a/src/tests/feature_switches_test.cpp
+++ b/src/tests/feature_switches_test.cpp
@@ -13,9 +13,10 @@
 	std::set<std::string> names;
 	for (const FeatureSwitch &feature : FeatureSwitches()) CHECK(names.insert(feature.name).second);
 	GatewayLimits limits;
-	REQUIRE(ApplySwitches("moves,cached-prefix", limits).has_value());
+	REQUIRE(ApplySwitches("moves,cached-prefix,held-memory-bound", limits).has_value());
 	CHECK_FALSE(limits.use_migration);
 	CHECK_FALSE(limits.router.use_prefix);
+	CHECK_FALSE(limits.memory.use);
 	CHECK(limits.router.use_interval);
 }
 
--- a/tests/runner/http.cpp
+++ b/tests/runner/http.cpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
 #include <sys/socket.h>
 #include <thread>
@@ -55,6 +56,19 @@
 	return size * count;
 }
 
+/**
+ * libcurl callback: a socket was created. The large segments and buffers of the loopback interface would hold megabytes for a slow reader
+ * in the kernel, so that nothing would be left for the process under test to hold.
+ */
+static int SetSmallBuffers(void *, curl_socket_t socket, curlsocktype)
+{
+	static constexpr int SEGMENT_BYTES = 1400;
+	static constexpr int RECEIVE_BUFFER_BYTES = 16 << 10;
+	setsockopt(socket, IPPROTO_TCP, TCP_MAXSEG, &SEGMENT_BYTES, sizeof(SEGMENT_BYTES));
+	setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &RECEIVE_BUFFER_BYTES, sizeof(RECEIVE_BUFFER_BYTES));
+	return CURL_SOCKOPT_OK;
+}
+
 /** Perform \a call; runs in its thread. */
 static void Perform(ScenarioCall *call)
 {
@@ -71,6 +85,7 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHead);
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
+	if (call->slow_ms > 0) curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, SetSmallBuffers);
 	if (call->method != "GET") curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call->body.c_str());
 	CURLcode code = curl_easy_perform(easy);
 	if (code != CURLE_OK) call->error = curl_easy_strerror(code);
--- a/tests/scenarios/lib.lua
+++ b/tests/scenarios/lib.lua
@@ -1,5 +1,5 @@
 -- Shared by all scenarios: starts processes, sends requests and checks answers.
-local lib = { ports = {}, peers = {}, names = {}, settings = {} }
+local lib = { ports = {}, peers = {}, names = {}, settings = {}, pids = {} }
 
 function lib.http(call) return http_wait(http_start(call)) end
 
@@ -28,9 +28,10 @@
 end
 
 -- Starts a proxy in front of an address and returns the proxy's address. lib.link(name, mode) makes it pass, cut or stall traffic.
-function lib.relay(name, to)
+-- segment_bytes: largest TCP segment of its connections, for buffers as on a network.
+function lib.relay(name, to, segment_bytes)
 	local probe = lib.free_port()
-	lib.standin(name, "relay", { to = to, link_port = probe })
+	lib.standin(name, "relay", { to = to, link_port = probe, segment_bytes = segment_bytes })
 	return "127.0.0.1:" .. probe
 end
 
@@ -221,14 +222,15 @@
 		.. '"tenants":[{"name":"acme","apiKeys":[%s]%s}]}', version, table.concat(routes, ","), engines or "", keys or '"k1"', account or "")
 end
 
--- Starts an instance (`cottonspool gateway`) on the simulated platform and waits until it is ready; prefix: words before the program.
-function lib.gateway(name, hall, prefix)
+-- Starts an instance (`cottonspool gateway`) on the simulated platform and waits until it is ready; prefix: words before the program;
+-- memory_mb: the instance's memory, unknown to it without a value.
+function lib.gateway(name, hall, prefix, memory_mb)
 	local settings = string.format('{"nodeName":"%s","zone":"%s","ip":"127.0.0.1","zones":{"hall-a":"r","hall-b":"r2"},"listen":{"front":'
-		.. '"127.0.0.1:0","ready":"127.0.0.1:0"},"internalPorts":[0,1],"platform":{"address":"%s"},"bounds":{"graceS":8}}',
-		name, hall or "hall-a", lib.ports.world)
+		.. '"127.0.0.1:0","ready":"127.0.0.1:0"},"internalPorts":[0,1],"platform":{"address":"%s"},"bounds":{"graceS":8}%s}',
+		name, hall or "hall-a", lib.ports.world, memory_mb and ',"limits":{"memoryMb":' .. memory_mb .. "}" or "")
 	local words = prefix or {}
 	for _, word in ipairs{ BIN .. "/cottonspool", "gateway", "--settings", write_file(name .. ".json", settings) } do words[#words + 1] = word end
-	spawn(name, words)
+	lib.pids[name] = spawn(name, words)
 	lib.until_true(10000, name .. " starts", function()
 		lib.ports[name] = output(name):match('"front":"([%d.:]+)"')
 		lib.ports[name .. ".ready"] = output(name):match('"ready":"([%d.:]+)"')
@@ -242,10 +244,25 @@
 	return lib.http{ url = "http://" .. lib.ports[name .. ".ready"] .. "/-/readyz", limit_ms = limit_ms }.status == 200
 end
 
--- Starts a request to an instance of the platform with an attempt id. Options: key, events, deadline, limit_ms, body.
+-- Returns the resident memory of an instance of the platform in MB, at present and at its peak.
+function lib.memory_mb(name)
+	local status = io.open("/proc/" .. lib.pids[name] .. "/status"):read("a")
+	return tonumber(status:match("VmRSS:%s+(%d+)")) / 1024, tonumber(status:match("VmHWM:%s+(%d+)")) / 1024
+end
+
+-- Returns the bytes that an instance of the platform holds for slow readers, in MB, and as a fraction of its bound (0 without a bound).
+function lib.held(name)
+	local metrics = lib.http{ url = "http://" .. lib.ports[name .. ".metrics"] .. "/metrics" }.body
+	local held = tonumber(metrics:match("cottonspool_held_bytes ([%d.e+]+)") or 0)
+	local bound = tonumber(metrics:match("cottonspool_held_bytes_bound ([%d.e+]+)") or math.huge)
+	return held / 1e6, held / bound
+end
+
+-- Starts a request to an instance of the platform with an attempt id. Options: key, events, deadline, limit_ms, body, slow_ms.
 function lib.request(name, path, id, options)
 	options = options or {}
-	return http_start{ url = "http://" .. lib.ports[name] .. path, method = "POST", body = options.body or "body", limit_ms = options.limit_ms or 20000, headers = {
+	return http_start{ url = "http://" .. lib.ports[name] .. path, method = "POST", body = options.body or "body", limit_ms = options.limit_ms or 20000,
+		slow_ms = options.slow_ms, headers = {
 		"Host: h.example", "X-Attempt-Id: " .. id, "X-Deadline-Ms: " .. (options.deadline or 15000), "X-Model: m",
 		"X-Token-Count: 100," .. 4 * (options.events or 40), "Authorization: Bearer " .. (options.key or "k1") } }
 end
--- a/tests/standins/relay.cpp
+++ b/tests/standins/relay.cpp
@@ -7,11 +7,15 @@
 #include <gflags/gflags.h>
 #include <iostream>
 #include <map>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <set>
+#include <sys/socket.h>
 
 DEFINE_string(to, "", "IP:PORT that the first link connects to; empty for no first link");
 DEFINE_int32(link_port, 0, "port of the first link");
 DECLARE_string(ip);
+DECLARE_int32(segment_bytes);
 
 namespace cottonspool {
 
@@ -56,6 +60,10 @@
 		if (uv_tcp_bind(&this->listener, reinterpret_cast<sockaddr *>(&address), 0) != 0) return 0;
 		auto accept = [](uv_stream_t *from, int) { static_cast<Link *>(from->data)->Accept(); };
 		if (uv_listen(reinterpret_cast<uv_stream_t *>(&this->listener), 512, accept) != 0) return 0;
+		uv_os_fd_t fd = -1;
+		// See LimitSegments(); it also keeps the sender's buffer from taking megabytes.
+		if (FLAGS_segment_bytes > 0 && uv_fileno(reinterpret_cast<uv_handle_t *>(&this->listener), &fd) == 0)
+			setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &FLAGS_segment_bytes, sizeof(FLAGS_segment_bytes));
 		int size = sizeof(address);
 		uv_tcp_getsockname(&this->listener, reinterpret_cast<sockaddr *>(&address), &size);
 		return ntohs(address.sin_port);
--- a/tests/standins/simulation.cpp
+++ b/tests/standins/simulation.cpp
@@ -5,10 +5,16 @@
 #include "simulation_base.h"
 #include <gflags/gflags.h>
 #include <iostream>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 DEFINE_int32(engines, 4, "world: number of engines");
 DEFINE_int32(services, 2, "world: number of services");
 DEFINE_int32(event_ms, 20, "world: interval between events of a stream, in milliseconds");
+DEFINE_uint64(event_bytes, 0, "world: bytes of padding in each event of a stream");
+DEFINE_int32(segment_bytes, 0, "world: largest TCP segment of the targets' connections; 0 for the default");
+DEFINE_uint64(answer_bytes, 0, "world: bytes of padding in each answer of a service");
 
 namespace cottonspool {
 
@@ -17,11 +23,37 @@
 static constexpr uint64_t KV_COPY_MS = 40;            ///< Duration of copying a run's KV cache.
 static constexpr uint64_t RESUME_MS = 80;             ///< Time until a migrated run sends its next event.
 static constexpr uint64_t MEMORY_TOKENS = 40000;      ///< Memory size in load reports.
+static constexpr size_t MAX_UNREAD_BYTES = 64U << 10; ///< Unread bytes of a stream from which its engine waits for the reader.
 static constexpr uint64_t CRASH_DELAY_MS = 40;        ///< Time until a request with a crash body crashes the target.
 static constexpr uint64_t RESTART_DELAY_MS = 1500;    ///< Time until a crashed target restarts.
 static const char *const CRASH_BODY_PREFIX = "crash"; ///< Beginning of the body of requests that crash the target.
 static const char *const HALLS[] = {"hall-a", "hall-b"};
 
+/** @return \a bytes of padding after a space; nothing for 0. */
+static std::string Padding(uint64_t bytes)
+{
+	return bytes == 0 ? std::string() : " " + std::string(bytes - 1, 'x');
+}
+
+/**
+ * Limit the TCP segments of connections that the listener at \a port accepts. With the segments of 64 KB of the loopback interface, a
+ * receiver opens its window only after it has read everything, which no network does.
+ */
+static void LimitSegments(uv_loop_t *loop, uint16_t port)
+{
+	if (FLAGS_segment_bytes == 0) return;
+	auto limit = [](uv_handle_t *handle, void *at) {
+		sockaddr_in bound{};
+		int size = sizeof(bound);
+		uv_os_fd_t fd = -1;
+		if (handle->type != UV_TCP || uv_is_closing(handle) || uv_fileno(handle, &fd) != 0) return;
+		if (uv_tcp_getsockname(reinterpret_cast<uv_tcp_t *>(handle), reinterpret_cast<sockaddr *>(&bound), &size) != 0) return;
+		if (ntohs(bound.sin_port) == *static_cast<uint16_t *>(at))
+			setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &FLAGS_segment_bytes, sizeof(FLAGS_segment_bytes));
+	};
+	uv_walk(loop, limit, &port);
+}
+
 SimulatedTarget::SimulatedTarget(uv_loop_t *loop, SimulatedStore &store, SimulationRecord &record, std::string id, std::string pool,
                                  std::string hall, bool engine)
     : id(std::move(id)), loop(loop), store(store), record(record), pool(std::move(pool)), hall(std::move(hall)), engine(engine)
@@ -40,6 +72,7 @@
 	this->draining = this->drains_by_header = false;
 	this->front = std::make_unique<HttpFront>(this->loop, [this](const Exchange &exchange) { this->Handle(exchange); });
 	this->port = this->front->Listen({"127.0.0.1", this->port}).value();
+	LimitSegments(this->loop, this->port);
 	this->WriteHeartbeat();
 }
 
@@ -166,7 +199,7 @@
 	                             {"account", FindHeader(exchange->head.headers, "X-Tenant")}});
 	HttpHeaders headers = this->Headers(attempt);
 	headers.push_back({"X-Server-Load", "1,0,6"});
-	std::string body = "answer to " + attempt;
+	std::string body = "answer to " + attempt + Padding(FLAGS_answer_bytes);
 	bool fails = static_cast<double>(this->answers % 10) < this->error_ratio * 10;
 	std::string how = this->corruption;
 	if (exchange->body.starts_with(CRASH_BODY_PREFIX)) return this->CrashDuring(attempt);
@@ -222,14 +255,14 @@
 {
 	for (auto it = this->running.begin(); it != this->running.end();) {
 		Run &run = *it;
-		if (NowMs() < run.next_at) {
+		if (NowMs() < run.next_at || run.exchange->Backlog() > MAX_UNREAD_BYTES) {
 			++it;
 			continue;
 		}
 		run.next_at = NowMs() + FLAGS_event_ms;
 		run.made++;
 		std::string number = std::to_string(run.made);
-		run.exchange->Write("id: " + number + "\ndata: " + run.attempt + "-" + number + "\n\n");
+		run.exchange->Write("id: " + number + "\ndata: " + run.attempt + "-" + number + Padding(FLAGS_event_bytes) + "\n\n");
 		Exchange done = run.made >= run.length ? run.exchange : nullptr;
 		it = done ? this->running.erase(it) : std::next(it);
 		if (!done) continue;
