--- a/src/operator/explain_log.cpp
+++ b/src/operator/explain_log.cpp
@@ -30,6 +30,7 @@
         {"no-configuration", "the instance had no configuration yet"},
         {"no-route", "the current configuration has no such route"},
         {"unknown-key", "the current configuration does not contain the API key"},
+        {"held-memory", "the instance held too much memory for callers and targets that read slowly"},
         {"stopping", "the instance was shutting down, and a new stream could not have finished in time"}};
 
 std::string LogLine::Field(const std::string &name) const
--- a/src/tests/explain_log_test.cpp
+++ b/src/tests/explain_log_test.cpp
@@ -53,6 +53,7 @@
 	        MakeLine(1, "g1", "received", R"("request":"full")") +
 	        MakeLine(300, "g1", "finished", R"("request":"full","outcome":"deadline-passed","status":"503","ms":"299")") +
 	        MakeLine(5, "g1", "refused", R"("request":"nowhere","status":"404","reason":"no-route")") +
+	        MakeLine(5, "g1", "refused", R"("request":"large","status":"503","reason":"held-memory")") +
 	        MakeLine(6, "g1", "sent", R"("request":"lost","target":"s1")") +
 	        MakeLine(9, "g1", "send-ended", R"("request":"lost","target":"s1","sent":"maybe","cause":"reset by the other side")") +
 	        MakeLine(9, "g1", "finished", R"("request":"lost","outcome":"answer-lost","status":"502","ms":"3")") +
@@ -62,6 +63,7 @@
 	CHECK(TraceOf("lost", log + late).Cause().find("notice") == std::string::npos);
 	CHECK(TraceOf("full", log).Cause() == "answered with 503 after 299 ms: no target had capacity within its wait limit");
 	CHECK(TraceOf("nowhere", log).Cause() == "rejected with 404: the current configuration has no such route");
+	CHECK(TraceOf("large", log).Cause() == "rejected with 503: the instance held too much memory for callers and targets that read slowly");
 	CHECK(TraceOf("lost", log).Cause() == "answered with 502 after 3 ms: s1 was lost (reset by the other side) before its answer was "
 	                                      "complete: the request may have been executed");
 	CHECK(TraceOf("open", log).Cause().find("not answered") == 0);
