--- a/src/gateway/feature_switches.cpp
+++ b/src/gateway/feature_switches.cpp
@@ -59,6 +59,8 @@
         {"copy-room", "the memory of copies in progress is not counted", [](GatewayLimits &l) { l.count_pending_copies = false; }},
         {"target-speeds", "the speeds that targets state are not used, shared or probed for",
          [](GatewayLimits &l) { l.use_target_speeds = false; }},
+        {"held-memory-bound", "the bytes held for callers and targets that read slowly are not bounded in sum",
+         [](GatewayLimits &l) { l.memory.use = false; }},
         {"backups", "switched on: copies of all long runs are kept at other engines", [](GatewayLimits &l) { l.backup.use = true; }},
 };
 
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -6,6 +6,7 @@
 
 #include "decision/backup_choice.h"
 #include "decision/dispatcher.h"
+#include "decision/memory_budget.h"
 #include "decision/migration_schedule.h"
 #include "decision/route_table.h"
 #include "decision/speed_probes.h"
@@ -73,6 +74,7 @@
 	/** Timeout of such a probe, shorter than the interval between two. */
 	Duration speed_probe_timeout = std::chrono::milliseconds(600);
 	double retry_slack = 50;              ///< Retries beyond the ratio to requests that all instances together may make.
+	MemoryLimits memory;                  ///< Bytes held for callers and targets that read slowly.
 	BackupRules backup;                   ///< Copies of runs at other engines.
 	DispatchLimits dispatch;              ///< Dispatching of requests.
 	HeadroomRules router;                 ///< Choice of a target by headroom.
