--- a/src/decision/target_table.cpp
+++ b/src/decision/target_table.cpp
@@ -140,7 +140,8 @@
                                  std::optional<AccountNumber> account)
 {
 	TargetState &target = this->targets[number.value];
-	InFlightCall flight{call, generated, call.generated ? this->lengths.Residual(call, generated) : 0, now, now, account};
+	double residual = call.generated ? this->lengths.Residual(call, generated) : 0;
+	InFlightCall flight{.call = call, .generated = generated, .residual = residual, .sent = now, .last_token = now, .account = account};
 	if (call.generated) this->usage.OnStarted(call.model, account, int64_t{call.prompt_tokens} + generated);
 	target.known_tokens += call.prompt_tokens + generated;
 	target.known_residual += flight.residual;
--- a/src/tests/lateness_router_test.cpp
+++ b/src/tests/lateness_router_test.cpp
@@ -4,6 +4,7 @@
 
 #include "decision/dispatcher.h"
 #include <doctest/doctest.h>
+#include <map>
 
 using namespace cottonspool;
 using std::chrono::milliseconds;
@@ -24,11 +25,20 @@
 	{
 		std::string name = "engine" + std::to_string(this->dispatcher.Targets().Size());
 		TargetNumber number = this->dispatcher.Targets().Configure(name, hall, {ModelNumber{0}});
-		this->dispatcher.Targets().SetBaseFactor(number, factor);
+		this->factors[number] = factor;
+		this->StateSpeeds();
 		this->Report(number, 0);
 		return number;
 	}
 
+	/** Let all engines of known speed state it, as what they stated expires. */
+	void StateSpeeds()
+	{
+		for (const auto &[number, factor] : this->factors) {
+			if (factor > 0) this->dispatcher.Targets().OnTimeFactor(number, factor, this->now);
+		}
+	}
+
 	/** Let \a engine report \a used tokens. */
 	void Report(TargetNumber engine, uint64_t used)
 	{
@@ -57,6 +67,7 @@
 	/** Send some prompts of peers to each engine and end them, so that one a second is expected. */
 	void SendPrompts()
 	{
+		this->StateSpeeds();
 		TargetTable &targets = this->dispatcher.Targets();
 		for (uint32_t engine = 0; engine < targets.Size(); engine++) {
 			for (int i = 0; i < 4; i++) {
@@ -84,6 +95,7 @@
 
 	Dispatcher dispatcher;
 	TimePoint now{std::chrono::seconds(100)};
+	std::map<TargetNumber, double> factors; ///< Time factors by engine; 0 for unknown.
 
 private:
 	uint64_t reports = 0;
@@ -103,7 +115,7 @@
 		other.id = CallId{200000U + static_cast<uint64_t>(i)};
 		targets.OnPeerCallSent(at, other, pool.now);
 		for (int event = 0; event < 4; event++) {
-			pool.now += FromSeconds((i % 5 == 0 ? 0.154 : 0.062) * targets.Get(at).base_factor);
+			pool.now += FromSeconds((i % 5 == 0 ? 0.154 : 0.062) * pool.factors.at(at));
 			targets.OnToken(at, run.id, pool.now, 4);
 		}
 		targets.OnPeerCallEnded(at, other.id, pool.now);
@@ -226,7 +238,7 @@
 	CHECK(harm(1) == 0);
 	CHECK(targets.GapObjectiveOf(ModelNumber{0}) == milliseconds(180));
 	// No prompt is read for a run that migrates.
-	call.generated_tokens = 4;
+	call.migrated_output = 4;
 	CHECK(harm(0) == 0);
 }
 
@@ -251,7 +263,7 @@
 	SpeedPool pool({0.55});
 	TargetTable &targets = pool.dispatcher.Targets();
 	TargetNumber service = targets.Configure("service", "hall", {ModelNumber{1}}, false);
-	targets.SetBaseFactor(service, 2);
+	targets.OnTimeFactor(service, 2, pool.now);
 	CHECK(targets.PlacementFactors(targets.Get(service), pool.now).empty());
 	CHECK(targets.PlacementFactors(targets.Get(TargetNumber{0}), pool.now).size() == 1);
 	DispatchLimits off;
--- a/src/tests/lateness_simulation.cpp
+++ b/src/tests/lateness_simulation.cpp
@@ -205,7 +205,7 @@
 		SimulatedEngine &engine = this->engines[index];
 		if (!engine.speed_known && this->scenario.states_speed && this->now >= engine.known_at) {
 			engine.speed_known = true;
-			for (auto &instance : this->instances) instance->dispatcher->Targets().SetBaseFactor(engine.number, engine.factor);
+			for (auto &instance : this->instances) instance->dispatcher->Targets().OnTimeFactor(engine.number, engine.factor, this->now);
 		}
 		if (this->now >= engine.report_at) {
 			engine.report_at += this->scenario.report_interval;
