Test: [Speed] A hall that is cut off, and a target that restarts under its id

Two failures of the specification had no test: a hall that is cut off from the others, which has to go on learning the targets that it reaches, and a target whose report names another incarnation, whose speed has to be unknown again.

The simulation cuts the first hall off in its second half; only pairs that are connected are judged.

--- a/src/tests/speed_sharing_test.cpp
+++ b/src/tests/speed_sharing_test.cpp
@@ -45,6 +45,14 @@
 	}
 }
 
+TEST_CASE("Speed sharing - a hall that is cut off, and the halls that it is cut off from, go on learning the targets that they reach")
+{
+	// Guards against speeds that reach the instances only by way of another hall.
+	SpeedCounts counts = SpeedSimulation({.cut_off = true, .steps = 1600}, 4).Run();
+	CHECK(counts.well_known * 10 >= counts.judged * 9);
+	CHECK(counts.right * 10 >= counts.pairs * 9);
+}
+
 TEST_CASE("Speed sharing - a target gets at most four probes, an instance sends at most five a second, and updates are few")
 {
 	// Guards against probes and messages that grow with the number of instances.
--- a/src/tests/speed_simulation.cpp
+++ b/src/tests/speed_simulation.cpp
@@ -89,6 +89,7 @@
 		size_t instance = this->Index(this->instances.size());
 		Target &target = this->targets[number];
 		if (!this->IsListed(instance, target) || this->now >= target.dies_at) continue;
+		if (!this->IsConnected(instance % this->layout.halls, target.hall)) continue;
 		if (target.first_stream_at == TimePoint{}) target.first_stream_at = this->now;
 		this->events.emplace(this->now + this->Between(50, 700), Event{instance, number, std::nullopt});
 	}
@@ -148,7 +149,7 @@
 			for (size_t to = 0; to < this->instances.size(); to++) {
 				// Updates reach the other halls by way of two more instances.
 				bool same_hall = from % this->layout.halls == to % this->layout.halls;
-				if (from != to)
+				if (from != to && this->IsConnected(from % this->layout.halls, to % this->layout.halls))
 					this->events.emplace(this->now + (same_hall ? this->Between(1, 40) : this->Between(5, 120)), Event{to, 0, update});
 			}
 		}
@@ -163,7 +164,11 @@
 		target.judged = true;
 		if (this->now >= target.dies_at) continue;
 		size_t right = 0;
-		for (const auto &instance : this->instances) {
+		size_t reachable = 0;
+		for (size_t i = 0; i < this->instances.size(); i++) {
+			const std::unique_ptr<Instance> &instance = this->instances[i];
+			if (!this->IsConnected(i % this->layout.halls, target.hall)) continue;
+			reachable++;
 			std::optional<TargetNumber> known = instance->targets.Find(target.name);
 			std::optional<double> factor = known ? instance->targets.Get(*known).speed.Factor(this->now) : std::nullopt;
 			bool correct = factor && (*factor < MIDDLE) == (target.base < MIDDLE);
@@ -171,9 +176,9 @@
 			if (factor && !correct) this->counts.wrong++;
 		}
 		this->counts.judged++;
-		this->counts.pairs += this->instances.size();
+		this->counts.pairs += reachable;
 		this->counts.right += right;
-		if (right * 10 >= this->instances.size() * 9) this->counts.well_known++;
+		if (right * 10 >= reachable * 9) this->counts.well_known++;
 	}
 }
 
@@ -199,6 +204,7 @@
 {
 	for (uint32_t step = 0; step < this->layout.steps; step++) {
 		this->now += TICK;
+		this->is_cut = this->layout.cut_off && step >= this->layout.steps / 2;
 		if (step % 2 == 0) this->UpdateLists();
 		this->StartStreams();
 		if (this->layout.probe && step % 4 == 0) this->Probe();
--- a/src/tests/speed_simulation.h
+++ b/src/tests/speed_simulation.h
@@ -22,6 +22,7 @@
 	bool share = true;                        ///< Whether instances publish speeds.
 	bool probe = true;                        ///< Whether targets are probed.
 	Duration restarts{0};                     ///< Interval between restarts of an instance; zero for none.
+	bool cut_off = false;                     ///< Whether the first hall is cut off from the others in the second half of the time.
 	uint32_t steps = 2400;                    ///< Length of the simulation, in ticks of 25 ms.
 };
 
@@ -87,6 +88,8 @@
 	void Flush();
 	void Judge();
 	void RestartInstance();
+	/** @return Whether the network connects the halls \a a and \a b now. */
+	bool IsConnected(size_t a, size_t b) const { return !this->is_cut || (a == 0) == (b == 0); }
 	double Uniform(double from, double to) { return std::uniform_real_distribution<double>(from, to)(this->random); }
 	size_t Index(size_t size) { return std::uniform_int_distribution<size_t>(0, size - 1)(this->random); }
 	Duration Between(double from_ms, double to_ms) { return FromSeconds(this->Uniform(from_ms, to_ms) / 1000); }
@@ -100,6 +103,7 @@
 	std::multimap<TimePoint, Event> events; ///< Events to come.
 	SpeedCounts counts;
 	TimePoint next_restart;
+	bool is_cut = false; ///< Whether the first hall is cut off now.
 };
 
 } // namespace cottonspool
--- a/src/tests/target_speed_test.cpp
+++ b/src/tests/target_speed_test.cpp
@@ -192,6 +192,24 @@
 	CHECK(!harness.targets.Get(next).speed.Factor(START));
 }
 
+TEST_CASE("Speed - a target that reports another incarnation has unknown speed")
+{
+	// Guards against the speed of a process that has ended.
+	SpeedHarness harness;
+	LoadReport report;
+	report.sequence = 1;
+	report.incarnation = "a";
+	harness.targets.OnReport(TargetNumber{0}, report, START);
+	harness.targets.OnTimeFactor(TargetNumber{0}, 0.55, START);
+	report.sequence = 2;
+	harness.targets.OnReport(TargetNumber{0}, report, START);
+	CHECK(harness.targets.Get(TargetNumber{0}).speed.Factor(START) == 0.55);
+	report.incarnation = "b";
+	harness.targets.OnReport(TargetNumber{0}, report, START);
+	CHECK(!harness.targets.Get(TargetNumber{0}).speed.Factor(START));
+	CHECK(harness.FactorsOf(0, START).empty());
+}
+
 TEST_CASE("Speed - the expected time for a prompt follows the speed of its target, and the learned rate does not")
 {
 	// Guards against a prefill rate that is learned at a slow target and applied to a fast one.
