Test: [Gateway] Runs that wait at an engine that ends are lost and not sent again; an error is recognised by its text

Cause: no test covered an engine that ends while runs wait there.

Change: platform_leaving_waiting kills a draining engine with waiting runs: exactly these are lost, and each request was started once.

--- a/tests/scenarios/platform_leaving_waiting.lua
+++ b/tests/scenarios/platform_leaving_waiting.lua
@@ -41,7 +41,8 @@
 
 local function start(prefix, count, events)
 	local calls = {}
-	for i = 1, count do calls[i] = lib.request("g" .. i % 2 + 1, "/s/x", prefix .. i, { events = events }) end
+	-- The bodies differ, so that a crash during one request does not quarantine the others.
+	for i = 1, count do calls[i] = lib.request("g" .. i % 2 + 1, "/s/x", prefix .. i, { events = events, body = prefix .. i }) end
 	lib.until_true(3000, prefix .. " runs start", function()
 		local started = 0
 		for _, run in ipairs(lib.record("world").runs) do started = started + (run.request:find(prefix, 1, true) == 1 and 1 or 0) end
@@ -94,6 +95,23 @@
 resumed = finish(calls, "stops", 120)
 lib.check(resumed >= waiting, "of " .. waiting .. " preempted runs " .. resumed .. " migrated")
 
+-- An engine ends while runs wait there: they may have run, so that they are lost and not sent again.
+each_engine('{"do":"stall","target":"%s"}')
+calls = start("ends", 4, 40)
+engine, waiting = busiest("ends")
+lib.control("world", '{"do":"leave","target":"' .. engine .. '"}')
+sleep_ms(300)
+kill(engine)
+each_engine('{"do":"stall","target":"%s","on":false}')
+local lost = 0
+for _, call in ipairs(calls) do
+	local ended = http_wait(call)
+	lost = lost + ((ended.error ~= "" or ended.status ~= 200) and 1 or 0)
+end
+lib.check(lost == waiting, "of " .. waiting .. " runs that waited at an engine that ended " .. lost .. " were lost")
+local runs = lib.count_runs()
+for i = 1, 4 do lib.check(runs["ends" .. i] == 1, "ends" .. i .. " was started " .. tostring(runs["ends" .. i]) .. " times") end
+
 -- No engine is left for a run: one log line tells it, however often the choice is repeated.
 calls = start("stays", 2, 150)
 for i = 0, 3 do
