Fix: [Lateness] Merge of factors that clang rejects

clang 14 has no initialisation of aggregates in parentheses, so clang-tidy failed on try_emplace(); the factor is built with braces.

--- a/src/decision/target_lateness.cpp
+++ b/src/decision/target_lateness.cpp
@@ -16,7 +16,8 @@
 	static constexpr double MERGE_RATIO = 1.05;
 	std::map<long, WeightedFactor> merged;
 	for (const WeightedFactor &possible : factors) {
-		WeightedFactor &same = merged.try_emplace(std::lround(std::log(possible.factor) / std::log(MERGE_RATIO)), 0.0, 0.0).first->second;
+		WeightedFactor &same =
+		        merged.try_emplace(std::lround(std::log(possible.factor) / std::log(MERGE_RATIO)), WeightedFactor{0, 0}).first->second;
 		same.factor += possible.weight * possible.factor;
 		same.weight += possible.weight;
 	}
