--- a/src/gateway/feature_switches.cpp
+++ b/src/gateway/feature_switches.cpp
@@ -61,6 +61,8 @@
          [](GatewayLimits &l) { l.use_target_speeds = false; }},
         {"held-memory-bound", "the bytes held for callers and targets that read slowly are not bounded in sum",
          [](GatewayLimits &l) { l.memory.use = false; }},
+        {"migration-headroom", "switched on: the headroom for runs that migrate counts all that is known",
+         [](GatewayLimits &l) { l.dispatch.targets.use_migration_headroom = true; }},
         {"backups", "switched on: copies of all long runs are kept at other engines", [](GatewayLimits &l) { l.backup.use = true; }},
 };
 
--- a/src/gateway/gateway_limits.cpp
+++ b/src/gateway/gateway_limits.cpp
@@ -51,6 +51,8 @@
 	limits.dispatch.targets.use_growth_feedback = false;
 	limits.dispatch.targets.growth_start = GROWTH_RESERVE;
 	limits.dispatch.use_rescue_order = true;
+	// Counting all that is known saves more runs of draining engines, but fills the others until they preempt more runs than were saved.
+	limits.dispatch.targets.use_migration_headroom = false;
 	limits.dispatch.retry.backoff_base = std::chrono::milliseconds(5);
 	limits.dispatch.retry.backoff_max = std::chrono::milliseconds(40);
 	limits.dispatch.retry_after_min = std::chrono::milliseconds(100);
