Fix: [Dispatcher] The room for urgent routes is learned from the first calls on, and goes by how long calls hold memory

Cause: each of 70 instances sees a call of a route every few seconds. The first one dominated its smoothed memory, and prompts of both routes spread so widely that the long route often looked like the smaller one; calls with no room to leave were sent at a pressure of 0.91 (p90).

Change: all of the first calls count alike, and routes are compared by the maximum number of output tokens, which differs far more than prompts do.

--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -109,8 +109,8 @@
 	TrackedCall &tracked = this->calls.emplace(call.id, TrackedCall{.call = call}).first->second;
 	if (call.generated && this->limits.leave_urgent_room) {
 		double need = this->ExpectedTokens(call);
-		this->urgent_room.OnCall(call.model, call.route_priority, need);
-		tracked.call.urgent_room = this->urgent_room.RoomFor(call.model, call.route_priority, need);
+		this->urgent_room.OnCall(call.model, call.route_priority, need, call.max_tokens);
+		tracked.call.urgent_room = this->urgent_room.RoomFor(call.model, call.route_priority);
 		// In the queue of its account, it must not hold up the calls that it leaves room for.
 		if (tracked.call.urgent_room > 0) tracked.call.priority--;
 	}
--- a/src/decision/urgent_room.cpp
+++ b/src/decision/urgent_room.cpp
@@ -7,24 +7,26 @@
 
 namespace cottonspool {
 
-static constexpr double NEED_SMOOTHING = 0.05; ///< Weight of the newest call in the smoothed memory.
+static constexpr double MIN_WEIGHT = 0.05; ///< Weight of the newest call in a mean once there have been many.
 
-void UrgentRoom::OnCall(ModelNumber pool, int priority, double tokens)
+void UrgentRoom::OnCall(ModelNumber pool, int priority, double tokens, uint32_t max_output)
 {
-	auto [entry, added] = this->needs.try_emplace({pool.value, priority}, tokens);
-	if (!added) entry->second += NEED_SMOOTHING * (tokens - entry->second);
+	CallNeeds &known = this->needs[{pool.value, priority}];
+	known.calls++;
+	// One of many instances sees few calls, so all of the first ones count alike.
+	double weight = std::max(MIN_WEIGHT, 1.0 / known.calls);
+	known.tokens += weight * (tokens - known.tokens);
+	known.output += weight * (max_output - known.output);
 }
 
-double UrgentRoom::RoomFor(ModelNumber pool, int priority, double tokens) const
+double UrgentRoom::RoomFor(ModelNumber pool, int priority) const
 {
-	double room = 0;
 	auto own = this->needs.find({pool.value, priority});
-	double own_need = own == this->needs.end() ? tokens : own->second;
+	if (own == this->needs.end()) return 0;
+	double room = 0;
 	// The entries of a pool are in order of priority, the most urgent first.
-	for (auto entry = this->needs.lower_bound({pool.value, 0}); entry != this->needs.end(); ++entry) {
-		auto [entry_pool, entry_priority] = entry->first;
-		if (entry_pool != pool.value || entry_priority >= priority) break;
-		if (entry->second < own_need) room = std::max(room, entry->second);
+	for (auto entry = this->needs.lower_bound({pool.value, 0}); entry != own; ++entry) {
+		if (entry->second.output < own->second.output) room = std::max(room, entry->second.tokens);
 	}
 	return room;
 }
--- a/src/decision/urgent_room.h
+++ b/src/decision/urgent_room.h
@@ -13,24 +13,33 @@
 /**
  * Answers a burst of long generations that fills the memory of all engines of a pool. Memory is then only freed when a long generation
  * ends, so that short ones of a more urgent route, which need little memory for a short time, wait behind them and start too late. A call
- * therefore leaves free, at the target it is sent to, the room for one call of the more urgent route that needs the most. Routes that need
- * more memory than the call itself don't count: room for those would keep out several small calls for a large one.
+ * therefore leaves free, at the target it is sent to, the room for one call of the more urgent route that needs the most. Routes whose
+ * calls hold memory for longer than the call's own route don't count: room for those would keep out many brief calls for a long one.
  */
 class UrgentRoom {
 public:
-	/** Learn that a call of a route with \a priority, expected to need \a tokens of memory, has arrived for \a pool. */
-	void OnCall(ModelNumber pool, int priority, double tokens);
-
 	/**
+	 * Learn from a call of a route with \a priority that has arrived for \a pool.
 	 * @param tokens Expected memory of the call.
+	 * @param max_output Maximum number of its output tokens, which stands for the time that it holds the memory.
+	 */
+	void OnCall(ModelNumber pool, int priority, double tokens, uint32_t max_output);
+
+	/**
 	 * @return Memory, in tokens, that a call of a route with \a priority has to leave free at its target; zero if no route of the pool is
-	 *         both more urgent and smaller.
+	 *         both more urgent and briefer.
 	 */
-	double RoomFor(ModelNumber pool, int priority, double tokens) const;
+	double RoomFor(ModelNumber pool, int priority) const;
 
 private:
-	/** Smoothed memory of a call, in tokens, by pool and route priority. */
-	std::map<std::pair<uint32_t, int>, double> needs;
+	/** Learned properties of the calls of one priority. */
+	struct CallNeeds {
+		double tokens = 0; ///< Mean memory of a call, in tokens.
+		double output = 0; ///< Mean of the maximum number of output tokens.
+		uint32_t calls = 0;
+	};
+
+	std::map<std::pair<uint32_t, int>, CallNeeds> needs; ///< Needs of calls by pool and route priority.
 };
 
 } // namespace cottonspool
--- a/src/tests/urgent_room_test.cpp
+++ b/src/tests/urgent_room_test.cpp
@@ -84,7 +84,7 @@
 		spec.service_class = ServiceClass::Stream;
 		spec.route_priority = priority;
 		spec.prompt_tokens = prompt;
-		spec.max_tokens = 100;
+		spec.max_tokens = prompt == LONG_PROMPT ? 1000 : 20;
 		spec.arrived = this->now;
 		spec.deadline = this->now + milliseconds(330);
 		this->run_times[spec.id.value] = {prompt, run_time};
@@ -136,7 +136,7 @@
 }
 
 // Deployments whose routes have one priority, or whose larger calls are the more urgent ones, keep their decisions.
-TEST_CASE("Urgent room - no room is left free for a route that is not more urgent or not smaller")
+TEST_CASE("Urgent room - no room is left free for a route that is not more urgent or not briefer")
 {
 	RoomOutcome without = RoomSimulation(false).Simulate(seconds(10), LONG_PRIORITY);
 	RoomOutcome with = RoomSimulation(true).Simulate(seconds(10), LONG_PRIORITY);
@@ -145,24 +145,36 @@
 
 	UrgentRoom room;
 	ModelNumber pool{3};
-	room.OnCall(pool, 0, 3000);
-	room.OnCall(pool, 1, 2000);
-	CHECK(room.RoomFor(pool, 1, 2000) == 0);
-	CHECK(room.RoomFor(pool, 0, 3000) == 0);
+	room.OnCall(pool, 0, 3000, 1000);
+	room.OnCall(pool, 1, 2000, 20);
+	CHECK(room.RoomFor(pool, 1) == 0);
+	CHECK(room.RoomFor(pool, 0) == 0);
 }
 
 // The room depends on what the pool's own routes need, not on other pools.
-TEST_CASE("Urgent room - a less urgent call leaves the room of the largest smaller call that is more urgent")
+TEST_CASE("Urgent room - a less urgent call leaves the room of the largest briefer call that is more urgent")
 {
 	UrgentRoom room;
 	ModelNumber pool{3};
-	room.OnCall(pool, 0, 500);
-	room.OnCall(pool, 1, 2000);
-	room.OnCall(pool, 2, 3000);
-	room.OnCall(ModelNumber{4}, 0, 2500);
-	CHECK(room.RoomFor(pool, 2, 3000) == doctest::Approx(2000));
-	CHECK(room.RoomFor(pool, 1, 2000) == doctest::Approx(500));
-	CHECK(room.RoomFor(pool, 0, 500) == 0);
+	room.OnCall(pool, 0, 500, 5);
+	room.OnCall(pool, 1, 2000, 20);
+	room.OnCall(pool, 2, 3000, 1000);
+	room.OnCall(ModelNumber{4}, 0, 2500, 5);
+	CHECK(room.RoomFor(pool, 2) == doctest::Approx(2000));
+	CHECK(room.RoomFor(pool, 1) == doctest::Approx(500));
+	CHECK(room.RoomFor(pool, 0) == 0);
 	// A pool without calls so far has nothing to leave room for.
-	CHECK(room.RoomFor(ModelNumber{5}, 2, 3000) == 0);
+	CHECK(room.RoomFor(ModelNumber{5}, 2) == 0);
+}
+
+// One of many instances sees only a few calls, whose prompts differ widely; a single long prompt of a brief call must not hide its route.
+TEST_CASE("Urgent room - the first calls count alike, and single prompts don't decide which route is briefer")
+{
+	UrgentRoom room;
+	ModelNumber pool{3};
+	room.OnCall(pool, 0, 6000, 20);
+	room.OnCall(pool, 2, 1500, 1000);
+	CHECK(room.RoomFor(pool, 2) == doctest::Approx(6000));
+	room.OnCall(pool, 0, 2000, 20);
+	CHECK(room.RoomFor(pool, 2) == doctest::Approx(4000));
 }
