--- a/src/tests/migration_headroom_test.cpp
+++ b/src/tests/migration_headroom_test.cpp
@@ -12,12 +12,20 @@
 
 namespace {
 
+/** @return The limits of a gateway with the headroom under test, which is switched off by default. */
+DispatchLimits LimitsInUse()
+{
+	DispatchLimits limits = GatewayLimitsFor(NodeSettings{}).dispatch;
+	limits.targets.use_migration_headroom = true;
+	return limits;
+}
+
 constexpr uint64_t CAPACITY = 27000; ///< Memory of an engine, in tokens.
 
 /** A run on a draining engine, and one other engine to which it can migrate. */
 class MigrationHarness {
 public:
-	explicit MigrationHarness(uint64_t capacity = CAPACITY, DispatchLimits limits = GatewayLimitsFor(NodeSettings{}).dispatch)
+	explicit MigrationHarness(uint64_t capacity = CAPACITY, DispatchLimits limits = LimitsInUse())
 	    : dispatcher(limits, MakeRouter("headroom", 1, GatewayLimitsFor(NodeSettings{}).router))
 	{
 		this->source = this->dispatcher.Targets().Configure("source", "hall", {ModelNumber{0}});
@@ -164,7 +172,7 @@
 
 TEST_CASE("Migration headroom - calls that don't migrate have the same headroom as before")
 {
-	DispatchLimits limits = GatewayLimitsFor(NodeSettings{}).dispatch;
+	DispatchLimits limits = LimitsInUse();
 	limits.targets.use_migration_headroom = false;
 	MigrationHarness now_counted;
 	MigrationHarness as_before(CAPACITY, limits);
--- a/src/tests/migration_load_test.cpp
+++ b/src/tests/migration_load_test.cpp
@@ -314,6 +314,7 @@
 MigrationFigures Simulate(const char *switched, double rate)
 {
 	GatewayLimits limits = GatewayLimitsFor(NodeSettings{});
+	limits.dispatch.targets.use_migration_headroom = true;
 	REQUIRE(ApplySwitches(switched, limits).has_value());
 	MigrationFigures sum;
 	for (uint32_t seed : {1, 2, 3}) {
