--- a/src/decision/gap_estimate.cpp
+++ b/src/decision/gap_estimate.cpp
@@ -8,11 +8,11 @@
 
 namespace cottonspool {
 
-/** Width of a bucket. A limit between 0.55 and 1.2 times the usual gap has to be resolved, for which 10% would be the most. */
+/** Ratio of the bounds of a bucket. Limits near the usual gap have to be told apart, for which buckets wider than 10% are too coarse. */
 static constexpr double BUCKET_RATIO = 1.05;
 static constexpr Duration SHORTEST_GAP = std::chrono::milliseconds(2); ///< Lower bound of the first bucket.
 
-/** Factor by which older gaps lose weight with each new one. An instance sees some 5 episodes with a prompt a second: one minute counts. */
+/** Factor by which older gaps lose weight with each new one. At 5 episodes a second, it averages over about one minute. */
 static constexpr double DECAY = 0.997;
 
 /** Episodes that the prior counts for; after four times as many, own samples decide. */
--- a/src/decision/gap_estimate.h
+++ b/src/decision/gap_estimate.h
@@ -30,7 +30,7 @@
 /** Histogram of gaps with logarithmic buckets and exponential decay. */
 class GapHistogram {
 public:
-	/** Add a gap of \a gap with \a weight and decay the older ones. */
+	/** Add \a gap with \a weight; the weights of the earlier gaps decay. */
 	void Add(Duration gap, double weight);
 
 	/** @return Fraction of the gaps that are longer than \a limit; gaps are spread evenly within a bucket. */
--- a/src/decision/lateness.cpp
+++ b/src/decision/lateness.cpp
@@ -10,7 +10,7 @@
 
 /**
  * Steepness of the loss around the objective. Actual waits spread widely around the expected one because slowdowns of 2.5 times the usual
- * time and calls of other instances are not foreseen. With 2.5, 7% instead of 4% of the long streams were late in a trial of the load test.
+ * time and calls of other instances are not foreseen. A steeper curve would rate targets close to the objective as too safe.
  */
 static constexpr double FIRST_EVENT_STEEPNESS = 1.5;
 
--- a/src/decision/memory_budget.h
+++ b/src/decision/memory_budget.h
@@ -51,8 +51,8 @@
 };
 
 /**
- * Decides which connections are paused and which requests are rejected, so that the bytes held in sum stay within a bound. It answers
- * overload by readers, not by requests: callers that read their answers slowly, and targets that read their requests slowly.
+ * Decides which connections are paused and which requests are rejected, so that the bytes held in sum stay within a bound. It handles
+ * memory that is held because callers read their answers slowly, or targets their requests; it does not limit the rate of requests.
  */
 class MemoryBudget {
 public:
--- a/src/decision/router.cpp
+++ b/src/decision/router.cpp
@@ -20,13 +20,13 @@
 
 /**
  * Largest random addition to the score of a target. Views are 150 to 450 ms old, so without it all instances send their calls to the same
- * best target at the same time: in the load test 8% instead of 3% of the long streams are then late.
+ * best target at the same time. It depends on call and target only; see SpreadOf().
  */
 static constexpr double SPREAD_WEIGHT = 1.0;
 
 /**
- * Weight of the penalty for calls that lose nothing on a slow target. On a target of half the time factor that is full it is 0.3, which
- * moved short calls away from loaded fast engines without leaving idle ones unused.
+ * Weight of the penalty on fast targets for calls that lose nothing on a slow one. It grows with the target's pressure, so that loaded
+ * fast targets are kept for other calls, but idle ones are used. A full target of half the largest time factor has a penalty of 0.3.
  */
 static constexpr double FAST_TARGET_WEIGHT = 0.6;
 
--- a/src/decision/urgent_room.h
+++ b/src/decision/urgent_room.h
@@ -11,10 +11,11 @@
 namespace cottonspool {
 
 /**
- * Answers a burst of long generations that fills the memory of all engines of a pool. Memory is then only freed when a long generation
- * ends, so that short ones of a more urgent route, which need little memory for a short time, wait behind them and start too late. A call
- * therefore leaves free, at the target it is sent to, the room for one call of the more urgent route that needs the most. Routes whose
- * calls hold memory for longer than the call's own route don't count: room for those would keep out many brief calls for a long one.
+ * Computes the memory that a call leaves free for calls of more urgent routes. It is for bursts of long generations that fill the memory of
+ * all engines of a pool. Memory is then only freed when a long generation ends, so that short ones of a more urgent route, which need
+ * little memory for a short time, wait behind them and start too late. A call therefore leaves free, at the target it is sent to, the room
+ * for one call of the more urgent route that needs the most. Routes whose calls hold memory for longer than the call's own route don't
+ * count: room for those would keep out many brief calls for a long one.
  */
 class UrgentRoom {
 public:
--- a/src/gateway/held_memory.cpp
+++ b/src/gateway/held_memory.cpp
@@ -13,7 +13,7 @@
 
 /** Interval of measuring the own use; counting the heap takes up to some milliseconds after much of it was freed. */
 static constexpr Duration OWN_USE_INTERVAL = std::chrono::seconds(1);
-/** Part of the bound by which the sum may grow between two decisions, so that there are only some dozens on the way to the bound. */
+/** A decision is made each time the sum has grown by the bound divided by this, which limits the number of decisions. */
 static constexpr size_t DECISION_STEPS = 32;
 static constexpr int CALLER_WAIT_DIVISOR = 3; ///< Callers wait at most this part of their remaining time for a Retry-After.
 static const char *const REJECT_REASON = "held-memory";
