--- a/src/gateway/feature_switches.cpp
+++ b/src/gateway/feature_switches.cpp
@@ -54,8 +54,8 @@
 	         l.registry.expiry_grace = Duration(0);
 	         l.registry.mass_expiry_min_rows = std::numeric_limits<size_t>::max();
          }},
-        {"account-shares", "client accounts are not limited to their share of a scarce pool's memory",
-         [](GatewayLimits &l) { l.dispatch.shares.use = false; }},
+        {"account-shares", "switched on: client accounts are limited to their share of a scarce pool's memory",
+         [](GatewayLimits &l) { l.dispatch.shares.use = true; }},
         {"copy-room", "the memory of copies in progress is not counted", [](GatewayLimits &l) { l.count_pending_copies = false; }},
         {"target-speeds", "the speeds that targets state are not used, shared or probed for",
          [](GatewayLimits &l) { l.use_target_speeds = false; }},
--- a/src/gateway/gateway_limits.cpp
+++ b/src/gateway/gateway_limits.cpp
@@ -51,6 +51,8 @@
 	limits.dispatch.targets.use_growth_feedback = false;
 	limits.dispatch.targets.growth_start = GROWTH_RESERVE;
 	limits.dispatch.use_rescue_order = true;
+	// Limiting accounts costs some throughput, so that only operators who ask for it get it.
+	limits.dispatch.shares.use = false;
 	// Counting all that is known saves more runs of draining engines, but fills the others until they preempt more runs than were saved.
 	limits.dispatch.targets.use_migration_headroom = false;
 	limits.dispatch.retry.backoff_base = std::chrono::milliseconds(5);
--- a/src/tests/feature_switches_test.cpp
+++ b/src/tests/feature_switches_test.cpp
@@ -19,9 +19,10 @@
 	CHECK_FALSE(limits.router.use_prefix);
 	CHECK_FALSE(limits.memory.use);
 	CHECK(limits.router.use_interval);
-	CHECK(limits.dispatch.shares.use);
-	REQUIRE(ApplySwitches("account-shares", limits).has_value());
+	limits = GatewayLimitsFor(NodeSettings{});
 	CHECK_FALSE(limits.dispatch.shares.use);
+	REQUIRE(ApplySwitches("account-shares", limits).has_value());
+	CHECK(limits.dispatch.shares.use);
 }
 
 TEST_CASE("Switches - the speeds of targets can be left unused")
