--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -145,11 +145,14 @@
 
 void StreamRelay::Finish()
 {
+	size_t remainder = this->splitter.RemainderBytes();
 	this->exchange->Write(this->splitter.TakeRemainder());
 	this->exchange->Finish();
 	this->CancelAuxiliaryCalls();
 	Log(LogLevel::Info, "streamed",
 	    {{"request", this->request.info.attempt},
+	     {"framing", FramingName(this->answer_head)},
+	     {"remainder_bytes", std::to_string(remainder)},
 	     {"events", std::to_string(this->events)},
 	     {"first_ms", FormatMilliseconds(this->first_event_after)},
 	     {"longest_gap_ms", FormatMilliseconds(this->longest_gap)},
@@ -167,6 +170,8 @@
 	     {"events", std::to_string(this->events)},
 	     {"moves", std::to_string(this->migrations)},
 	     {"copy_kept", this->backup ? "yes" : "no"},
+	     {"framing", FramingName(this->answer_head)},
+	     {"remainder_bytes", std::to_string(this->splitter.RemainderBytes())},
 	     {"cause", cause}});
 	this->CancelAuxiliaryCalls();
 	if (this->upstream_call != 0) this->gateway.upstream.Cancel(this->upstream_call);
@@ -373,6 +378,7 @@
 	AnswerInfo info = ReadAnswer(head);
 	this->gateway.OnAnswerHead(this->request, this->migration.to, info, this->migration.started_at);
 	if (head.status == 200 && info.stamped) {
+		this->answer_head = head;
 		this->SwitchToNewEngine();
 		this->StartAnswer(head);
 	} else {
--- a/src/generation/event_splitter.h
+++ b/src/generation/event_splitter.h
@@ -28,6 +28,9 @@
 	/** @return The next complete event, if there is one. */
 	std::optional<RawEvent> Next();
 
+	/** @return Number of bytes of the incomplete event. */
+	size_t RemainderBytes() const { return this->buffer.size(); }
+
 	/** @return The bytes of the incomplete event, which are removed from the buffer. */
 	std::string TakeRemainder();
 
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -168,6 +168,13 @@
 	return bytes.empty() || this->Parse(bytes);
 }
 
+const char *FramingName(const HttpHead &head)
+{
+	if (head.status == 0) return "";
+	if (head.chunked) return "chunks";
+	return head.length ? "length" : "close";
+}
+
 const char *ReasonPhrase(int status)
 {
 	switch (status) {
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -23,6 +23,9 @@
 	bool chunked = false;           ///< The body is sent in chunks.
 };
 
+/** @return How the end of a body after \a head is marked, for logs: "length", "chunks" or "close"; empty without a head. */
+const char *FramingName(const HttpHead &head);
+
 /** Error of the parser. */
 enum class HttpReadError : uint8_t {
 	None,          ///< No error.
