--- a/src/net/http_front.cpp
+++ b/src/net/http_front.cpp
@@ -336,7 +336,8 @@
 	out += "\r\n";
 	AppendHeaders(out, headers);
 	bool bodiless = status == 204 || status == 304;
-	this->chunked = !length && !bodiless;
+	if (this->ends_by_close && !length && !bodiless) this->keep_alive = false;
+	this->chunked = !length && !bodiless && !this->ends_by_close;
 	if (this->chunked) out += "Transfer-Encoding: chunked\r\n";
 	if (length && !bodiless) out += "Content-Length: " + std::to_string(*length) + "\r\n";
 	if (!this->keep_alive) out += "Connection: close\r\n";
--- a/src/net/http_front.h
+++ b/src/net/http_front.h
@@ -39,7 +39,7 @@
 	/** Send a complete answer. */
 	void Respond(int status, const HttpHeaders &headers, std::string_view answer_body, std::string_view reason = {});
 
-	/** Send the head of an answer. @param length Size of its body; without it the body is sent in chunks. */
+	/** Send the head of an answer. @param length Size of its body; without it the body is sent in chunks, or as EndBodyByClose() says. */
 	void Start(int status, const HttpHeaders &headers, std::optional<uint64_t> length, std::string_view reason = {});
 
 	/** Send a part of the body. */
@@ -54,6 +54,9 @@
 	/** Close the connection after this answer. */
 	void CloseAfterwards() { this->keep_alive = false; }
 
+	/** Send a body of unknown length without chunks; it ends when the connection is closed. To be called before Start(). */
+	void EndBodyByClose() { this->ends_by_close = true; }
+
 	/** @return Whether the head of the answer was sent. */
 	bool IsStarted() const { return this->started; }
 
@@ -73,6 +76,7 @@
 	bool keep_alive = true;                ///< The connection stays open after the answer.
 	bool started = false;                  ///< The head of the answer was sent.
 	bool chunked = false;                  ///< The body of the answer is sent in chunks.
+	bool ends_by_close = false;            ///< A body of unknown length ends when the connection is closed.
 	HeldPart held_body;                    ///< Counts the memory of the body.
 	HeldPart held_buffer;                  ///< Counts the bytes of SetBuffered().
 
--- a/tests/standins/simulation.cpp
+++ b/tests/standins/simulation.cpp
@@ -82,12 +82,20 @@
 	this->WriteHeartbeat();
 }
 
-void SimulatedTarget::Crash(uint64_t back_ms)
+void SimulatedTarget::Crash(uint64_t back_ms, bool inside_event)
 {
 	if (!this->IsAlive()) return;
 	std::list<Run> ended = std::move(this->running);
 	this->running.clear();
-	for (const Run &run : ended) run.exchange->Abort();
+	for (const Run &run : ended) {
+		if (!inside_event) {
+			run.exchange->Abort();
+			continue;
+		}
+		run.exchange->on_disconnect = nullptr;
+		run.exchange->Write("id: " + std::to_string(run.made + 1) + "\ndata: " + run.attempt.substr(0, 3));
+		run.exchange->Finish();
+	}
 	this->front.reset();
 	After(this->loop, back_ms, [this] { this->Listen(); });
 }
@@ -220,6 +228,12 @@
 			exchange->Write(body.substr(0, 3));
 			return exchange->Abort();
 		}
+		if (how == "unframed") {
+			exchange->EndBodyByClose();
+			exchange->Start(200, headers, std::nullopt);
+			exchange->Write(body);
+			return exchange->Finish();
+		}
 		exchange->Respond(fails ? 500 : 200, headers, body);
 	});
 }
@@ -259,6 +273,7 @@
 	HttpHeaders headers = this->Headers(attempt);
 	headers.push_back({"Content-Type", "text/event-stream"});
 	if (!this->percent.empty()) headers.push_back(this->LoadField("1,0,64"));
+	if (this->corruption == "unframed") run.exchange->EndBodyByClose();
 	run.exchange->Start(200, headers, std::nullopt);
 	this->running.push_back(std::move(run));
 }
@@ -357,7 +372,8 @@
 		if (action == "vanish") this->targets.at(id)->StartDraining(true);
 		if (action == "kill") this->targets.at(id)->Kill();
 		if (action == "hang") this->targets.at(id)->Hang();
-		if (action == "crash") this->targets.at(id)->Crash(control.value("back_ms", RESTART_DELAY_MS));
+		if (action == "crash")
+			this->targets.at(id)->Crash(control.value("back_ms", RESTART_DELAY_MS), control.value("inside_event", false));
 		if (action == "add")
 			this->AddTarget(id, control.value("pool", "engines"), HALLS[this->targets.size() % 2],
 			                control.value("pool", "engines") == "engines");
--- a/tests/standins/simulation_base.h
+++ b/tests/standins/simulation_base.h
@@ -131,8 +131,11 @@
 	/** Stop for good: reset all connections and delete the row. */
 	void Kill();
 
-	/** Crash: reset all connections, keep the row, and restart after \a back_ms with the same name and address. */
-	void Crash(uint64_t back_ms);
+	/**
+	 * Crash: end all connections, keep the row, and restart after \a back_ms with the same name and address.
+	 * @param inside_event Streams end inside an event, with an orderly close of the connection, instead of a reset.
+	 */
+	void Crash(uint64_t back_ms, bool inside_event = false);
 
 	/** Restart under the same name at another port, while connections of the previous incarnation stay open without an answer. */
 	void Hang();
@@ -143,7 +146,7 @@
 	std::string id;         ///< Name; the key of its row.
 	int64_t cold_ms = 0;    ///< Remaining cold start time written to the row, in milliseconds.
 	double error_ratio = 0; ///< Fraction of answers that are 500.
-	std::string corruption; ///< "reset" truncates and resets answers; empty for none.
+	std::string corruption; ///< "reset" truncates and resets answers, "unframed" ends bodies by closing the connection; empty for none.
 	std::string limit;      ///< Rate limit announced in answers; empty for none.
 	std::string percent;    ///< Time that work takes, as stated in answers; empty for none.
 	int64_t pause_ms = 0;   ///< Pause to request with the next rejection, in milliseconds; 0 for none.
