Fix: [Gateway] A stream that ends inside an event has been broken off, however its end was marked

Cause: an answer may have neither a length nor chunks and end with its connection. The connection of a crashed engine may end with an orderly close, which completes such an answer; StreamRelay::Finish then forwarded the incomplete event and sent the last chunk. So the answer left with a stronger mark of completeness than it had come with.

Evidence: scenario platform_unframed failed before ('broken-1-5 looks complete, status 200'); its log showed `streamed` with framing=close. With resets the same answers were broken off before and after, so the detection of resets is not at fault.

Change: a stream with an incomplete event left at its end is handled as a broken connection: resumed from a copy, or aborted towards the caller without that event.

--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -112,8 +112,10 @@
 void StreamRelay::OnRunEnd(UpstreamEnd end, const char *cause)
 {
 	if (IsCertainlyUnsent(end)) return this->FinishSend(SendOutcome::NotSent);
-	if (end == UpstreamEnd::Complete && this->streaming) return this->Finish();
-	if (end == UpstreamEnd::Complete) return this->ForwardErrorAnswer();
+	if (end == UpstreamEnd::Complete && !this->streaming) return this->ForwardErrorAnswer();
+	if (end == UpstreamEnd::Complete && !this->splitter.IsInsideEvent()) return this->Finish();
+	// Without a length and chunks, the connection of a crashed engine may end like that of a complete answer.
+	if (end == UpstreamEnd::Complete) cause = "the stream ended inside an event";
 	this->gateway.OnSendInterrupted(this->request, *this->target, this->Stage(), MonotonicNow());
 	if (this->IsQuarantined()) return this->FailRun(cause);
 	// The run resumes from its copy, even if that is still in progress.
--- a/src/generation/event_splitter.h
+++ b/src/generation/event_splitter.h
@@ -31,6 +31,9 @@
 	/** @return Number of bytes of the incomplete event. */
 	size_t RemainderBytes() const { return this->buffer.size(); }
 
+	/** @return Whether an event was received in part; line breaks alone are no event. */
+	bool IsInsideEvent() const { return this->buffer.find_first_not_of("\r\n") != std::string::npos; }
+
 	/** @return The bytes of the incomplete event, which are removed from the buffer. */
 	std::string TakeRemainder();
 
