Fix: [Front] Callers of HTTP/1.0 get no chunks; what is broken off ends with a reset, not with an orderly close

As an orderly close completes such a body, a connection that is closed in its middle (also because its caller does not read) is reset.

What remains: a process that is killed leaves an orderly close to the kernel.

--- a/src/net/http_front.cpp
+++ b/src/net/http_front.cpp
@@ -136,6 +136,7 @@
 	this->exchange = std::make_shared<FrontExchange>();
 	this->exchange->connection = this;
 	this->exchange->keep_alive = head.keep_alive;
+	if (head.http_1_0) this->exchange->EndBodyByClose();
 	this->exchange->head = std::move(head);
 	this->exchange->held_body.Bind(this->front.held, &HeldBytes::bodies);
 	this->exchange->held_buffer.Bind(this->front.held, &HeldBytes::answers);
@@ -267,6 +268,8 @@
 	auto self_reference = this->shared_from_this();
 	std::shared_ptr<FrontExchange> interrupted = std::move(this->exchange);
 	this->refused = true;
+	// An orderly close would complete a body that ends with its connection.
+	if (interrupted && interrupted->started && interrupted->ends_by_close) this->stream->Abort();
 	this->stream->Close();
 	this->Unregister();
 	if (!interrupted) return;
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -60,6 +60,7 @@
 	head.status = static_cast<int>(parser->status_code);
 	head.keep_alive = http_should_keep_alive(parser) != 0;
 	head.chunked = (parser->flags & F_CHUNKED) != 0;
+	head.http_1_0 = parser->http_major == 1 && parser->http_minor == 0;
 	if ((parser->flags & F_CONTENTLENGTH) != 0) head.length = parser->content_length;
 	if (parser->type == HTTP_REQUEST) head.method = http_method_str(static_cast<http_method>(parser->method));
 	reader->head_bytes = 0;
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -21,6 +21,7 @@
 	std::optional<uint64_t> length; ///< Content-Length, if present.
 	bool keep_alive = false;        ///< The connection may be reused after this message.
 	bool chunked = false;           ///< The body is sent in chunks.
+	bool http_1_0 = false;          ///< The sender speaks HTTP/1.0, so that it does not know chunks.
 };
 
 /** @return How the end of a body after \a head is marked, for logs: "length", "chunks" or "close"; empty without a head. */
--- a/src/tests/net_test.cpp
+++ b/src/tests/net_test.cpp
@@ -352,3 +352,43 @@
 	CHECK(got.find("0\r\n\r\n") == std::string::npos);
 	CHECK(received->IsOver());
 }
+
+TEST_CASE("Front - a caller of HTTP/1.0 gets no chunks, and an answer that is broken off does not end with an orderly close")
+{
+	enum class End : uint8_t { Finish, Abort, Unread };
+	for (End end : {End::Finish, End::Abort, End::Unread}) {
+		CAPTURE(static_cast<int>(end));
+		LoopFixture fixture;
+		std::shared_ptr<FrontExchange> received;
+		HttpFront front(&fixture.loop, [&](const std::shared_ptr<FrontExchange> &exchange) { received = exchange; });
+		uint16_t port = front.Listen({"127.0.0.1", 0}).value();
+		PlainSocket caller(PlainSocket::Connect(port));
+		caller.Send("GET /a/ HTTP/1.0\r\nHost: h\r\n\r\n");
+		fixture.Run(20);
+		REQUIRE(received);
+		received->Start(200, {}, std::nullopt);
+		received->Write("part");
+		fixture.Run(10);
+		std::string got = caller.Receive();
+		CHECK(got.ends_with("\r\n\r\npart"));
+		CHECK(got.find("chunked") == std::string::npos);
+		if (end == End::Finish) received->Finish();
+		if (end == End::Abort) received->Abort();
+		if (end == End::Unread) {
+			front.limits.close_unread = true;
+			front.limits.idle_timeout = std::chrono::milliseconds(1);
+			received->Write(std::string(16U << 20, 'x'));
+			fixture.Run(10);
+			front.OnTick(MonotonicNow());
+			front.OnTick(MonotonicNow() + std::chrono::seconds(1));
+			CHECK(received->IsOver());
+		}
+		fixture.Run(20);
+		char byte[4096];
+		ssize_t length = 0;
+		do {
+			length = recv(caller.fd, byte, sizeof(byte), MSG_DONTWAIT);
+		} while (length > 0);
+		CHECK((length == 0) == (end == End::Finish));
+	}
+}
