Fix: [Gateway] Requests go by another instance while no target of their pool can be reached

Each request tried six connects of 150 ms and got 503 after a second, or hung on a connection of before.

Cause: a request could only go to a target by the links of the instance that had read it, and each request found out anew that there were none.

Change: PoolReachability decides from connects to several targets that a pool is lost; ForwardChoice chooses another instance; the request is passed to a listener of its own there, at most once, with the time that is left, the attempts that are left and the oldest configuration that may be applied. Not run is said only where the second instance says so itself; its word is a field that is removed from targets' answers. Waiting calls and calls that are still connecting are passed on when the pool is lost; all ejections are lifted when it is reached again.

Switch: pass-on.

--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -182,6 +182,18 @@
 	if (found != this->calls.end()) found->second.call.halls = std::move(halls);
 }
 
+void Dispatcher::Withdraw(CallId id, TimePoint now)
+{
+	auto found = this->calls.find(id);
+	if (found == this->calls.end()) return;
+	TrackedCall &tracked = found->second;
+	if (!tracked.holder) return this->CancelWaiting(id);
+	this->targets.OnEnded(*tracked.holder, id, SendResult::Unreachable, now);
+	this->in_flight--;
+	this->queue.AdjustCharge(tracked.call, -tracked.charged_tokens);
+	this->calls.erase(found);
+}
+
 void Dispatcher::CancelWaiting(CallId call)
 {
 	this->queue.Remove(call);
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -86,6 +86,9 @@
 	/** Set the data halls in which \a call may run, in order of preference. */
 	void SetHalls(CallId call, std::vector<HallPreference> halls);
 
+	/** Remove \a call, which another instance will serve: it waits, or its target could not be reached and has got nothing of it. */
+	void Withdraw(CallId call, TimePoint now);
+
 	/** Remove the waiting \a call because its caller disconnected. */
 	void CancelWaiting(CallId call);
 
--- a/src/decision/peer_directory.h
+++ b/src/decision/peer_directory.h
@@ -21,6 +21,8 @@
 	std::string address;  ///< IP:PORT for peers.
 	std::string hall;     ///< Data hall of the instance.
 	double link_mbps = 0; ///< Bandwidth of its network link, in Mbit/s; 0 if unknown.
+	/** Port at the same IP for requests that other instances pass on; 0 if it accepts none. */
+	uint16_t forward_port = 0;
 };
 
 /** State of an outgoing link to a peer. */
--- a/src/decision/target_health.cpp
+++ b/src/decision/target_health.cpp
@@ -29,6 +29,13 @@
 	return generated;
 }
 
+void TargetTable::OnReachable(TargetNumber number)
+{
+	TargetState &target = this->targets[number.value];
+	target.connect_failures = target.failures = target.ejections = 0;
+	target.restrictions.ejected_until = TimePoint{};
+}
+
 void TargetTable::OnSent(TargetNumber number, const CallSpec &call, TimePoint now)
 {
 	this->OnPeerCallSent(number, call, now, 0, call.account);
--- a/src/decision/target_table.h
+++ b/src/decision/target_table.h
@@ -202,6 +202,9 @@
 	/** Handle the migration of the run of \a call. */
 	void OnMigrated(TargetNumber from, TargetNumber to, CallId call, TimePoint now);
 
+	/** Reinstate \a target, which was ejected while this instance reached none of its pool. */
+	void OnReachable(TargetNumber target);
+
 	/** Handle the end of \a call at \a target and update the target's health. @return Output tokens of the call. */
 	uint32_t OnEnded(TargetNumber target, CallId call, SendResult result, TimePoint now);
 
--- a/src/gateway/feature_switches.cpp
+++ b/src/gateway/feature_switches.cpp
@@ -63,6 +63,8 @@
          [](GatewayLimits &l) { l.memory.use = false; }},
         {"migration-headroom", "switched on: the headroom for runs that migrate counts all that is known",
          [](GatewayLimits &l) { l.dispatch.targets.use_migration_headroom = true; }},
+        {"pass-on", "requests are not passed on to other instances while no target of their pool can be reached",
+         [](GatewayLimits &l) { l.forward.use = false; }},
         {"backups", "switched on: copies of all long runs are kept at other engines", [](GatewayLimits &l) { l.backup.use = true; }},
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 
 #include "gateway/gateway.h"
 #include "core/hash_func.h"
+#include "gateway/forward_headers.h"
 #include "gateway/stream_relay.h"
 #include "metrics/log.h"
 #include "platform/wire_configuration.h"
@@ -66,15 +67,23 @@
                     }),
       peers(loop, this->store, this->peer_load, this->settings.name, this->settings.hall, limits.exchange,
             [this](const ReportUpdate &update) { this->OnPeerReport(update); }),
-      front(loop, [this](const std::shared_ptr<FrontExchange> &exchange) { this->HandleRequest(exchange); }),
+      front(loop, [this](const std::shared_ptr<FrontExchange> &exchange) { this->HandleRequest(exchange, {}); }),
+      forward_front(loop, [this](const std::shared_ptr<FrontExchange> &exchange) { this->HandleForwarded(exchange); }),
       readiness(loop, [this](const std::shared_ptr<FrontExchange> &exchange) { this->HandleReady(exchange); }),
       metrics_front(loop, [this](const std::shared_ptr<FrontExchange> &exchange) { this->HandleMetrics(exchange); }),
+      reach(
+              loop, limits.reach, [this](ModelNumber pool) { return this->ReachTargets(pool); },
+              [this](ModelNumber pool, bool lost, Duration lost_for) { this->OnReachChanged(pool, lost, lost_for); }),
+      forward_choice(this->settings.name, limits.forward),
       held_memory(this->front, this->upstream, this->metrics, limits.memory, RandomSeed(this->settings.name)),
       random(RandomSeed(this->settings.name)), timer(std::make_unique<Timer>())
 {
 }
 
-Gateway::~Gateway() = default;
+Gateway::~Gateway()
+{
+	this->reach.Shutdown();
+}
 
 Result<void> Gateway::Start()
 {
@@ -83,12 +92,18 @@
 	BOOST_OUTCOME_TRY(front_port, this->front.Listen(this->settings.front));
 	BOOST_OUTCOME_TRY(ready_port, this->readiness.Listen(this->settings.ready));
 	std::string metrics_at;
-	// The first internal port serves metrics, the next one peers; port 0 takes any free one.
+	// The first internal port serves metrics, the next one peers, and the third one requests that they pass on; port 0 takes any free one.
 	if (this->settings.first_port < this->settings.last_port) {
 		bool any = this->settings.first_port == 0;
 		Endpoint metrics_endpoint{this->settings.ip, this->settings.first_port};
 		BOOST_OUTCOME_TRY(metrics_port, this->metrics_front.Listen(metrics_endpoint));
 		metrics_at = Endpoint{this->settings.ip, metrics_port}.Text();
+		bool has_forward_port = any || this->settings.first_port + 2 <= this->settings.last_port;
+		if (has_forward_port) {
+			Endpoint forward_endpoint{this->settings.ip, any ? uint16_t{0} : static_cast<uint16_t>(this->settings.first_port + 2)};
+			BOOST_OUTCOME_TRY(forward_port, this->forward_front.Listen(forward_endpoint));
+			this->peers.SetForwardPort(forward_port);
+		}
 		Endpoint peers_endpoint{this->settings.ip, any ? uint16_t{0} : static_cast<uint16_t>(this->settings.first_port + 1)};
 		BOOST_OUTCOME_TRYV(this->peers.Start(peers_endpoint, MonotonicNow()));
 	}
@@ -98,6 +113,7 @@
 	     {"ready", Endpoint{this->settings.ready.ip, ready_port}.Text()},
 	     {"metrics", metrics_at},
 	     {"store", this->settings.store.Text()}});
+	this->forward_front.held = this->front.held;
 	this->WatchStore();
 	uv_timer_init(this->loop, &this->timer->timer);
 	this->timer->timer.data = this;
@@ -140,9 +156,10 @@
 	exchange->Respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, this->metrics.Render());
 }
 
-void Gateway::Reject(const std::shared_ptr<FrontExchange> &exchange, const RequestInfo &info, int status, const char *reason,
+void Gateway::Reject(const std::shared_ptr<FrontExchange> &exchange, const RelayRequest &request, int status, const char *reason,
                      std::optional<Duration> retry_after)
 {
+	const RequestInfo &info = request.info;
 	Log(LogLevel::Info, "refused",
 	    {{"request", info.attempt},
 	     {"status", std::to_string(status)},
@@ -151,14 +168,16 @@
 	     {"confirmed_ms_ago", FormatMilliseconds(MonotonicNow() - this->configuration_watch.ConfirmedAt())},
 	     {"retry_after_ms", retry_after ? FormatMilliseconds(*retry_after) : ""}});
 	this->metrics.Count(std::string("cottonspool_requests_total{outcome=\"") + reason + "\"}");
-	exchange->Respond(status, OwnAnswerHeaders(info.attempt, retry_after), {});
+	HttpHeaders headers = OwnAnswerHeaders(info.attempt, retry_after);
+	if (!request.passed_by.empty()) MarkNotRun(headers, reason);
+	exchange->Respond(status, headers, {});
 }
 
 bool Gateway::Admit(const std::shared_ptr<FrontExchange> &exchange, RelayRequest *request)
 {
 	const RequestInfo &info = request->info;
 	if (!this->routes.IsKnown() || !this->target_watch.IsKnown()) {
-		this->Reject(exchange, info, 503, "no-configuration", NOT_READY_RETRY_AFTER);
+		this->Reject(exchange, *request, 503, "no-configuration", NOT_READY_RETRY_AFTER);
 		return false;
 	}
 	std::string_view host = FindHeader(exchange->head.headers, "host");
@@ -166,23 +185,23 @@
 	std::string_view path = std::string_view(exchange->head.target).substr(0, exchange->head.target.find('?'));
 	const Route *route = this->routes.FindRoute(host, path);
 	if (route == nullptr) {
-		this->Reject(exchange, info, 404, "no-route", std::nullopt);
+		this->Reject(exchange, *request, 404, "no-route", std::nullopt);
 		return false;
 	}
 	const ClientAccount *account = nullptr;
 	if (this->routes.CheckKey(*route, info.key, &account) == KeyCheckResult::Unknown) {
-		this->Reject(exchange, info, 401, "unknown-key", std::nullopt);
+		this->Reject(exchange, *request, 401, "unknown-key", std::nullopt);
 		return false;
 	}
 	if (info.attempt.empty()) {
-		this->Reject(exchange, info, 400, "no-id", std::nullopt);
+		this->Reject(exchange, *request, 400, "no-id", std::nullopt);
 		return false;
 	}
 	request->route = *route;
 	request->account = account != nullptr ? account->name : "";
 	request->spec.halls = this->placement.HallsFor(*route, account);
 	if (request->spec.halls.empty()) {
-		this->Reject(exchange, info, 503, "no-home", NO_HOME_RETRY_AFTER);
+		this->Reject(exchange, *request, 503, "no-home", NO_HOME_RETRY_AFTER);
 		return false;
 	}
 	request->priority_level = account != nullptr && account->priority_level ? *account->priority_level : route->priority_level;
@@ -195,7 +214,7 @@
 		request->spec.generated = false;
 	}
 	if (this->stopping && route->timeout > MAX_TIMEOUT_WHILE_STOPPING) {
-		this->Reject(exchange, info, 503, "stopping", STOPPING_RETRY_AFTER);
+		this->Reject(exchange, *request, 503, "stopping", STOPPING_RETRY_AFTER);
 		return false;
 	}
 	return true;
@@ -212,7 +231,7 @@
 	spec.model = this->pools.Intern(request->pool);
 	spec.service_class = static_cast<ServiceClass>(std::clamp(request->priority_level, 0, static_cast<int>(SERVICE_CLASS_COUNT) - 1));
 	spec.repeatable = route.kind == RouteType::Repeatable;
-	spec.max_attempts = route.max_attempts;
+	spec.max_attempts = request->passed_by.empty() ? route.max_attempts : std::min(spec.max_attempts, route.max_attempts);
 	spec.response_deadline = request->response_deadline;
 	spec.objective = route.objective;
 	spec.gap_objective = route.gap_objective;
@@ -227,10 +246,9 @@
 	}
 }
 
-void Gateway::HandleRequest(const std::shared_ptr<FrontExchange> &exchange)
+void Gateway::HandleRequest(const std::shared_ptr<FrontExchange> &exchange, RelayRequest request)
 {
 	this->CheckSuspension(MonotonicNow());
-	RelayRequest request;
 	request.info = ReadRequest(exchange->head);
 	if (!this->Admit(exchange, &request)) return;
 	this->FillCallSpec(&request, exchange->read_at);
@@ -252,7 +270,9 @@
 	     {"print", FormatFingerprint(request.spec.fingerprint)},
 	     {"body_bytes", std::to_string(exchange->body.size())},
 	     {"limit_ms", FormatMilliseconds(request.response_deadline - request.spec.arrived)},
+	     {"passed_by", request.passed_by},
 	     {"configuration", std::to_string(this->routes.Configuration().version)}});
+	if (!request.passed_by.empty()) this->forwarded_calls++;
 	this->arrivals.OnCall(request.pool, request.spec.arrived);
 	CallId id = request.spec.id;
 	std::shared_ptr<RelayCall> call;
@@ -306,7 +326,10 @@
 void Gateway::OnCallFinished(CallId call)
 {
 	this->peers.PublishCallEnded(call);
-	this->calls.erase(call);
+	auto found = this->calls.find(call);
+	if (found == this->calls.end()) return;
+	if (!found->second->Request().passed_by.empty()) this->forwarded_calls--;
+	this->calls.erase(found);
 }
 
 void Gateway::CheckSuspension(TimePoint now)
@@ -334,6 +357,8 @@
 	this->crash_watch.OnTick(now);
 	this->ExpireCrashRecords(now);
 	this->front.OnTick(now);
+	this->forward_front.OnTick(now);
+	this->reach.OnTick(now);
 	this->held_memory.OnTick(now);
 	this->readiness.OnTick(now);
 	if (now >= this->next_target_scan) {
@@ -392,6 +417,7 @@
 	this->stopping = true;
 	this->stop_started = MonotonicNow();
 	this->front.BeginClosing();
+	this->forward_front.BeginClosing();
 	this->peers.Deregister();
 	Log(LogLevel::Info, "stopping", {{"in_flight", std::to_string(this->calls.size())}});
 }
@@ -407,6 +433,8 @@
 	this->aborted_calls += all.size();
 	for (const auto &call : all) call->AbortOnStop();
 	this->front.StopListening();
+	this->forward_front.StopListening();
+	this->reach.Shutdown();
 	Log(LogLevel::Info, "stopped", {{"cut", std::to_string(this->aborted_calls)}});
 	FlushLog();
 	uv_stop(this->loop);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "gateway/crash_watch.h"
 #include "gateway/held_memory.h"
 #include "gateway/peer_exchange.h"
+#include "gateway/reach_monitor.h"
 #include "gateway/relay_call.h"
 #include "metrics/metrics.h"
 #include "platform/node_settings.h"
@@ -21,6 +22,12 @@
 
 namespace cottonspool {
 
+/** Another instance that accepts requests. */
+struct InstanceAddress {
+	std::string name;
+	Endpoint address;
+};
+
 /** One instance on the platform. All its work runs on the thread of one event loop. */
 class Gateway {
 public:
@@ -77,6 +84,36 @@
 	/** The run of \a request succeeded: clear it of crashes that happened under it. */
 	void OnAnsweredSuccessfully(const RelayRequest &request);
 
+	/** @return Whether no target of the pool of \a request can be reached from here. */
+	bool IsPoolLost(const RelayRequest &request) const;
+
+	/** @return Whether that is so, or is being found out. */
+	bool IsPoolDoubted(const RelayRequest &request) const;
+
+	/** No connection to \a target could be established. */
+	void OnTargetUnreachable(TargetNumber target);
+
+	/** Bytes of a target's answer to \a request have arrived. */
+	void OnTargetAnswered(const RelayRequest &request) { this->reach.OnAnswer(request.spec.model, MonotonicNow()); }
+
+	/** \a target has not answered for a while. */
+	void OnTargetSilent(TargetNumber target);
+
+	/** @return An instance to pass \a request on to, which counts as passed to it; nothing if none may take it. */
+	std::optional<InstanceAddress> ChooseInstance(const RelayRequest &request, const std::vector<std::string> &refused_by, TimePoint now);
+
+	/** \a request is no longer at \a instance. */
+	void OnPassEnded(const RelayRequest &request, const std::string &instance, ForwardResult result);
+
+	/** @return Retry-After for a request that no instance can serve. */
+	Duration PoolLostRetryAfter();
+
+	/** @return The name of this instance. */
+	const std::string &Name() const { return this->settings.name; }
+
+	/** @return The version of the configuration in force. */
+	uint64_t ConfigurationVersion() const { return this->routes.Configuration().version; }
+
 	/** @return Name and incarnation of \a target. */
 	const TargetIncarnation &IncarnationOf(TargetNumber target) const { return this->records[target.value].incarnation; }
 
@@ -181,14 +218,22 @@
 	/** Log the signals in \a target's answer to \a request if they are new. */
 	void LogSignals(const RelayRequest &request, TargetNumber target, const TargetSignals &signals, TimePoint now);
 
-	/** Serve a caller's request. */
-	void HandleRequest(const std::shared_ptr<FrontExchange> &exchange);
+	/** Serve \a request of a caller, or of another instance that passes it on. */
+	void HandleRequest(const std::shared_ptr<FrontExchange> &exchange, RelayRequest request);
+	/** Serve a request that another instance passes on. */
+	void HandleForwarded(const std::shared_ptr<FrontExchange> &exchange);
+	/** @return The pool of \a target. */
+	ModelNumber PoolOf(TargetNumber target);
+	/** @return The targets in use of \a pool. */
+	std::vector<ReachTarget> ReachTargets(ModelNumber pool) const;
+	/** \a pool is lost, or reachable again after \a lost_for. */
+	void OnReachChanged(ModelNumber pool, bool lost, Duration lost_for);
 	/** Answer a readiness probe. */
 	void HandleReady(const std::shared_ptr<FrontExchange> &exchange);
 	/** Answer with the metrics. */
 	void HandleMetrics(const std::shared_ptr<FrontExchange> &exchange);
 	/** Reject a request before it reaches the dispatcher. */
-	void Reject(const std::shared_ptr<FrontExchange> &exchange, const RequestInfo &info, int status, const char *reason,
+	void Reject(const std::shared_ptr<FrontExchange> &exchange, const RelayRequest &request, int status, const char *reason,
 	            std::optional<Duration> retry_after);
 	/** Find route, account and pool of \a request. @return False if it was rejected. */
 	bool Admit(const std::shared_ptr<FrontExchange> &exchange, RelayRequest *request);
@@ -313,11 +358,15 @@
 	CrashRecordStore crash_records;           ///< Crash records in the store.
 	std::set<RequestFingerprint> quarantined; ///< Quarantined requests, as last logged.
 	TimePoint crash_records_checked_at;
-	PeerExchange peers;      ///< Exchange with other instances.
-	HttpFront front;         ///< Listener for callers.
-	HttpFront readiness;     ///< Listener for the platform's load balancer.
-	HttpFront metrics_front; ///< Listener for metrics.
-	HeldMemory held_memory;  ///< Bounds the bytes held for callers and targets that read slowly.
+	PeerExchange peers;           ///< Exchange with other instances.
+	HttpFront front;              ///< Listener for callers.
+	HttpFront forward_front;      ///< Listener for requests that other instances pass on.
+	HttpFront readiness;          ///< Listener for the platform's load balancer.
+	HttpFront metrics_front;      ///< Listener for metrics.
+	ReachMonitor reach;           ///< Which pools can be reached.
+	ForwardChoice forward_choice; ///< Instances that requests are passed on to.
+	uint32_t forwarded_calls = 0; ///< Requests in progress that other instances passed on.
+	HeldMemory held_memory;       ///< Bounds the bytes held for callers and targets that read slowly.
 	pcg64 random;
 	std::unordered_map<CallId, std::shared_ptr<RelayCall>, StrongIdHash> calls; ///< Requests not yet answered.
 	DecisionExecutor<RelayCall> executor{this->calls};                          ///< Passes decisions to them.
--- a/src/gateway/gateway_signals.cpp
+++ b/src/gateway/gateway_signals.cpp
@@ -11,6 +11,7 @@
 
 void Gateway::OnAnswerHead(const RelayRequest &request, TargetNumber number, const AnswerInfo &answer, TimePoint requested_at)
 {
+	this->OnTargetAnswered(request);
 	if (answer.load) this->OnLoadHeader(number, *answer.load);
 	TimePoint now = MonotonicNow();
 	this->LogSignals(request, number, answer.signals, now);
--- a/src/gateway/gateway_store.cpp
+++ b/src/gateway/gateway_store.cpp
@@ -174,6 +174,7 @@
 	this->front.limits.max_body_bytes = active.limits.max_body_bytes;
 	this->front.limits.head_timeout = active.limits.head_timeout;
 	this->front.limits.idle_timeout = active.limits.idle_timeout;
+	this->forward_front.limits = this->front.limits;
 	Log(LogLevel::Info, "configuration",
 	    {{"version", std::to_string(version)},
 	     {"before", std::to_string(before)},
--- a/src/gateway/gateway_targets.cpp
+++ b/src/gateway/gateway_targets.cpp
@@ -216,6 +216,7 @@
 {
 	TargetRecord &record = this->records[number.value];
 	record.report_call = 0;
+	if (!fetched) this->OnTargetSilent(number);
 	if (!fetched || fetched->memory_tokens == 0) return;
 	if (record.incarnation.IsOtherIncarnation(fetched->started_ms)) {
 		TimePoint now = MonotonicNow();
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -6,8 +6,10 @@
 
 #include "decision/backup_choice.h"
 #include "decision/dispatcher.h"
+#include "decision/forward_choice.h"
 #include "decision/memory_budget.h"
 #include "decision/migration_schedule.h"
+#include "decision/pool_reachability.h"
 #include "decision/route_table.h"
 #include "decision/speed_probes.h"
 #include "decision/target_registry.h"
@@ -74,6 +76,8 @@
 	/** Timeout of such a probe, shorter than the interval between two. */
 	Duration speed_probe_timeout = std::chrono::milliseconds(600);
 	double retry_slack = 50;              ///< Retries beyond the ratio to requests that all instances together may make.
+	ReachLimits reach;                    ///< Detection of pools that cannot be reached.
+	ForwardLimits forward;                ///< Passing requests on to other instances.
 	MemoryLimits memory;                  ///< Bytes held for callers and targets that read slowly.
 	BackupRules backup;                   ///< Copies of runs at other engines.
 	DispatchLimits dispatch;              ///< Dispatching of requests.
@@ -93,6 +97,7 @@
 	int priority_level = 0;      ///< Priority; 0 goes first.
 	CallSpec spec;               ///< The request as the dispatcher sees it.
 	TimePoint response_deadline; ///< Latest time for the final answer.
+	std::string passed_by;       ///< Instance that passed the request on; empty if it came from its caller.
 };
 
 struct NodeSettings;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -23,11 +23,14 @@
 	return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
-/** @return The value of an instance's row: fields separated by blanks, the hall last, as its name may contain blanks. */
+/**
+ * @return The value of an instance's row: fields separated by blanks, the hall last, as its name may contain blanks. Instances of older
+ * releases read the first line only.
+ */
 static std::string EncodeLocation(const PeerLocation &row)
 {
 	std::ostringstream text;
-	text << row.address << ' ' << row.link_mbps << ' ' << row.hall;
+	text << row.address << ' ' << row.link_mbps << ' ' << row.hall << '\n' << row.forward_port;
 	return text.str();
 }
 
@@ -38,6 +41,7 @@
 	std::istringstream in(text);
 	in >> row.address >> row.link_mbps >> std::ws;
 	std::getline(in, row.hall);
+	if (!(in >> row.forward_port)) row.forward_port = 0;
 	return row;
 }
 
@@ -189,7 +193,7 @@
 {
 	Log(LogLevel::Info, "store-call", {{"table", INSTANCE_TABLE}, {"why", "register"}});
 	this->next_register_at = now + this->limits.register_timeout;
-	PeerLocation own{this->address, this->hall, this->limits.link_mbps};
+	PeerLocation own = this->OwnLocation();
 	this->register_call = this->store.WriteRow(INSTANCE_TABLE, this->name, EncodeLocation(own), [this](StoreWriteResult result) {
 		this->register_call = 0;
 		this->OnRegistered(result, MonotonicNow());
@@ -251,7 +255,7 @@
 		bool own = row.key == this->name;
 		// A delayed removal by the previous incarnation may delete the new row; it is then written again at the next tick, or after the
 		// retry delay.
-		if (own) this->registered = !row.deleted && location.address == this->address && location.hall == this->hall;
+		if (own) this->registered = !row.deleted && EncodeLocation(location) == EncodeLocation(this->OwnLocation());
 		// The row belongs to another writer and has no usable address.
 		if (row.deleted || !ParseEndpoint(location.address)) {
 			this->directory.Remove(row.key);
@@ -274,8 +278,7 @@
 
 PresenceMessage PeerExchange::Presence() const
 {
-	PeerLocation own{this->address, this->hall, this->limits.link_mbps};
-	return {this->name, own, static_cast<uint32_t>(this->Instances()), this->directory.Cells()};
+	return {this->name, this->OwnLocation(), static_cast<uint32_t>(this->Instances()), this->directory.Cells()};
 }
 
 void PeerExchange::OnPresence(const PresenceMessage &message, TimePoint now)
@@ -291,6 +294,26 @@
 	this->Dial(now);
 }
 
+std::vector<HallCandidates> PeerExchange::ForwardCandidates(const std::vector<std::string> &halls) const
+{
+	std::vector<HallCandidates> candidates(halls.size());
+	for (const std::string &peer : this->directory.Names()) {
+		const PeerLocation *location = this->directory.Find(peer);
+		auto found = std::find(halls.begin(), halls.end(), location->hall);
+		if (location->forward_port != 0 && found != halls.end()) candidates[static_cast<size_t>(found - halls.begin())].push_back(peer);
+	}
+	return candidates;
+}
+
+std::optional<Endpoint> PeerExchange::ForwardAddressOf(const std::string &peer) const
+{
+	const PeerLocation *location = this->directory.Find(peer);
+	if (location == nullptr || location->forward_port == 0) return std::nullopt;
+	Result<Endpoint> address = ParseEndpoint(location->address);
+	if (!address) return std::nullopt;
+	return Endpoint{address.value().ip, location->forward_port};
+}
+
 size_t PeerExchange::Instances() const
 {
 	if (!this->watch.IsKnown()) return 0;
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -6,6 +6,7 @@
 
 #include "decision/byte_budget.h"
 #include "decision/dispatcher.h"
+#include "decision/forward_choice.h"
 #include "decision/hall_load.h"
 #include "decision/peer_load.h"
 #include "decision/pending_signals.h"
@@ -130,6 +131,15 @@
 	/** While the store is unavailable, probe it only through \a first. */
 	void SetRecoveryProbe(const TableWatch &first) { this->watch.SetRecoveryProbe(first); }
 
+	/** Publish that this instance accepts requests from other instances at \a port; to be called before Start(). */
+	void SetForwardPort(uint16_t port) { this->forward_port = port; }
+
+	/** @return The listed instances of this cell in each of \a halls that accept requests from other instances. */
+	std::vector<HallCandidates> ForwardCandidates(const std::vector<std::string> &halls) const;
+
+	/** @return The address at which \a peer accepts requests from other instances; nothing if it does not. */
+	std::optional<Endpoint> ForwardAddressOf(const std::string &peer) const;
+
 	/** Exchange updates only inside the local hall, or with all instances up to a limit. */
 	void SetHallOnly(bool only);
 
@@ -228,6 +238,8 @@
 	bool MaySendNow(TimePoint now) const;
 	/** Add a peer that has announced itself. */
 	void OnPresence(const PresenceMessage &message, TimePoint now);
+	/** @return The location of this instance. */
+	PeerLocation OwnLocation() const { return {this->address, this->hall, this->limits.link_mbps, this->forward_port}; }
 	/** @return The location and view of this instance. */
 	PresenceMessage Presence() const;
 	/** Send the load of the hall's targets to other halls. */
@@ -266,6 +278,7 @@
 	PeerLinks links;
 	TableWatch watch;                         ///< Follows the table of instances.
 	std::string address;                      ///< Address of this instance for peers.
+	uint16_t forward_port = 0;                ///< Port for requests from other instances; 0 for none.
 	PeerDirectory directory;                  ///< Other instances.
 	std::set<std::string> forwarders;         ///< Addresses in other halls that only get updates of tables, signals and load sums.
 	uint32_t max_known_instances = 0;         ///< Largest number of instances known at a time, here or at a peer.
--- a/src/gateway/relay_call.cpp
+++ b/src/gateway/relay_call.cpp
@@ -2,6 +2,7 @@
 
 /** @file relay_call.cpp One caller's request: the common part of buffered and streamed answers, and the buffered ones. */
 
+#include "gateway/forward_headers.h"
 #include "gateway/gateway.h"
 #include "metrics/log.h"
 #include <algorithm>
@@ -27,6 +28,7 @@
 	this->exchange->on_pause = [weak](bool paused) {
 		if (auto self = weak.lock()) self->SetHeldBack(paused);
 	};
+	if (this->gateway.IsPoolLost(this->request)) return this->ServeElsewhere();
 	this->gateway.Execute(this->gateway.dispatcher.Submit(this->request.spec, now));
 }
 
@@ -97,6 +99,11 @@
 	call.headers = HeadersForTarget(this->exchange->head.headers, info);
 	call.body = this->exchange->body;
 	call.connect_timeout = this->gateway.limits.connect;
+	return this->StartCall(std::move(call));
+}
+
+uint64_t RelayCall::StartCall(UpstreamCall call)
+{
 	if (this->request.route.kind != RouteType::Repeatable) call.max_reuse_idle = this->gateway.limits.single_run_max_idle;
 	std::weak_ptr<RelayCall> weak = this->weak_from_this();
 	auto call_number = std::make_shared<uint64_t>(0);
@@ -143,6 +150,8 @@
 {
 	this->target.reset();
 	if (this->concluded || this->DeliverKeptAnswer()) return;
+	bool placeless = action.reason != RejectReason::Quarantined && action.reason != RejectReason::RetryBudget;
+	if (placeless && this->gateway.IsPoolDoubted(this->request) && this->PassOn()) return;
 	const char *reason = RejectReasonName(action.reason);
 	if (action.reason == RejectReason::AllRestricted) {
 		Log(LogLevel::Info, "all-bound",
@@ -158,11 +167,13 @@
 
 void RelayCall::OnTick(TimePoint now)
 {
+	this->CheckSilence(now);
 	if (this->concluded || now + this->gateway.limits.answer_margin < this->request.response_deadline) return;
 	// After the deadline, requests in flight may have been executed, waiting ones have not.
-	bool sent = this->target.has_value();
+	bool sent = this->target.has_value() || this->passed_to.has_value();
 	if (this->upstream_call != 0) this->gateway.upstream.Cancel(this->upstream_call);
 	this->upstream_call = 0;
+	if (this->passed_to) this->EndPass(ForwardResult::Unreachable);
 	if (!sent) this->gateway.dispatcher.CancelWaiting(this->request.spec.id);
 	if (sent) this->FinishSend(SendOutcome::LostAfterDelivery);
 	if (this->concluded) return;
@@ -196,7 +207,7 @@
 	if (this->concluded) return;
 	if (this->upstream_call != 0) this->gateway.upstream.Cancel(this->upstream_call);
 	this->upstream_call = 0;
-	bool sent = this->target.has_value() || this->outcome_unknown;
+	bool sent = this->target.has_value() || this->passed_to.has_value() || this->outcome_unknown;
 	this->Fail(sent ? 502 : 503, "instance-stops", sent ? std::nullopt : std::optional(MIN_RETRY_AFTER));
 }
 
@@ -207,7 +218,9 @@
 		this->exchange->Abort();
 		return this->Conclude(reason, 0);
 	}
-	this->exchange->Respond(status, OwnAnswerHeaders(this->request.info.attempt, retry_after), {});
+	HttpHeaders headers = OwnAnswerHeaders(this->request.info.attempt, retry_after);
+	if (!this->request.passed_by.empty() && status == 503) MarkNotRun(headers, reason);
+	this->exchange->Respond(status, headers, {});
 	this->Conclude(reason, status);
 }
 
@@ -215,6 +228,8 @@
 {
 	if (this->concluded) return;
 	this->concluded = true;
+	bool may_have_run = this->target || this->passed_to || this->outcome_unknown;
+	if (this->passed_to) this->EndPass(std::string_view(outcome) == "answered" ? ForwardResult::Answered : ForwardResult::Abandoned);
 	this->exchange->on_disconnect = nullptr;
 	this->exchange->on_drained = nullptr;
 	this->exchange->on_pause = nullptr;
@@ -226,7 +241,7 @@
 	     {"account", this->request.account},
 	     {"outcome", outcome},
 	     {"status", std::to_string(status)},
-	     {"ran", this->target || this->outcome_unknown ? "maybe" : "no"},
+	     {"ran", may_have_run ? "maybe" : "no"},
 	     {"attempts", std::to_string(this->attempts)},
 	     {"ms", FormatMilliseconds(took)}});
 	this->gateway.metrics.Count(std::string("cottonspool_requests_total{outcome=\"") + outcome + "\"}");
@@ -238,6 +253,7 @@
 	if (!this->target) return;
 	if (outcome == SendOutcome::Lost || outcome == SendOutcome::Failed) this->outcome_unknown = true;
 	bool not_executed = outcome == SendOutcome::NotExecuted || outcome == SendOutcome::Rejected || outcome == SendOutcome::NotSent;
+	if (outcome != SendOutcome::NotSent) this->delivered++;
 	bool is_final = !not_executed && outcome != SendOutcome::Lost && outcome != SendOutcome::Failed;
 	if (!is_final) this->target.reset();
 	if (!is_final) this->gateway.OnCallUnassigned(this->request.spec.id);
@@ -265,7 +281,7 @@
 {
 	if (!this->AnswersThisRequest(head)) return false;
 	this->answer = Answer{head, ReadAnswer(head), {}};
-	this->gateway.OnAnswerHead(this->request, *this->target, this->answer.info, this->sent_at);
+	if (this->target) this->gateway.OnAnswerHead(this->request, *this->target, this->answer.info, this->sent_at);
 	return true;
 }
 
@@ -278,7 +294,7 @@
 	bool success = this->answer.head.status / 100 == 2 && this->answer.info.stamped;
 	if (this->answer.body.size() <= this->gateway.limits.max_buffered_answer_bytes || !success) return;
 	this->forwarding = true;
-	this->exchange->Start(this->answer.head.status, HeadersForCaller(this->answer.head.headers), this->answer.head.length,
+	this->exchange->Start(this->answer.head.status, this->AnswerHeaders(this->answer.head), this->answer.head.length,
 	                      this->answer.head.reason);
 	this->exchange->Write(this->answer.body);
 	this->answer.body = {};
@@ -296,12 +312,16 @@
 	this->upstream_call = 0;
 	if (this->concluded) return;
 	if (end == UpstreamEnd::Complete) return this->OnCompleteAnswer();
+	if (this->passed_to) return this->OnPassBroken(end, cause);
 	Log(LogLevel::Info, "send-ended",
 	    {{"request", this->request.info.attempt},
 	     {"target", this->gateway.dispatcher.Targets().Get(*this->target).name},
 	     {"sent", IsCertainlyUnsent(end) ? "no" : "maybe"},
 	     {"cause", cause}});
-	if (IsCertainlyUnsent(end)) return this->FinishSend(SendOutcome::NotSent);
+	if (IsCertainlyUnsent(end)) {
+		this->gateway.OnTargetUnreachable(*this->target);
+		return this->FinishSend(SendOutcome::NotSent);
+	}
 	this->gateway.OnSendInterrupted(this->request, *this->target, this->Stage(), MonotonicNow());
 	this->FinishSend(SendOutcome::Lost);
 	if (this->request.spec.repeatable && !this->forwarding) return;
@@ -317,6 +337,10 @@
 		this->FinishSend(SendOutcome::Complete);
 		return this->Conclude("answered", status);
 	}
+	if (this->passed_to) {
+		if (!this->SettlePassedAnswer(this->answer.head)) this->Deliver(this->answer);
+		return;
+	}
 	if (info.not_executed) return this->FinishSend(NotExecutedOutcome(info));
 	bool unusable = status / 100 == 2 && !info.stamped;
 	// Only the target's explicit signal means that the request was not executed. These statuses would claim that to the caller as well,
@@ -334,14 +358,14 @@
 	if (!this->kept_answer || this->concluded) return false;
 	Answer last = std::move(*this->kept_answer);
 	this->kept_answer.reset();
-	this->exchange->Respond(last.head.status, HeadersForCaller(last.head.headers), last.body, last.head.reason);
+	this->exchange->Respond(last.head.status, this->AnswerHeaders(last.head), last.body, last.head.reason);
 	this->Conclude("answered", last.head.status);
 	return true;
 }
 
 void BufferedRelay::Deliver(const Answer &complete)
 {
-	this->exchange->Respond(complete.head.status, HeadersForCaller(complete.head.headers), complete.body, complete.head.reason);
+	this->exchange->Respond(complete.head.status, this->AnswerHeaders(complete.head), complete.body, complete.head.reason);
 	this->gateway.metrics.Observe(Measure::ServiceSeconds, this->request.account, this->request.spec.service_class,
 	                              Seconds(MonotonicNow() - this->request.spec.arrived));
 	this->FinishSend(SendOutcome::Complete);
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -46,6 +46,9 @@
 	/** The request is quarantined: cancel the send unless its run is stable. */
 	void OnQuarantined();
 
+	/** No target of the request's pool can be reached any more: pass it on, unless a target may have it. */
+	void OnPoolLost();
+
 	/** Abort the request, as the process ends. */
 	void AbortOnStop();
 
@@ -86,6 +89,24 @@
 	/** Cancel all calls and copies besides the call to the target. */
 	virtual void CancelAuxiliaryCalls() {}
 
+	/** @return When the target last showed that it works on the request. */
+	virtual TimePoint LastProgress() const { return this->sent_at; }
+
+	/** Pass the request on to another instance, or refuse it if none can take it. @pre It is neither waiting nor at a target. */
+	void ServeElsewhere();
+
+	/** The instance that has the request broke the connection, or could not be reached. */
+	void OnPassBroken(UpstreamEnd end, const char *cause);
+
+	/** Handle a complete answer with \a head of the instance that has the request. @return Whether it is not to be delivered as it is. */
+	bool SettlePassedAnswer(const HttpHead &head);
+
+	/** The request is no longer at the instance that it was passed to. */
+	void EndPass(ForwardResult result);
+
+	/** @return Header fields of an answer of a target for the caller, or for the instance that passed the request on. */
+	HttpHeaders AnswerHeaders(const HttpHead &head) const;
+
 	/** Start the call to \a target. @param resume Position from which a migrated run continues. */
 	uint64_t StartUpstream(TargetNumber target, std::optional<ResumePoint> resume, std::optional<TargetNumber> backup_at);
 
@@ -116,16 +137,26 @@
 	Gateway &gateway;
 	std::shared_ptr<FrontExchange> exchange; ///< The caller's exchange.
 	RelayRequest request;
-	std::optional<TargetNumber> target; ///< Target that has the request; nothing while it waits.
-	std::optional<TargetNumber> backup; ///< Engine that keeps a copy of the run.
-	uint64_t upstream_call = 0;         ///< Call to the target; 0 for none.
-	uint32_t attempts = 0;              ///< Sends so far.
-	TimePoint sent_at;                  ///< Time of the last send.
-	bool outcome_unknown = false;       ///< A send ended with an unknown outcome, so the request may have been executed.
-	bool concluded = false;             ///< Final answer given, or caller disconnected.
-	bool held_back = false;             ///< Reading from the target is paused, as memory is scarce.
+	std::optional<TargetNumber> target;       ///< Target that has the request; nothing while it waits.
+	std::optional<TargetNumber> backup;       ///< Engine that keeps a copy of the run.
+	uint64_t upstream_call = 0;               ///< Call to the target; 0 for none.
+	uint32_t attempts = 0;                    ///< Sends so far.
+	uint32_t delivered = 0;                   ///< Sends that may have reached their targets.
+	std::optional<std::string> passed_to;     ///< Instance that the request was passed on to.
+	std::vector<std::string> refused_by;      ///< Instances that did not take it.
+	std::optional<Duration> peer_retry_after; ///< Retry-After of the last of them.
+	TimePoint sent_at;                        ///< Time of the last send.
+	bool outcome_unknown = false;             ///< A send ended with an unknown outcome, so the request may have been executed.
+	bool concluded = false;                   ///< Final answer given, or caller disconnected.
+	bool held_back = false;                   ///< Reading from the target is paused, as memory is scarce.
 
 private:
+	/** Pass the request on to another instance. @return Whether there is one that may take it. */
+	bool PassOn();
+	/** Start \a call, which has this object's callbacks. */
+	uint64_t StartCall(UpstreamCall call);
+	/** Doubt that the target's pool can be reached if it has been silent for too long. */
+	void CheckSilence(TimePoint now);
 	/** Cancel everything, as nobody waits for the answer. */
 	void OnCallerDisconnected();
 	/** Log the send to the current target. */
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -20,7 +20,7 @@
 	if (from != this->upstream_call) return true;
 	if (!this->AnswersThisRequest(head)) return false;
 	AnswerInfo info = ReadAnswer(head);
-	this->gateway.OnAnswerHead(this->request, *this->target, info, this->sent_at);
+	if (this->target) this->gateway.OnAnswerHead(this->request, *this->target, info, this->sent_at);
 	this->streaming = head.status == 200 && info.stamped;
 	this->answer_head = head;
 	if (this->streaming) this->streaming_since = MonotonicNow();
@@ -31,7 +31,7 @@
 void StreamRelay::StartAnswer(const HttpHead &head)
 {
 	if (this->exchange->IsStarted()) return;
-	this->exchange->Start(head.status, HeadersForCaller(head.headers), std::nullopt, head.reason);
+	this->exchange->Start(head.status, this->AnswerHeaders(head), std::nullopt, head.reason);
 	std::weak_ptr<RelayCall> weak = this->weak_from_this();
 	this->exchange->on_drained = [weak] {
 		auto self = std::static_pointer_cast<StreamRelay>(weak.lock());
@@ -48,6 +48,7 @@
 		return;
 	}
 	auto keep = this->shared_from_this();
+	if (this->target) this->gateway.OnTargetAnswered(this->request);
 	if (!this->splitter.Add(bytes)) return this->FailRun("event exceeds the size limit");
 	this->ForwardEvents();
 	this->UpdateFlowControl();
@@ -111,11 +112,15 @@
 
 void StreamRelay::OnRunEnd(UpstreamEnd end, const char *cause)
 {
-	if (IsCertainlyUnsent(end)) return this->FinishSend(SendOutcome::NotSent);
+	if (IsCertainlyUnsent(end) && this->target) {
+		this->gateway.OnTargetUnreachable(*this->target);
+		return this->FinishSend(SendOutcome::NotSent);
+	}
 	if (end == UpstreamEnd::Complete && !this->streaming) return this->ForwardErrorAnswer();
 	if (end == UpstreamEnd::Complete && !this->splitter.IsInsideEvent()) return this->Finish();
 	// Without a length and chunks, the connection of a crashed engine may end like that of a complete answer.
 	if (end == UpstreamEnd::Complete) cause = "the stream ended inside an event";
+	if (this->passed_to) return this->OnPassBroken(end, cause);
 	this->gateway.OnSendInterrupted(this->request, *this->target, this->Stage(), MonotonicNow());
 	if (this->IsQuarantined()) return this->FailRun(cause);
 	// The run resumes from its copy, even if that is still in progress.
@@ -134,6 +139,7 @@
 
 void StreamRelay::ForwardErrorAnswer()
 {
+	if (this->passed_to && this->SettlePassedAnswer(this->answer_head)) return;
 	AnswerInfo info = ReadAnswer(this->answer_head);
 	int status = this->answer_head.status;
 	if (info.not_executed) return this->FinishSend(NotExecutedOutcome(info));
@@ -141,7 +147,7 @@
 	this->FinishSend(SendOutcome::Failed);
 	if (this->concluded) return;
 	if (claims_not_executed || status / 100 == 2) return this->Fail(502, "answer-unusable");
-	this->exchange->Respond(status, HeadersForCaller(this->answer_head.headers), this->answer_body, this->answer_head.reason);
+	this->exchange->Respond(status, this->AnswerHeaders(this->answer_head), this->answer_body, this->answer_head.reason);
 	this->Conclude("answered", status);
 }
 
--- a/src/peer/peer_message.cpp
+++ b/src/peer/peer_message.cpp
@@ -132,7 +132,8 @@
 static Json Write(const PresenceMessage &message)
 {
 	return Json::array({PRESENCE, message.instance, message.location.address, message.location.hall, message.location.link_mbps,
-	                    message.instances, message.cells.cells, message.cells.decided_at.epoch, message.cells.decided_at.number});
+	                    message.instances, message.cells.cells, message.cells.decided_at.epoch, message.cells.decided_at.number,
+	                    message.location.forward_port});
 }
 
 /** @return \a sums as one flat array of names and numbers, four items each. */
@@ -339,6 +340,8 @@
 	}
 	case PRESENCE: {
 		PeerLocation location{array.at(2).get<std::string>(), array.at(3).get<std::string>(), array.at(4).get<double>()};
+		// Instances of older releases accept no requests from others.
+		if (array.size() > 9) location.forward_port = ReadInteger<uint16_t>(array.at(9));
 		PresenceMessage message{array.at(1).get<std::string>(), std::move(location), ReadInteger<uint32_t>(array.at(5)), {}};
 		// Instances of older releases don't know cells.
 		if (array.size() > 8)
--- a/src/platform/wire_request.cpp
+++ b/src/platform/wire_request.cpp
@@ -99,6 +99,16 @@
 	return headers;
 }
 
+HttpHeaders HeadersForInstance(const HttpHeaders &received, Duration remaining)
+{
+	HttpHeaders headers = WithoutConnectionFields(received);
+	std::erase_if(headers, [](const HttpHeader &header) {
+		return strcasecmp(header.name.c_str(), "X-Deadline-Ms") == 0 || strcasecmp(header.name.c_str(), "Expect") == 0;
+	});
+	headers.push_back({"X-Deadline-Ms", Milliseconds(remaining)});
+	return headers;
+}
+
 /** @return The decimal number \a text, limited to \a max_value; nothing unless it consists of digits and at most one decimal point. */
 static std::optional<double> DecimalNumber(std::string_view text, double max_value)
 {
--- a/src/platform/wire_request.h
+++ b/src/platform/wire_request.h
@@ -45,6 +45,9 @@
 /** @return Header fields of the request to a target: those received, without hop-by-hop fields, and those in \a info. */
 HttpHeaders HeadersForTarget(const HttpHeaders &received, const SendInfo &info);
 
+/** @return Header fields of a request that is passed to another instance: those received, and the time that remains. */
+HttpHeaders HeadersForInstance(const HttpHeaders &received, Duration remaining);
+
 /** Load that a target reports with an answer. */
 struct TargetLoad {
 	uint32_t running = 0; ///< Requests being processed.
--- a/tests/standins/link_cut.cpp
+++ b/tests/standins/link_cut.cpp
@@ -120,9 +120,27 @@
 	return reset ? -1 : size;
 }
 
-extern "C" int close(int fd)
+/** @return \a fd, a new descriptor, whose number may have belonged to a connection that was closed by a system call. */
+static int Forget(int fd)
 {
-	static auto real = Real<int (*)(int)>("close");
 	if (fd >= 0 && static_cast<size_t>(fd) < MAX_FDS) connected_ports[static_cast<size_t>(fd)] = 0;
-	return real(fd);
+	return fd;
+}
+
+extern "C" int socket(int domain, int type, int protocol)
+{
+	static auto real = Real<int (*)(int, int, int)>("socket");
+	return Forget(real(domain, type, protocol));
+}
+
+extern "C" int accept4(int listener, sockaddr *address, socklen_t *size, int flags)
+{
+	static auto real = Real<int (*)(int, sockaddr *, socklen_t *, int)>("accept4");
+	return Forget(real(listener, address, size, flags));
+}
+
+extern "C" int accept(int listener, sockaddr *address, socklen_t *size)
+{
+	static auto real = Real<int (*)(int, sockaddr *, socklen_t *)>("accept");
+	return Forget(real(listener, address, size));
 }
