Add: [Admission] Brittle targets: what they have to refuse is bounded by each instance

Targets of a service may say that they crash if they have to refuse more than N requests in a second, from all instances together (Server-Brittle).

RefusalGuard, one of the restrictions of a target, bounds the requests of this instance that the target may still refuse: its part of the free places while the target reports few requests, its share of 0.8 N while it reports many, one without a report, none for 1.1 s after a refusal.

Decoded once in platform/, bound to the target's life; not told to other instances.

--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -319,8 +319,10 @@
 	}
 	uint64_t random = HashText("backoff", tracked.call.id.value * 31 + tracked.attempts);
 	RetryBudget &target = this->target_budgets.at(tracked.holder->value);
-	tracked.not_before =
-	        end == SendOutcome::NotExecuted || end == SendOutcome::Rejected ? now : now + target.Backoff(tracked.attempts, random);
+	bool not_executed = end == SendOutcome::NotExecuted || end == SendOutcome::Rejected;
+	// The next target may be as full as a brittle one that has just refused.
+	bool brittle = this->targets.Get(*tracked.holder).restrictions.refusals.IsActive();
+	tracked.not_before = not_executed && !brittle ? now : now + target.Backoff(tracked.attempts, random);
 	tracked.call.avoid.push_back(*tracked.holder);
 	tracked.holder.reset();
 	this->queue.PushFront(tracked.call, this->ExpectedTokens(tracked.call));
--- a/src/decision/restriction_type.h
+++ b/src/decision/restriction_type.h
@@ -24,8 +24,9 @@
 	Paused,    ///< The target asked this instance to pause.
 	Cold,      ///< The target is cold and this instance's share of its cold-start rate is used up.
 	Limit,     ///< This instance's share of the target's advertised rate limit is used up.
+	Brittle,   ///< The target is brittle and might have to refuse the request.
 };
-constexpr size_t RESTRICTION_COUNT = 11;
+constexpr size_t RESTRICTION_COUNT = 12;
 
 /** @return The name of \a bound as written in logs. */
 const char *RestrictionName(Restriction bound);
--- a/src/decision/target_health.cpp
+++ b/src/decision/target_health.cpp
@@ -16,6 +16,7 @@
 	if (!target.in_flight.contains(call)) return 0;
 	uint32_t generated = this->RemoveCall(target, call, now);
 	target.restrictions.probing = false;
+	if (result == SendResult::Unreachable) target.restrictions.refusals.OnUnanswered();
 	target.connect_failures = result == SendResult::Unreachable ? target.connect_failures + 1 : 0;
 	if (result == SendResult::Rejected) return generated;
 	if (result == SendResult::Answered) {
--- a/src/decision/target_placement.cpp
+++ b/src/decision/target_placement.cpp
@@ -48,6 +48,19 @@
 	return state.restrictions.limit.OnAnswer(signals, asked, now);
 }
 
+bool TargetTable::OnAnswerSignals(TargetNumber target, const TargetSignals *signals, TimePoint asked, TimePoint now)
+{
+	RefusalGuard &refusals = this->targets[target.value].restrictions.refusals;
+	if (signals != nullptr) return refusals.OnAnswer(*signals, asked, now);
+	refusals.OnUnanswered();
+	return false;
+}
+
+void TargetTable::SetRefusalShare(TargetNumber target, size_t instance_count, RateShare share)
+{
+	this->targets[target.value].restrictions.refusals.SetShare(instance_count, share);
+}
+
 void TargetTable::OnRequestSent(TargetNumber target, TimePoint now)
 {
 	this->targets[target.value].restrictions.OnSent(now);
--- a/src/decision/target_restrictions.cpp
+++ b/src/decision/target_restrictions.cpp
@@ -9,7 +9,7 @@
 const char *RestrictionName(Restriction bound)
 {
 	static constexpr std::array<const char *, RESTRICTION_COUNT> NAMES{
-	        "none", "other-pool", "other-hall", "unlisted", "leaving", "emptied", "ejected", "probed", "pause", "cold", "limit"};
+	        "none", "other-pool", "other-hall", "unlisted", "leaving", "emptied", "ejected", "probed", "pause", "cold", "limit", "brittle"};
 	return NAMES[static_cast<size_t>(bound)];
 }
 
@@ -35,6 +35,7 @@
 	bool cold = this->cold.IsCold(now);
 	if (cold && (exclude_cold || !this->cold.MaySend(now))) return {Restriction::Cold, this->cold.FreeAt(now)};
 	if (!this->limit.MaySend(now)) return {Restriction::Limit, this->limit.FreeAt(now)};
+	if (!this->refusals.MaySend(now)) return {Restriction::Brittle, this->refusals.FreeAt(now)};
 	return {};
 }
 
@@ -42,6 +43,7 @@
 {
 	this->cold.OnSent(now);
 	this->limit.OnSent(now);
+	this->refusals.OnSent(now);
 }
 
 } // namespace cottonspool
--- a/src/decision/target_restrictions.h
+++ b/src/decision/target_restrictions.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "decision/cold_start.h"
+#include "decision/refusal_guard.h"
 #include "decision/restriction_type.h"
 #include "decision/target_rate_limit.h"
 
@@ -21,6 +22,7 @@
 	TimePoint paused_until;  ///< End of the pause that it requested from this instance.
 	ColdStart cold;          ///< Rate limit during its cold start.
 	TargetRateLimit limit;   ///< Rate limit that it advertises.
+	RefusalGuard refusals;   ///< Bound on its refusals while it is brittle.
 
 	/**
 	 * @param exclude_cold Whether a cold target may get no request at all.
--- a/src/decision/target_signals.h
+++ b/src/decision/target_signals.h
@@ -23,8 +23,11 @@
 	SignalState limit = SignalState::Absent; ///< Whether the answer advertises a rate limit.
 	double limit_per_s = 0;                  ///< Requests per second that the target accepts from all instances together.
 	bool draining = false;                   ///< Whether the target is draining.
-	Duration pause{0};       ///< Time for which the target, which rejected the request, wants none from this instance; zero for no pause.
-	bool unreadable = false; ///< Whether any of the headers is malformed.
+	Duration pause{0}; ///< Time for which the target, which rejected the request, wants none from this instance; zero for no pause.
+	SignalState brittle = SignalState::Absent; ///< Whether the target says that it crashes if it has to refuse too much.
+	double refusals_per_s = 0;                 ///< Requests that it bears to refuse in a second, from all instances together.
+	bool refused = false;                      ///< Whether it refused this request for want of room.
+	bool unreadable = false;                   ///< Whether any of the headers is malformed.
 
 	bool operator==(const TargetSignals &) const = default;
 };
--- a/src/decision/target_table.cpp
+++ b/src/decision/target_table.cpp
@@ -100,6 +100,10 @@
 	this->headroom_revision++;
 	target.report = report;
 	target.report_at = now;
+	// A service reports its places with its load.
+	if (!target.engine)
+		target.restrictions.refusals.SetPlaces(static_cast<uint32_t>(std::min<uint64_t>(report.capacity_tokens, UINT32_MAX)));
+	target.restrictions.refusals.OnLoad(report.running, report.waiting, now);
 	target.restrictions.ready = true;
 	target.known_at_report = 0;
 	target.known_calls_at_report = 0;
--- a/src/decision/target_table.h
+++ b/src/decision/target_table.h
@@ -176,6 +176,18 @@
 	 */
 	TimePoint FreeAt(const CallSpec &call, TimePoint now, RestrictionCounts *counts) const;
 
+	/**
+	 * Handle the signals in an answer of \a target to this instance that concern its refusals; null if the answer is not the target's own.
+	 * @return Whether the target has become brittle, is so no longer, or bears another number of refusals.
+	 */
+	bool OnAnswerSignals(TargetNumber target, const TargetSignals *signals, TimePoint asked, TimePoint now);
+
+	/** Set this instance's \a share of the refusals that the brittle \a target bears, and the number of instances that share it. */
+	void SetRefusalShare(TargetNumber target, size_t instance_count, RateShare share);
+
+	/** Set the number of requests that \a target processes at once. */
+	void SetPlaces(TargetNumber target, uint32_t places) { this->targets[target.value].restrictions.refusals.SetPlaces(places); }
+
 	/** Count a request of this instance to \a target: a first attempt, a retry or a migrated run. */
 	void OnRequestSent(TargetNumber target, TimePoint now);
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -173,6 +173,10 @@
 	void OnTargetDrainNotice(const std::string &target, const char *source, TimePoint now);
 	/** The rate limit of \a target has changed, according to the answer to a request sent at \a requested_at. @param source As for logs. */
 	void OnLimitChanged(TargetNumber target, const char *source, TimePoint requested_at, TimePoint now);
+	/** \a target has become brittle, is so no longer, or bears another number of refusals. */
+	void OnBrittleChanged(TargetNumber target, TimePoint now);
+	/** Recompute this instance's share of the refusals that the brittle \a target bears. */
+	void UpdateRefusalShare(TargetNumber target);
 	/** Apply what another instance has learned from a target. */
 	void OnPeerSignals(const TargetSignalUpdate &update);
 	/** Apply the time factor that \a target stated to this instance. @param source As for logs: answer or probe. */
@@ -339,6 +343,7 @@
 	NameTable<ModelNumber> pools;                   ///< Numbers of pools.
 	NameTable<AccountNumber> accounts;              ///< Numbers of client accounts.
 	std::set<TargetNumber> limited;                 ///< Targets with a rate limit.
+	std::set<TargetNumber> brittle;                 ///< Targets that say that they are brittle.
 	std::map<std::string, TimePoint> drain_notices; ///< Target incarnations that announced their draining, with the time of the notice.
 	/** A probe for the speed of a target in progress. */
 	struct SpeedCall {
--- a/src/gateway/gateway_leases.cpp
+++ b/src/gateway/gateway_leases.cpp
@@ -42,12 +42,14 @@
 
 void Gateway::RefreshLimits(TimePoint now)
 {
-	if (this->limited.empty() && this->drain_notices.empty()) return;
+	if (this->limited.empty() && this->drain_notices.empty() && this->brittle.empty()) return;
 	if (now - this->limits_refreshed_at >= LIMITS_REFRESH) {
 		this->limits_refreshed_at = now;
 		this->sharers.clear();
 		std::erase_if(this->limited, [this](TargetNumber number) { return !this->dispatcher.Targets().Get(number).restrictions.known; });
+		std::erase_if(this->brittle, [this](TargetNumber number) { return !this->dispatcher.Targets().Get(number).restrictions.known; });
 		for (TargetNumber number : this->limited) this->UpdateLimitShare(number, now);
+		for (TargetNumber number : this->brittle) this->UpdateRefusalShare(number);
 		std::erase_if(this->drain_notices,
 		              [&](const auto &entry) { return now - entry.second > this->limits.registry.departed_retention; });
 	}
--- a/src/gateway/gateway_signals.cpp
+++ b/src/gateway/gateway_signals.cpp
@@ -17,6 +17,8 @@
 	this->LogSignals(request, number, answer.signals, now);
 	if (answer.signals.draining) this->OnTargetDrainNotice(this->records[number.value].incarnation.Name(), "answer", now);
 	if (answer.time_factor) this->OnTimeFactor(number, *answer.time_factor, "answer", now);
+	const TargetSignals *own = answer.own_signals ? &answer.signals : nullptr;
+	if (this->dispatcher.Targets().OnAnswerSignals(number, own, requested_at, now)) this->OnBrittleChanged(number, now);
 	bool limit_changed = this->dispatcher.Targets().OnSignals(number, answer.signals, requested_at, now);
 	if (limit_changed) this->OnLimitChanged(number, "answer", requested_at, now);
 	if (limit_changed) this->peers.PublishSignals(this->LimitUpdateOf(number, now), requested_at);
@@ -92,6 +94,30 @@
 	     {"window_ms", FormatMilliseconds(share.window)}});
 }
 
+void Gateway::OnBrittleChanged(TargetNumber number, TimePoint now)
+{
+	const RefusalGuard &refusals = this->dispatcher.Targets().Get(number).restrictions.refusals;
+	if (refusals.IsActive()) this->brittle.insert(number);
+	if (!refusals.IsActive()) this->brittle.erase(number);
+	this->UpdateRefusalShare(number);
+	Log(LogLevel::Info, "target-brittle",
+	    {{"target", this->records[number.value].incarnation.Name()},
+	     {"bears_per_s", refusals.IsActive() ? FormatNumber(refusals.Bound()) : ""},
+	     {"brittle_targets", std::to_string(this->brittle.size())}});
+	this->Execute(this->dispatcher.OnPlacementChanged(now));
+}
+
+void Gateway::UpdateRefusalShare(TargetNumber number)
+{
+	/** Part of the refusals that is shared out; the rest is for those that arrive late and for requests of instances not known here. */
+	static constexpr double SHARED_FRACTION = 0.8;
+	const TargetState &target = this->dispatcher.Targets().Get(number);
+	std::vector<std::string> instances = this->peers.KnownInstances();
+	RateLimit limit{target.restrictions.refusals.Bound() * SHARED_FRACTION, REFUSAL_SPAN};
+	this->dispatcher.Targets().SetRefusalShare(number, this->peers.Instances(),
+	                                           ShareRate(target.name, limit, instances, this->settings.name));
+}
+
 void Gateway::LogSignals(const RelayRequest &request, TargetNumber number, const TargetSignals &signals, TimePoint now)
 {
 	TargetRecord &record = this->records[number.value];
@@ -104,6 +130,8 @@
 	     {"limit_per_s", signals.limit == SignalState::Present ? FormatNumber(signals.limit_per_s) : ""},
 	     {"leaving", signals.draining ? "yes" : "no"},
 	     {"pause_ms", FormatMilliseconds(signals.pause)},
+	     {"brittle", signals.brittle == SignalState::Present ? FormatNumber(signals.refusals_per_s) : ""},
+	     {"refused", signals.refused ? "yes" : "no"},
 	     {"unreadable", signals.unreadable ? "yes" : "no"}});
 }
 
--- a/src/gateway/gateway_targets.cpp
+++ b/src/gateway/gateway_targets.cpp
@@ -96,6 +96,7 @@
 	TargetTable &targets = this->dispatcher.Targets();
 	TargetNumber number = targets.Configure(listed.incarnation.Name(), listed.hall, {this->pools.Intern(listed.pool)}, engine);
 	targets.ClearDraining(number);
+	targets.SetPlaces(number, static_cast<uint32_t>(std::min<uint64_t>(listed.slots, UINT32_MAX)));
 	targets.SetServiceCapacity(number, engine ? pool->engine->memory_tokens : listed.slots);
 	if (this->records.size() <= number.value) this->records.resize(number.value + 1);
 	TargetRecord &record = this->records[number.value];
--- a/src/platform/wire_request.cpp
+++ b/src/platform/wire_request.cpp
@@ -139,6 +139,23 @@
 	}
 }
 
+/** Read the refusals that a brittle target bears. The lowest number counts; invalid ones are ignored. */
+static void ReadBrittle(const HttpHead &head, TargetSignals *signals)
+{
+	static constexpr double MAX_PER_S = 1e6; ///< Higher numbers count as this one.
+	for (const HttpHeader &header : head.headers) {
+		if (strcasecmp(header.name.c_str(), "Server-Brittle") != 0) continue;
+		std::optional<double> bound = DecimalNumber(header.value, MAX_PER_S);
+		if (!bound) {
+			signals->unreadable = true;
+			if (signals->brittle == SignalState::Absent) signals->brittle = SignalState::Unreadable;
+			continue;
+		}
+		signals->refusals_per_s = signals->brittle == SignalState::Present ? std::min(signals->refusals_per_s, *bound) : *bound;
+		signals->brittle = SignalState::Present;
+	}
+}
+
 /** Read the Retry-After time, in seconds, of an answer that rejects its request. */
 static void ReadRetryAfter(const HttpHead &head, TargetSignals *signals)
 {
@@ -158,6 +175,8 @@
 	bool stamped = !FindHeader(head.headers, "X-Server-Stamp").empty();
 	if (head.status == 421 || (head.status / 100 == 2 && !stamped)) return signals;
 	ReadRateLimit(head, &signals);
+	ReadBrittle(head, &signals);
+	signals.refused = head.status == 503 && !FindHeader(head.headers, "X-Not-Executed").empty();
 	ReadRetryAfter(head, &signals);
 	std::string_view draining = FindHeader(head.headers, "Server-Leaving");
 	signals.draining = draining == "1";
@@ -188,6 +207,7 @@
 		info.load = TargetLoad{LeadingUint32(load[0]), LeadingUint32(load[1]), LeadingUint32(load[2])};
 	}
 	info.signals = ReadSignals(head);
+	info.own_signals = head.status != 421 && (head.status / 100 != 2 || info.stamped);
 	if (info.stamped && head.status != 421) info.time_factor = ReadTimeFactor(head);
 	return info;
 }
--- a/src/platform/wire_request.h
+++ b/src/platform/wire_request.h
@@ -62,6 +62,7 @@
 	bool stamped = false;           ///< The target's stamp is present.
 	std::optional<TargetLoad> load; ///< Load of the target, if reported.
 	TargetSignals signals;          ///< Other signals of the target.
+	bool own_signals = true;        ///< Whether the answer is the target's own, so that signals that are missing have ended.
 	/** Time that work takes at the target at present, relative to the usual time; nothing if it is not stated. */
 	std::optional<double> time_factor;
 };
--- a/src/tests/platform_test.cpp
+++ b/src/tests/platform_test.cpp
@@ -375,3 +375,26 @@
 	close(ends[0]);
 	close(ends[1]);
 }
+
+TEST_CASE("Platform answers - a brittle target says how many refusals it bears; what is not its own word changes nothing")
+{
+	auto read = [](int status, const HttpHeaders &headers) {
+		HttpHead head;
+		head.status = status;
+		head.headers = headers;
+		AnswerInfo info = ReadAnswer(head);
+		if (!info.own_signals) CHECK(info.signals == TargetSignals{});
+		return info.own_signals ? std::optional(info.signals) : std::nullopt;
+	};
+	const HttpHeader stamp{"X-Server-Stamp", "s"};
+	TargetSignals told = *read(200, {stamp, {"Server-Brittle", "12"}, {"Server-Brittle", "7"}});
+	CHECK(told.brittle == SignalState::Present);
+	CHECK(told.refusals_per_s == 7);
+	CHECK(!told.refused);
+	CHECK(read(200, {stamp})->brittle == SignalState::Absent);
+	CHECK(read(200, {stamp, {"Server-Brittle", "many"}})->brittle == SignalState::Unreadable);
+	CHECK(!read(200, {{"Server-Brittle", "12"}}));
+	CHECK(!read(421, {stamp, {"Server-Brittle", "12"}}));
+	CHECK(read(503, {{"X-Not-Executed", "1"}})->refused);
+	CHECK(!read(503, {})->refused);
+}
--- a/tests/standins/simulation.cpp
+++ b/tests/standins/simulation.cpp
@@ -25,6 +25,7 @@
 static constexpr uint64_t MEMORY_TOKENS = 40000;      ///< Memory size in load reports.
 static constexpr size_t MAX_UNREAD_BYTES = 64U << 10; ///< Unread bytes of a stream from which its engine waits for the reader.
 static constexpr uint64_t CRASH_DELAY_MS = 40;        ///< Time until a request with a crash body crashes the target.
+static constexpr uint64_t BRITTLE_WORK_MS = 60;       ///< Time that a brittle service takes for a request.
 static constexpr uint64_t RESTART_DELAY_MS = 1500;    ///< Time until a crashed target restarts.
 static constexpr uint64_t LISTEN_RETRY_MS = 50;       ///< Interval at which a restarting target tries to get its port back.
 static const char *const CRASH_BODY_PREFIX = "crash"; ///< Beginning of the body of requests that crash the target.
@@ -202,6 +203,7 @@
 {
 	HttpHeaders headers{{"X-Attempt-Id", attempt}, {"X-Server-Stamp", "stamp"}};
 	if (!this->limit.empty()) headers.push_back({"Server-Limit", this->limit});
+	if (this->places > 0) headers.push_back({"Server-Brittle", std::to_string(this->bears)});
 	if (!this->drains_by_header) return headers;
 	headers.push_back({"Server-Leaving", "1"});
 	// The drain counts from the first answer that announces it.
@@ -209,20 +211,44 @@
 	return headers;
 }
 
+bool SimulatedTarget::RefuseWhileFull(const Exchange &exchange, const std::string &attempt)
+{
+	if (this->places == 0) return false;
+	if (this->processing < this->places) {
+		this->processing++;
+		After(this->loop, BRITTLE_WORK_MS, [this] { this->processing -= this->processing > 0 ? 1 : 0; });
+		return false;
+	}
+	HttpHeaders headers = this->Headers(attempt);
+	headers.push_back({"X-Not-Executed", "1"});
+	headers.push_back(this->LoadField(std::to_string(this->processing) + ",0," + std::to_string(this->places)));
+	exchange->Respond(503, headers, {});
+	this->refusals.push_back(NowMs());
+	while (NowMs() - this->refusals.front() >= 1000) this->refusals.pop_front();
+	if (this->refusals.size() <= this->bears) return true;
+	this->record.falls.push_back({{"target", this->id}, {"at", NowMs()}});
+	this->refusals.clear();
+	this->processing = 0;
+	this->Crash(RESTART_DELAY_MS);
+	return true;
+}
+
 void SimulatedTarget::Serve(const Exchange &exchange, const std::string &attempt)
 {
+	if (this->RefuseWhileFull(exchange, attempt)) return;
 	this->answers++;
 	this->record.runs.push_back({{"request", attempt},
 	                             {"target", this->id},
 	                             {"hall", this->hall},
 	                             {"account", FindHeader(exchange->head.headers, "X-Tenant")}});
 	HttpHeaders headers = this->Headers(attempt);
-	headers.push_back(this->LoadField("1,0,6"));
+	headers.push_back(
+	        this->LoadField(this->places == 0 ? "1,0,6" : std::to_string(this->processing) + ",0," + std::to_string(this->places)));
 	std::string body = "answer to " + attempt + Padding(FLAGS_answer_bytes);
 	bool fails = static_cast<double>(this->answers % 10) < this->error_ratio * 10;
 	std::string how = this->corruption;
 	if (exchange->body.starts_with(CRASH_BODY_PREFIX)) return this->CrashDuring(attempt);
-	After(this->loop, 5, [exchange, headers, body, fails, how] {
+	After(this->loop, this->places > 0 ? BRITTLE_WORK_MS : 5, [exchange, headers, body, fails, how] {
 		if (how == "reset") {
 			exchange->Start(200, headers, body.size());
 			exchange->Write(body.substr(0, 3));
@@ -341,11 +367,17 @@
 	void Handle(const Exchange &exchange)
 	{
 		if (exchange->head.target == "/record") {
-			Json answer{{"runs", this->record.runs},         {"late", this->record.late},
-			            {"overlaps", this->record.overlaps}, {"crashes", this->record.crashes},
-			            {"arrivals", this->record.arrivals}, {"pauses", this->record.pauses},
-			            {"limits", this->record.limits},     {"reports", this->record.reports},
-			            {"store_calls", this->store.calls},  {"copy_requests", this->record.copy_requests}};
+			Json answer{{"runs", this->record.runs},
+			            {"late", this->record.late},
+			            {"overlaps", this->record.overlaps},
+			            {"crashes", this->record.crashes},
+			            {"arrivals", this->record.arrivals},
+			            {"pauses", this->record.pauses},
+			            {"falls", this->record.falls},
+			            {"limits", this->record.limits},
+			            {"reports", this->record.reports},
+			            {"store_calls", this->store.calls},
+			            {"copy_requests", this->record.copy_requests}};
 			answer["health"] = this->record.health;
 			for (const auto &[id, target] : this->targets) answer["targets"][id] = target->Address();
 			return exchange->Respond(200, {}, answer.dump());
@@ -394,6 +426,10 @@
 			this->record.limits.push_back({{"target", id}, {"per_s", strtod(limit.c_str(), nullptr)}, {"at", NowMs()}});
 		}
 		if (control.contains("percent")) this->targets.at(id)->percent = control["percent"];
+		if (action == "brittle") {
+			this->targets.at(id)->bears = control.value("bears", 0);
+			this->targets.at(id)->places = control.value("places", 0);
+		}
 		if (action == "say-leaving") this->targets.at(id)->DrainByHeader();
 		if (action == "pause") this->targets.at(id)->pause_ms = control.value("ms", 0);
 		if (action == "fail") this->targets.at(id)->error_ratio = control.value("part", 0.0);
--- a/tests/standins/simulation_base.h
+++ b/tests/standins/simulation_base.h
@@ -6,6 +6,7 @@
 
 #include "net/http_front.h"
 #include "standin_func.h"
+#include <deque>
 #include <map>
 #include <set>
 
@@ -101,6 +102,7 @@
 	Json arrivals = Json::array();      ///< Requests at targets with a rate limit or pause: target, request, time.
 	Json pauses = Json::array();        ///< Requested pauses: target, start, end.
 	Json limits = Json::array();        ///< Announced rate limits: target, requests per second (0 for none), time.
+	Json falls = Json::array();         ///< Crashes of brittle services: target, time.
 	Json crashes = Json::array();       ///< Crashes: request, target, time.
 	Json copy_requests = Json::array(); ///< Requests to copy a run to another engine: request, target, time, whether there was such a run.
 	std::map<std::string, int> health;  ///< Number of health checks by target.
@@ -149,6 +151,8 @@
 	std::string corruption; ///< "reset" truncates and resets answers, "unframed" ends bodies by closing the connection; empty for none.
 	std::string limit;      ///< Rate limit announced in answers; empty for none.
 	std::string percent;    ///< Time that work takes, as stated in answers; empty for none.
+	uint64_t places = 0;    ///< Requests that a brittle service processes at once; 0 if it is not brittle.
+	uint64_t bears = 0;     ///< Refusals in a second that it bears.
 	int64_t pause_ms = 0;   ///< Pause to request with the next rejection, in milliseconds; 0 for none.
 	bool stalled = false;   ///< All runs of the engine wait: they produce no events and cannot be copied.
 
@@ -170,6 +174,8 @@
 	void Generate(const Exchange &exchange, const std::string &attempt);
 	/** Start streaming a run. */
 	void Begin(Run run);
+	/** Refuse a request if all places of a brittle service are taken, and crash after too many refusals. @return Whether it was refused. */
+	bool RefuseWhileFull(const Exchange &exchange, const std::string &attempt);
 	/** Handle a request to a service. */
 	void Serve(const Exchange &exchange, const std::string &attempt);
 	/** @return The headers of an answer, with rate limit and drain announcement. */
@@ -200,6 +206,8 @@
 	bool drains_by_header = false;                       ///< Only answer headers announce the drain.
 	int64_t drain_started_at = 0;                        ///< When the drain was announced; 0 for not yet.
 	int64_t paused_until = 0;                            ///< End of the requested pause.
+	uint64_t processing = 0;                             ///< Requests that a brittle service processes.
+	std::deque<int64_t> refusals;                        ///< Times of its refusals.
 	uint64_t answers = 0;                                ///< Counter of answers and rows.
 	bool stopped = false;                                ///< It has stopped for good.
 	int64_t started_at = 0;                              ///< Start time of this incarnation.
