Doc: [Net] What ends a connection that has gone silent; the constants say what TCP_USER_TIMEOUT decides

While TCP_USER_TIMEOUT is set, it also decides when unanswered keepalive probes end a connection, whatever their count: the text of KEEPALIVE_PROBES said otherwise. A unit test reads the options from both ends of a real connection. No behaviour changes.

--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -13,12 +13,14 @@
 
 namespace cottonspool {
 
-static constexpr size_t READ_BUFFER = 64U << 10;      ///< Size of the read buffer.
-static constexpr int LISTEN_BACKLOG = 1024;           ///< Connections that the kernel queues until they are accepted.
-static constexpr unsigned int USER_TIMEOUT_MS = 4000; ///< Time after which unacknowledged bytes make a connection fail (TCP_USER_TIMEOUT).
-static constexpr unsigned int KEEPALIVE_IDLE_S = 3;   ///< Idle time before the first TCP keepalive probe.
-static constexpr int KEEPALIVE_INTERVAL_S = 1;        ///< Interval of TCP keepalive probes.
-static constexpr int KEEPALIVE_PROBES = 3;            ///< Unanswered keepalive probes after which a connection fails.
+static constexpr size_t READ_BUFFER = 64U << 10; ///< Size of the read buffer.
+static constexpr int LISTEN_BACKLOG = 1024;      ///< Connections that the kernel queues until they are accepted.
+/** Time after which unacknowledged bytes, or an idle connection without an answer to its keepalive probes, fail (TCP_USER_TIMEOUT). */
+static constexpr unsigned int USER_TIMEOUT_MS = 4000;
+static constexpr unsigned int KEEPALIVE_IDLE_S = 3; ///< Idle time before the first TCP keepalive probe.
+static constexpr int KEEPALIVE_INTERVAL_S = 1;      ///< Interval of TCP keepalive probes.
+/** Unanswered keepalive probes after which a connection fails; not counted on Linux, where USER_TIMEOUT_MS decides instead. */
+static constexpr int KEEPALIVE_PROBES = 3;
 
 Result<Endpoint> ParseEndpoint(std::string_view text)
 {
--- a/src/tests/net_test.cpp
+++ b/src/tests/net_test.cpp
@@ -7,6 +7,7 @@
 #include <arpa/inet.h>
 #include <doctest/doctest.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <uv.h>
@@ -392,3 +393,41 @@
 		CHECK((length == 0) == (end == End::Finish));
 	}
 }
+
+TEST_CASE("Connections - the timeouts that docs/design/timeouts.md states are set on both sides")
+{
+	LoopFixture fixture;
+	std::shared_ptr<TcpStream> accepted;
+	TcpListener listener(&fixture.loop, [&](std::shared_ptr<TcpStream> stream) { accepted = std::move(stream); });
+	uint16_t port = listener.Listen({"127.0.0.1", 0}).value();
+	std::shared_ptr<TcpStream> connected = TcpStream::Connect(&fixture.loop, {"127.0.0.1", port});
+	fixture.Run(20);
+	REQUIRE(accepted);
+	// The two sockets of the connection are the only ones that are connected on this loop.
+	size_t checked = 0;
+	auto check = [](uv_handle_t *handle, void *count) {
+		uv_os_fd_t fd = -1;
+		sockaddr_in peer{};
+		int peer_size = sizeof(peer);
+		if (handle->type != UV_TCP || uv_fileno(handle, &fd) != 0) return;
+		if (uv_tcp_getpeername(reinterpret_cast<uv_tcp_t *>(handle), reinterpret_cast<sockaddr *>(&peer), &peer_size) != 0) return;
+		auto option = [fd](int level, int name) {
+			int value = -1;
+			socklen_t size = sizeof(value);
+			getsockopt(fd, level, name, &value, &size);
+			return value;
+		};
+		CHECK(option(IPPROTO_TCP, TCP_USER_TIMEOUT) == 4000);
+		CHECK(option(SOL_SOCKET, SO_KEEPALIVE) == 1);
+		CHECK(option(IPPROTO_TCP, TCP_KEEPIDLE) == 3);
+		CHECK(option(IPPROTO_TCP, TCP_KEEPINTVL) == 1);
+		CHECK(option(IPPROTO_TCP, TCP_KEEPCNT) == 3);
+		(*static_cast<size_t *>(count))++;
+	};
+	uv_walk(&fixture.loop, check, &checked);
+	CHECK(checked == 2);
+	connected->Close();
+	accepted->Close();
+	listener.Stop();
+	fixture.Run(5);
+}
