Change: [Gateway] Fewer connects find out whether a pool is lost: two first, and none for one target that is down

A round begins after two connects that failed without an answer between them, or a silence of the whole pool; a connection that broke counts as a silence.

--- a/src/decision/pool_reachability.cpp
+++ b/src/decision/pool_reachability.cpp
@@ -6,11 +6,13 @@
 
 namespace cottonspool {
 
-bool PoolReachability::IsRoundDue(ReachDoubt doubt, TimePoint now) const
+bool PoolReachability::OnDoubt(ReachDoubt doubt, TimePoint now)
 {
+	if (doubt == ReachDoubt::NoConnection) this->failed_connects++;
 	if (this->probing || this->lost || now < this->next_round_at) return false;
-	// While others answer, a silent target is slow or suspended. New connections may fail even so.
-	return doubt == ReachDoubt::NoConnection || now - this->answered_at > this->limits.answer_ttl;
+	// While others answer, a silent target is slow or suspended. New connections may fail even so, but those to one target that is down do.
+	if (doubt == ReachDoubt::NoConnection) return this->failed_connects >= this->limits.failed_connects;
+	return now - this->answered_at > this->limits.answer_ttl;
 }
 
 bool PoolReachability::IsRetryDue(TimePoint now) const
@@ -47,6 +49,7 @@
 {
 	this->probing = false;
 	this->open_probes.clear();
+	this->failed_connects = 0;
 	this->failed_rounds = reached ? 0 : this->failed_rounds + 1;
 	bool was_lost = this->lost;
 	this->lost = !reached && (was_lost || this->ShowsLoss());
--- a/src/decision/pool_reachability.h
+++ b/src/decision/pool_reachability.h
@@ -21,8 +21,11 @@
 	Duration answer_ttl = std::chrono::milliseconds(250); ///< Time for which an answer shows that a silent target is not the link's fault.
 	Duration plain_silence = std::chrono::milliseconds(300);  ///< Time without an answer of a service that is taken for silence.
 	Duration stream_silence = std::chrono::milliseconds(700); ///< The same for an engine, which may read a prompt meanwhile.
-	size_t probes = 6;                                        ///< Targets that a round probes.
-	size_t probes_while_lost = 2;                             ///< The same while the pool is lost.
+	uint32_t failed_connects = 2;                             ///< Failed connects without an answer between them that begin a round.
+	size_t first_probes = 2; ///< Targets that a round probes at once; the others follow if none has accepted after first_delay.
+	Duration first_delay = std::chrono::milliseconds(75); ///< See first_probes.
+	size_t probes = 6;                                    ///< Targets that a round probes.
+	size_t probes_while_lost = 2;                         ///< The same while the pool is lost.
 	uint32_t silent_rounds =
 	        2; ///< Consecutive rounds without a connection after which a pool is lost although open connections still answer.
 };
@@ -36,8 +39,8 @@
 
 /** What made this instance doubt that it reaches a pool. */
 enum class ReachDoubt : uint8_t {
-	NoConnection, ///< A connection could not be established, or was broken.
-	NoAnswer,     ///< An open connection does not answer.
+	NoConnection, ///< A connection could not be established.
+	NoAnswer,     ///< An open connection does not answer, or broke.
 };
 
 /**
@@ -50,10 +53,14 @@
 	explicit PoolReachability(const ReachLimits &limits) : limits(limits) {}
 
 	/** Handle bytes of an answer of a target. */
-	void OnAnswer(TimePoint now) { this->answered_at = now; }
+	void OnAnswer(TimePoint now)
+	{
+		this->answered_at = now;
+		this->failed_connects = 0;
+	}
 
-	/** @return Whether \a doubt calls for a round of probes now. */
-	[[nodiscard]] bool IsRoundDue(ReachDoubt doubt, TimePoint now) const;
+	/** Handle \a doubt. @return Whether it calls for a round of probes now. */
+	[[nodiscard]] bool OnDoubt(ReachDoubt doubt, TimePoint now);
 
 	/** @return Whether a lost pool is to be probed again now. */
 	[[nodiscard]] bool IsRetryDue(TimePoint now) const;
@@ -67,6 +74,9 @@
 	/** @return Whether no target can be reached. */
 	bool IsLost() const { return this->lost; }
 
+	/** @return Whether a round is in progress. */
+	bool IsProbing() const { return this->probing; }
+
 	/** @return Whether a round is in progress, or the pool is lost. */
 	bool IsDoubted() const { return this->lost || this->probing; }
 
@@ -83,6 +93,7 @@
 	bool probing = false;                     ///< A round is in progress.
 	bool all_refused = true;                  ///< All results of this round are refusals.
 	bool lost = false;                        ///< No target can be reached.
+	uint32_t failed_connects = 0;             ///< Failed connects since the last answer.
 	uint32_t failed_rounds = 0;               ///< Consecutive rounds without a connection.
 	TimePoint answered_at;                    ///< When a target last answered.
 	TimePoint round_begun_at;                 ///< When the last round began.
--- a/src/gateway/gateway_crashes.cpp
+++ b/src/gateway/gateway_crashes.cpp
@@ -11,7 +11,7 @@
 
 void Gateway::OnSendInterrupted(const RelayRequest &request, TargetNumber number, RunStage stage, TimePoint now)
 {
-	this->OnTargetUnreachable(number);
+	this->OnTargetSilent(number);
 	const TargetRecord &record = this->records[number.value];
 	const Pool *pool = this->routes.FindPool(record.pool);
 	ProbedTarget target{record.incarnation, record.address, REPORT_PATH};
--- a/src/gateway/reach_monitor.cpp
+++ b/src/gateway/reach_monitor.cpp
@@ -7,11 +7,9 @@
 
 namespace cottonspool {
 
-static constexpr size_t CONNECTS_PER_PROBE = 2;
-
 void ReachMonitor::OnDoubt(ModelNumber pool, ReachDoubt doubt, TimePoint now)
 {
-	if (this->StateOf(pool).IsRoundDue(doubt, now)) this->BeginRound(pool, this->limits.probes, now);
+	if (this->StateOf(pool).OnDoubt(doubt, now)) this->BeginRound(pool, this->limits.probes, now);
 }
 
 std::vector<ReachTarget> ReachMonitor::Select(std::vector<ReachTarget> targets, size_t count)
@@ -35,11 +33,12 @@
 	std::vector<TargetNumber> numbers;
 	for (const ReachTarget &target : targets) numbers.push_back(target.number);
 	this->StateOf(pool).BeginRound(numbers, now);
-	for (ReachTarget &target : targets) {
+	for (size_t i = 0; i < targets.size(); i++) {
 		uint64_t number = this->next_probe++;
 		Probe &probe = this->probes[number];
-		probe = {pool, std::move(target), now, {}};
-		this->Connect(number, probe);
+		bool first = i < this->limits.first_probes;
+		probe = {pool, std::move(targets[i]), first ? now : now + this->limits.first_delay, {}};
+		if (first) this->Connect(number, probe);
 	}
 }
 
@@ -54,6 +53,15 @@
 	probe.streams.push_back(std::move(stream));
 }
 
+void ReachMonitor::CloseProbes(ModelNumber pool)
+{
+	std::erase_if(this->probes, [pool](auto &each) {
+		if (each.second.pool != pool) return false;
+		for (const std::shared_ptr<TcpStream> &stream : each.second.streams) stream->Close();
+		return true;
+	});
+}
+
 void ReachMonitor::EndProbe(uint64_t number, ReachResult result)
 {
 	auto found = this->probes.find(number);
@@ -64,16 +72,21 @@
 	TimePoint now = MonotonicNow();
 	PoolReachability &state = this->StateOf(probe.pool);
 	Duration lost_for = state.IsLost() ? now - state.LostSince() : Duration(0);
-	if (state.OnProbed(probe.target.number, result, now)) this->handler(probe.pool, state.IsLost(), lost_for);
+	bool changed = state.OnProbed(probe.target.number, result, now);
+	if (!state.IsProbing()) this->CloseProbes(probe.pool);
+	if (changed) this->handler(probe.pool, state.IsLost(), lost_for);
 }
 
 void ReachMonitor::OnTick(TimePoint now)
 {
 	std::vector<uint64_t> late;
 	for (auto &[number, probe] : this->probes) {
-		if (now - probe.begun_at >= this->limits.connect_timeout) {
+		Duration age = now - probe.begun_at;
+		bool first_due = probe.streams.empty() && age >= Duration(0);
+		bool second_due = probe.streams.size() == 1 && age >= this->limits.repeat_delay;
+		if (age >= this->limits.connect_timeout) {
 			late.push_back(number);
-		} else if (now - probe.begun_at >= this->limits.repeat_delay && probe.streams.size() < CONNECTS_PER_PROBE) {
+		} else if (first_due || second_due) {
 			this->Connect(number, probe);
 		}
 	}
--- a/src/gateway/reach_monitor.h
+++ b/src/gateway/reach_monitor.h
@@ -56,7 +56,7 @@
 	struct Probe {
 		ModelNumber pool;
 		ReachTarget target;
-		TimePoint begun_at;
+		TimePoint begun_at;                              ///< When it begins.
 		std::vector<std::shared_ptr<TcpStream>> streams; ///< Its connects.
 	};
 
@@ -66,6 +66,8 @@
 	std::vector<ReachTarget> Select(std::vector<ReachTarget> targets, size_t count);
 	void Connect(uint64_t number, Probe &probe);
 	void EndProbe(uint64_t number, ReachResult result);
+	/** Close the probes of \a pool, whose round is over. */
+	void CloseProbes(ModelNumber pool);
 
 	uv_loop_s *loop;
 	ReachLimits limits;
