Test: [Soak] Instances that lose all targets, and engines that end inside events of streams without a length or chunks

One instance or most of a hall is cut off from all targets for 0.5 to 6 s (refused, silent, reset), and engines answer with neither a length nor chunks and may end inside an event, among the faults that the soak knows.

--- a/tests/scenarios/platform_soak.lua
+++ b/tests/scenarios/platform_soak.lua
@@ -40,14 +40,15 @@
 	return write_file(name .. ".json", string.format('{"nodeName":"%s","zone":"%s","ip":"127.0.0.1","zones":{"hall-a":"r","hall-b":"r"},'
 		.. '"listen":{"front":"127.0.0.1:%d","ready":"127.0.0.1:%d"},"internalPorts":[%d,%d],"platform":{"address":"127.0.0.1:%d"},'
 		.. '"bounds":{"graceS":8,"contactMs":%d,"drainMs":%d,"configApplyMs":%d,"retrySlack":50}%s}', name, each.hall, each.front, each.ready,
-		each.own, each.own + 1, each.store, CONTACT_MS, DRAIN_MS, IN_FORCE_MS, extra or ""))
+		each.own, each.own + 2, each.store, CONTACT_MS, DRAIN_MS, IN_FORCE_MS, extra or ""))
 end
 
 local function start(name)
 	local each = instances[name]
 	local file = write_settings(name)
 	each.clock = write_file(name .. ".clock", "0")
-	spawn(name, { "/usr/bin/env", "LD_PRELOAD=" .. BIN .. "/libcottonspool-clock.so", "COTTONSPOOL_TEST_CLOCK=" .. each.clock,
+	spawn(name, { "/usr/bin/env", "LD_PRELOAD=" .. BIN .. "/libcottonspool-clock.so " .. BIN .. "/libcottonspool-links.so",
+		"COTTONSPOOL_TEST_CLOCK=" .. each.clock, "COTTONSPOOL_TEST_LINKS=" .. write_file(name .. ".links", "pass"),
 		BIN .. "/cottonspool", "gateway", "--settings", file })
 	each.up, each.known_version, each.started_at = true, 0, now_ms()
 end
@@ -74,8 +75,8 @@
 for i = 1, INSTANCES do
 	local name = "g" .. i
 	names[i] = name
-	local own = FIRST_PORT + 4 * i
-	instances[name] = { hall = halls[i % 2 + 1], front = own + 2, ready = own + 3, own = own, store = link(lib.ports.world), peer = 0 }
+	local own = FIRST_PORT + 5 * i
+	instances[name] = { hall = halls[i % 2 + 1], front = own + 3, ready = own + 4, own = own, store = link(lib.ports.world), peer = 0 }
 	instances[name].peer = link("127.0.0.1:" .. own + 1)
 	shown_as[#shown_as + 1] = string.format('"127.0.0.1:%d":"127.0.0.1:%d"', own + 1, instances[name].peer)
 	lib.ports[name], lib.ports[name .. ".ready"] = "127.0.0.1:" .. instances[name].front, "127.0.0.1:" .. instances[name].ready
@@ -159,6 +160,30 @@
 		end
 		later(2100, await_exit)
 	end,
+	function() -- An instance, or most of a hall, is cut off from all targets, but not from callers, the store and the other instances.
+		local cut, length, mode = {}, math.random(500, 6000), pick{ "refuse", "silent", "reset" }
+		for _, name in ipairs(math.random(2) == 1 and { pick_instance() } or names) do
+			if #cut == 0 or instances[name].hall == instances[cut[1]].hall then cut[#cut + 1] = name end
+		end
+		local ports = {}
+		for _, port in pairs(target_links) do ports[#ports + 1] = port end
+		for _, name in ipairs(cut) do
+			add_disturbance(name, length)
+			write_file(name .. ".links", mode .. " " .. table.concat(ports, " "))
+			later(length, function() write_file(name .. ".links", "pass") end)
+		end
+	end,
+	function() -- An engine answers with neither a length nor chunks, and may end inside events.
+		local id, length = pick(targets), math.random(1000, 5000)
+		if not id:match("^engine") then return end
+		lib.control("world", string.format('{"do":"garble","target":"%s","how":"unframed"}', id))
+		later(length, function()
+			lib.control("world", string.format('{"do":"garble","target":"%s","how":""}', id))
+			if math.random(2) == 1 then return end
+			add_disturbance("targets", 2500)
+			lib.control("world", string.format('{"do":"crash","target":"%s","inside_event":true}', id))
+		end)
+	end,
 	function() -- An instance is paused.
 		local name = pick_instance()
 		if not name then return end
