--- a/src/gateway/relay_call.cpp
+++ b/src/gateway/relay_call.cpp
@@ -150,8 +150,8 @@
 {
 	this->target.reset();
 	if (this->concluded || this->DeliverKeptAnswer()) return;
-	bool placeless = action.reason != RejectReason::Quarantined && action.reason != RejectReason::RetryBudget;
-	if (placeless && this->gateway.IsPoolDoubted(this->request) && this->PassOn()) return;
+	bool found_no_target = action.reason != RejectReason::Quarantined && action.reason != RejectReason::RetryBudget;
+	if (found_no_target && this->gateway.IsPoolDoubted(this->request) && this->PassOn()) return;
 	const char *reason = RejectReasonName(action.reason);
 	if (action.reason == RejectReason::AllRestricted) {
 		Log(LogLevel::Info, "all-bound",
--- a/src/platform/wire_request.cpp
+++ b/src/platform/wire_request.cpp
@@ -122,37 +122,25 @@
 	return std::min(value, max_value);
 }
 
-/** Read the rate limits in \a head. The lowest counts; invalid ones are ignored. */
-static void ReadRateLimit(const HttpHead &head, TargetSignals *signals)
-{
-	static constexpr double MAX_PER_S = 1e6; ///< Higher limits count as this one.
-	for (const HttpHeader &header : head.headers) {
-		if (strcasecmp(header.name.c_str(), "Server-Limit") != 0) continue;
-		std::optional<double> limit = DecimalNumber(header.value, MAX_PER_S);
-		if (!limit) {
-			signals->unreadable = true;
-			if (signals->limit == SignalState::Absent) signals->limit = SignalState::Unreadable;
-			continue;
-		}
-		signals->limit_per_s = signals->limit == SignalState::Present ? std::min(signals->limit_per_s, *limit) : *limit;
-		signals->limit = SignalState::Present;
-	}
-}
-
-/** Read the refusals that a brittle target bears. The lowest number counts; invalid ones are ignored. */
-static void ReadBrittle(const HttpHead &head, TargetSignals *signals)
+/**
+ * Read the header fields \a name, which hold a number that a target states for a second. The lowest counts; invalid ones are ignored.
+ * @param state Receives whether there is a valid one.
+ * @param lowest Receives the number.
+ * @param unreadable Set if there is an invalid one.
+ */
+static void ReadLowestPerSecond(const HttpHead &head, const char *name, SignalState *state, double *lowest, bool *unreadable)
 {
 	static constexpr double MAX_PER_S = 1e6; ///< Higher numbers count as this one.
 	for (const HttpHeader &header : head.headers) {
-		if (strcasecmp(header.name.c_str(), "Server-Brittle") != 0) continue;
-		std::optional<double> bound = DecimalNumber(header.value, MAX_PER_S);
-		if (!bound) {
-			signals->unreadable = true;
-			if (signals->brittle == SignalState::Absent) signals->brittle = SignalState::Unreadable;
+		if (strcasecmp(header.name.c_str(), name) != 0) continue;
+		std::optional<double> number = DecimalNumber(header.value, MAX_PER_S);
+		if (!number) {
+			*unreadable = true;
+			if (*state == SignalState::Absent) *state = SignalState::Unreadable;
 			continue;
 		}
-		signals->refusals_per_s = signals->brittle == SignalState::Present ? std::min(signals->refusals_per_s, *bound) : *bound;
-		signals->brittle = SignalState::Present;
+		*lowest = *state == SignalState::Present ? std::min(*lowest, *number) : *number;
+		*state = SignalState::Present;
 	}
 }
 
@@ -174,8 +162,8 @@
 	// Ignore an answer from another target that has taken over the address (421), and a success without the target's stamp.
 	bool stamped = !FindHeader(head.headers, "X-Server-Stamp").empty();
 	if (head.status == 421 || (head.status / 100 == 2 && !stamped)) return signals;
-	ReadRateLimit(head, &signals);
-	ReadBrittle(head, &signals);
+	ReadLowestPerSecond(head, "Server-Limit", &signals.limit, &signals.limit_per_s, &signals.unreadable);
+	ReadLowestPerSecond(head, "Server-Brittle", &signals.brittle, &signals.refusals_per_s, &signals.unreadable);
 	signals.refused = head.status == 503 && !FindHeader(head.headers, "X-Not-Executed").empty();
 	ReadRetryAfter(head, &signals);
 	std::string_view draining = FindHeader(head.headers, "Server-Leaving");
