Test: [Review] Case 2 keeps its traffic and both disruptions inside the site file's figures

Now one server of each service sheds 0.45 of its requests for 6.5 s, and one in 34 of its answers is doubled for 5 s, whatever it says; the traffic is the sheet's.

--- a/review/standins/doubled_answer.cpp
+++ b/review/standins/doubled_answer.cpp
@@ -14,18 +14,21 @@
 
 using namespace review;
 
-static constexpr int PAY_SERVERS = 3;          ///< As on the sheet of mawqif-cloud: pay-api.
-static constexpr int SLOTS = 6;                ///< Requests that a server works on at once.
-static constexpr int QUEUE = 2;                ///< Requests that a server queues beside them.
-static constexpr int WORK_MS = 60;             ///< Mean time of the work.
-static constexpr int MAX_WORK_MS = 450;        ///< Longest time of the work.
-static constexpr int PAY_CLIENTS = 40;         ///< Clients of "pay", each with a kept channel and one request at a time.
-static constexpr int DESK_CLIENTS = 5;         ///< Clients of "desk"; its server is never full.
-static constexpr int64_t LENGTH_MS = 20000;    ///< Time of the traffic.
-static constexpr int64_t DOUBLING_FROM = 5000; ///< Start of the disruption within it.
-static constexpr int64_t DOUBLING_MS = 5000;   ///< Its length; the page's entry says 5 s.
-static constexpr double SHED_SHARE = 0.4;      ///< Share of its requests that the server of "desk" sheds then, although it is not full.
-static constexpr double DOUBLED_SHARE = 0.03;  ///< Share of the server's answers that are sent twice, at most.
+static constexpr int PAY_SERVERS = 3;        ///< As on the sheet: prenota-app.
+static constexpr int SLOTS = 6;              ///< Requests that a server works on at once.
+static constexpr int QUEUE = 24;             ///< Requests that a server queues beside them.
+static constexpr int WORK_MS = 15;           ///< Mean time of the work.
+static constexpr int MAX_WORK_MS = 110;      ///< Longest time of the work.
+static constexpr int PAY_CLIENTS = 16;       ///< Clients of "pay", each with a kept channel and one request at a time.
+static constexpr int DESK_CLIENTS = 6;       ///< Clients of "desk".
+static constexpr int PAUSE_MS = 185;         ///< Mean pause of a client: some 78 requests a second of "pay", as on the sheet.
+static constexpr int64_t LENGTH_MS = 60000;  ///< Time of the traffic.
+static constexpr int64_t FIRST_MS = 3000;    ///< Time without a disruption at its start.
+static constexpr int64_t PERIOD_MS = 7000;   ///< Both disruptions come again after that time.
+static constexpr int64_t DOUBLING_MS = 5000; ///< `garble`, `for_s`.
+static constexpr int64_t SHEDDING_MS = 6500; ///< `srv_grey`, `for_s`.
+static constexpr double SHED_SHARE = 0.45;   ///< Share of its requests that a server sheds then: `srv_grey`, `x`.
+static constexpr int DOUBLED_OF = 34;        ///< One in so many answers is sent twice, whatever it says: `garble`, `x` = 0.03.
 
 /** What happened to the requests, by attempt id. */
 struct Runs {
@@ -58,9 +61,10 @@
 	}
 
 	std::string service;
-	int shed = 0;    ///< Requests turned away.
-	int doubled = 0; ///< Answers sent twice.
-	int answers = 0; ///< Answers in the time of the disruption.
+	int shed = 0;         ///< Requests turned away.
+	int doubled = 0;      ///< Answers sent twice.
+	int doubled_shed = 0; ///< Those of them that shed a request.
+	int answers = 0;      ///< Answers in the time of the disruption.
 	std::string id;
 
 private:
@@ -72,16 +76,15 @@
 		                         ",\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":" + std::to_string(++this->sequence) + "}");
 	}
 
-	bool IsDoubling() const
+	/** @return Whether a disruption that lasts \a length_ms of each period takes place at this server now. */
+	bool IsStruck(int64_t length_ms) const
 	{
-		int64_t at = NowMs() - traffic_since;
-		return this->doubles && at >= DOUBLING_FROM && at < DOUBLING_FROM + DOUBLING_MS;
+		int64_t at = NowMs() - traffic_since - FIRST_MS;
+		return this->doubles && at >= 0 && at % PERIOD_MS < length_ms;
 	}
 
 	bool Handle(Connection &connection, const Message &request)
 	{
-		if (request.target == "/healthz")
-			return connection.Write(Answer(200, {{"X-Instance-Id", this->id}, {"X-Server-Load", this->Load()}}, ""));
 		// The extra answer comes in the spot where the answer to this request is due.
 		std::string late = std::exchange(connection.late, {});
 		std::string attempt = Field(request.headers, "X-Attempt-Id");
@@ -89,36 +92,42 @@
 			record.Line("server %s: the extra answer is sent, then request %s is handled", this->id.c_str(), attempt.c_str());
 			if (!connection.Write(late)) return false;
 		}
+		if (request.target == "/healthz")
+			return connection.Write(Answer(200, {{"X-Instance-Id", this->id}, {"X-Server-Load", this->Load()}}, ""));
 		if (Field(request.headers, "X-Expect-Instance") != this->id)
 			return connection.Write(Answer(421, {{"X-Instance-Id", this->id}}, ""));
-		bool doubling = this->IsDoubling();
 		thread_local std::mt19937 random(static_cast<unsigned>(connection.fd) + 7);
-		bool grey = this->echoes_id && doubling && std::uniform_real_distribution<>(0, 1)(random) < SHED_SHARE;
+		bool grey = this->IsStruck(SHEDDING_MS) && std::uniform_real_distribution<>(0, 1)(random) < SHED_SHARE;
 		bool run = !grey && this->Take();
-		Headers shed_fields{{"X-Not-Executed", "1"}};
-		if (this->echoes_id) shed_fields.push_back({"X-Attempt-Id", attempt});
-		if (this->echoes_id) shed_fields.push_back({"X-Server-Load", this->Load()});
-		std::string shed_answer = Answer(503, shed_fields, "");
-		{
-			std::lock_guard<std::mutex> lock(this->mutex);
-			if (doubling) this->answers++;
-			if (!run) this->shed++;
-			bool twice = doubling && !run && this->doubled + 1 <= this->answers * DOUBLED_SHARE;
-			if (twice) this->doubled++;
-			if (twice) connection.late = shed_answer;
-			if (twice)
-				record.Line("server %s: request %s is shed, and its answer will be sent once more", this->id.c_str(), attempt.c_str());
+		if (!run) {
+			Headers shed_fields{{"X-Not-Executed", "1"}};
+			if (this->echoes_id) shed_fields.push_back({"X-Attempt-Id", attempt});
+			return this->Send(connection, Answer(503, shed_fields, ""), attempt, true);
 		}
-		if (!run) return connection.Write(shed_answer);
 		{
 			std::lock_guard<std::mutex> lock(runs.mutex);
 			runs.started[attempt]++;
 		}
-		SleepMs(std::min<int64_t>(MAX_WORK_MS, 10 + static_cast<int64_t>(std::exponential_distribution<>(1.0 / (WORK_MS - 10))(random))));
+		SleepMs(std::min<int64_t>(MAX_WORK_MS, 5 + static_cast<int64_t>(std::exponential_distribution<>(1.0 / (WORK_MS - 5))(random))));
 		std::string load = this->Load();
 		this->Leave();
 		Headers headers{{"X-Attempt-Id", attempt}, {"X-Server-Stamp", "stamp-" + attempt}, {"X-Server-Load", load}};
-		return connection.Write(Answer(200, headers, "paid " + attempt + std::string(780, '.')));
+		return this->Send(connection, Answer(200, headers, "paid " + attempt + std::string(780, '.')), attempt, false);
+	}
+
+	/** Send an answer, and keep a few of them to be sent once more. */
+	bool Send(Connection &connection, const std::string &answer, const std::string &attempt, bool is_shed)
+	{
+		std::lock_guard<std::mutex> lock(this->mutex);
+		if (is_shed) this->shed++;
+		if (this->IsStruck(DOUBLING_MS) && ++this->answers % DOUBLED_OF == 0) {
+			connection.late = answer;
+			this->doubled++;
+			if (is_shed) this->doubled_shed++;
+			record.Line("server %s: the answer to %s (%s) will be sent once more", this->id.c_str(), attempt.c_str(),
+			            is_shed ? "503" : "200");
+		}
+		return connection.Write(answer);
 	}
 
 	/** Take a slot, or wait for one. @return False if the server is full. */
@@ -143,7 +152,7 @@
 	std::string Load()
 	{
 		std::lock_guard<std::mutex> lock(this->mutex);
-		return std::to_string(this->running) + "," + std::to_string(this->waiting) + "," + std::to_string(SLOTS);
+		return std::to_string(this->running) + "," + std::to_string(this->waiting) + "," + std::to_string(SLOTS) + ",100";
 	}
 
 public:
@@ -174,7 +183,7 @@
 		Message answer;
 		std::string body = "session of kiosk " + std::to_string(number);
 		bool sent = channel && channel->Write("POST /" + service + "/check HTTP/1.1\r\nHost: kiosk.example\r\nX-Attempt-Id: " + attempt +
-		                                      "\r\nX-Deadline-Ms: 3000\r\nAuthorization: Bearer key-one\r\nContent-Length: " +
+		                                      "\r\nX-Deadline-Ms: 1000\r\nAuthorization: Bearer key-one\r\nContent-Length: " +
 		                                      std::to_string(body.size()) + "\r\n\r\n" + body);
 		if (sent && ReadHead(*channel, answer, 4000) && ReadBody(*channel, answer, 4000)) status = answer.status;
 		if (status == 0 || strcasecmp(Field(answer.headers, "Connection").c_str(), "close") == 0) channel.reset();
@@ -182,7 +191,7 @@
 			std::lock_guard<std::mutex> lock(runs.mutex);
 			runs.status[attempt] = status;
 		}
-		SleepMs(std::uniform_int_distribution<>(5, 40)(random));
+		SleepMs(std::uniform_int_distribution<>(PAUSE_MS / 2, PAUSE_MS * 3 / 2)(random));
 	}
 }
 
@@ -196,10 +205,10 @@
 	for (const auto &[service, attempts] : {std::pair("pay", 1), std::pair("desk", 2)}) {
 		routes += std::string(routes.empty() ? "" : ",") + "{\"name\":\"r-" + service + "\",\"host\":\"kiosk.example\",\"pathPrefix\":\"/" +
 		          service +
-		          "/\",\"routeType\":\"non_idempotent\",\"timeoutMs\":1500,\"targetLatencyMs\":300,\"priority\":2,\"service\":\"" +
+		          "/\",\"routeType\":\"non_idempotent\",\"timeoutMs\":1000,\"targetLatencyMs\":100,\"priority\":2,\"service\":\"" +
 		          service + "\",\"maxAttempts\":" + std::to_string(attempts) + ",\"public\":false}";
 		services += std::string(services.empty() ? "" : ",") + "{\"name\":\"" + service +
-		            "\",\"healthPath\":\"/healthz\",\"maxConnections\":110,\"protocol\":\"h1\",\"tls\":false}";
+		            "\",\"healthPath\":\"/healthz\",\"maxConnections\":410,\"protocol\":\"h1\",\"tls\":false}";
 	}
 	store.Put("op", "config",
 	          "{\"version\":7,\"routes\":[" + routes + "],\"services\":[" + services +
@@ -218,7 +227,7 @@
 		gateways[i].Start(store.server.address);
 	}
 	for (const Gateway &gateway : gateways) gateway.AwaitReady();
-	SleepMs(3000);
+	SleepMs(5000);
 	PlainServer::traffic_since = NowMs();
 	std::vector<std::thread> clients;
 	for (int i = 0; i < PAY_CLIENTS; i++) clients.emplace_back(RunClient, "pay", i, gateways[i % 2].front);
@@ -246,8 +255,8 @@
 		record.Line("requests that got status %d and that servers ran %d times: %d (status 0: channel closed)", end.first, end.second,
 		            count);
 	for (const PlainServer &server : servers)
-		record.Line("server %s: %d shed, %d of %d answers in the time of the disruption sent twice", server.id.c_str(), server.shed,
-		            server.doubled, server.answers);
+		record.Line("server %s: %d shed, %d of %d answers in the time of the disruption sent twice, %d of these shed a request",
+		            server.id.c_str(), server.shed, server.doubled, server.answers, server.doubled_shed);
 	record.Line("requests refused although they ran: %d of pay (shed answers without an id), %d of desk (with the id)", broken_pay,
 	            broken_desk);
 	Case::Exit(broken > 0 ? 1 : 0);
