--- a/review/standins/slow_reader.cpp
+++ b/review/standins/slow_reader.cpp
@@ -11,8 +11,8 @@
 
 static constexpr int CLIENTS = 8;              ///< Clients that are slow to read.
 static constexpr int QUICK_CLIENTS = 2;        ///< Clients that read at once all the time.
-static constexpr int SEGMENT_BYTES = 1400;     ///< Largest segment, as on a network; the loopback interface has 64 KB.
-static constexpr int WINDOW_BYTES = 4096;      ///< Receive buffer of the slow clients.
+static constexpr int SEGMENT_BYTES = 536;      ///< Largest segment of the slow clients, small devices; the loopback interface has 64 KB.
+static constexpr int WINDOW_BYTES = 2144;      ///< Their receive buffer, four segments.
 static constexpr int64_t SIGTERM_AT_MS = 400;  ///< SIGTERM, after the requests.
 static constexpr int64_t SLOW_UNTIL_MS = 3600; ///< When the slow clients begin to read their answers, after the requests; then at once.
 static constexpr int64_t GRACE_MS = 8000;      ///< graceS.
@@ -35,7 +35,7 @@
 	bool slow = number < CLIENTS;
 	char attempt[32];
 	snprintf(attempt, sizeof(attempt), "%016x", 0x1000 + number);
-	std::shared_ptr<Connection> channel = Dial(front, SEGMENT_BYTES, slow ? WINDOW_BYTES : 0);
+	std::shared_ptr<Connection> channel = Dial(front, slow ? SEGMENT_BYTES : 0, slow ? WINDOW_BYTES : 0);
 	outcome.sent_at = NowMs();
 	Message answer;
 	if (!channel || !channel->Write(StreamRequest(attempt, 1000, 4 * events))) return;
@@ -57,7 +57,7 @@
 	store.Put("op", "config", StreamConfiguration(false, false));
 	static EngineSet set;
 	set.events = 110;
-	set.event_bytes = 1390;
+	set.event_bytes = 400;
 	static Engine engines[3];
 	for (int i = 0; i < 3; i++)
 		engines[i].Start("i-llm" + std::to_string(i), std::string("zone-") + static_cast<char>('a' + i), store, set);
