Add: [Gateway] The log of a migration tells when the previous engine's connection was closed, and what is known of its run

A log of a moved run had the copy and the take-over, but nothing of the run at the engine that it left. So it could not tell a connection that was never closed from an engine that works on after it was closed.

--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -363,6 +363,7 @@
 	if (this->upstream_call == 0 || !this->gateway.upstream.IsConnected(this->migration.resume_call)) return;
 	this->gateway.upstream.Cancel(this->upstream_call);
 	this->upstream_call = 0;
+	this->LogMigration("source-closed", "its run is not known to have ended");
 }
 
 bool StreamRelay::ResumeFromBackup(const char *why, TimePoint now)
