Fix: [Instance] A stopping instance sends its answers in full before it ends

What was seen: `cottonspool serve` ended two seconds after its notice if no call was open.

The server knew the number of its connections, which callers keep open, and not that of unsent answers.

Change: the server counts requests whose answers have not been sent in full, and the end waits for them, up to the limit for stopping.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -17,6 +17,7 @@
 struct ExchangeHolder {
 	h2o_generator_t generator;              ///< Must be the first member, as h2o passes a pointer to it to callbacks.
 	std::shared_ptr<HttpExchange> exchange; ///< The exchange.
+	uint32_t *open_exchanges;               ///< The server's number of exchanges.
 };
 
 /** h2o's state of a server. */
@@ -29,12 +30,14 @@
 	HttpLimits limits;            ///< Limits on requests and connections.
 	Handler handler;              ///< Handler of requests.
 	uint32_t connections = 0;     ///< Open connections.
+	uint32_t exchanges = 0;       ///< Requests whose answers have not been sent in full.
 };
 
 /** h2o's handler, extended by the server's request handler. */
 struct ServerHandler {
 	h2o_handler_t super;      ///< Must be the first member, as h2o passes a pointer to it to OnRequest().
 	HttpServer::Handler *run; ///< Request handler.
+	uint32_t *open_exchanges; ///< The server's number of exchanges.
 };
 
 /** h2o callback: the data handed to h2o was sent. */
@@ -53,6 +56,7 @@
 static void DisposeHolder(void *memory)
 {
 	auto *holder = static_cast<ExchangeHolder *>(memory);
+	(*holder->open_exchanges)--;
 	holder->exchange->OnDisposed();
 	holder->~ExchangeHolder();
 }
@@ -78,7 +82,9 @@
 static int OnRequest(h2o_handler_t *self, h2o_req_t *req)
 {
 	auto *memory = h2o_mem_alloc_shared(&req->pool, sizeof(ExchangeHolder), DisposeHolder);
-	auto *holder = new (memory) ExchangeHolder{{OnGeneratorProceed, OnGeneratorStop}, std::make_shared<HttpExchange>()};
+	uint32_t *open_exchanges = reinterpret_cast<ServerHandler *>(self)->open_exchanges;
+	(*open_exchanges)++;
+	auto *holder = new (memory) ExchangeHolder{{OnGeneratorProceed, OnGeneratorStop}, std::make_shared<HttpExchange>(), open_exchanges};
 	holder->exchange->request = CopyRequest(req);
 	holder->exchange->req = req;
 	holder->exchange->generator = &holder->generator;
@@ -195,6 +201,7 @@
 	auto *server_handler = reinterpret_cast<ServerHandler *>(h2o_create_handler(path, sizeof(ServerHandler)));
 	server_handler->super.on_req = OnRequest;
 	server_handler->run = &this->state->handler;
+	server_handler->open_exchanges = &this->state->exchanges;
 	h2o_context_init(&this->state->context, loop, config);
 	this->state->accept.ctx = &this->state->context;
 	this->state->accept.hosts = config->hosts;
@@ -253,6 +260,11 @@
 	h2o_context_request_shutdown(&this->state->context);
 }
 
+uint32_t HttpServer::OpenExchanges() const
+{
+	return this->state->exchanges;
+}
+
 uint32_t HttpServer::Connections() const
 {
 	return this->state->connections;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -91,6 +91,9 @@
 	/** @return Number of open connections. */
 	uint32_t Connections() const;
 
+	/** @return Number of requests whose answers have not been sent in full. */
+	uint32_t OpenExchanges() const;
+
 private:
 	struct State;
 	std::unique_ptr<State> state; ///< h2o's configuration and context.
--- a/src/instance/instance.cpp
+++ b/src/instance/instance.cpp
@@ -335,8 +335,8 @@
 	}
 	bool done = this->calls.empty() && this->claims.Unsettled() == 0 && !this->listening && this->server.Connections() == 0;
 	bool time_limit_reached = since >= this->settings.stop_limit + this->settings.stop_notice;
-	bool only_idle_connections =
-	        this->calls.empty() && this->claims.Unsettled() == 0 && since >= this->settings.stop_notice + std::chrono::seconds(2);
+	bool only_idle_connections = this->calls.empty() && this->claims.Unsettled() == 0 && this->server.OpenExchanges() == 0 &&
+	                             since >= this->settings.stop_notice + std::chrono::seconds(2);
 	if (!done && !time_limit_reached && !only_idle_connections) return;
 	this->aborted_calls = this->calls.size();
 	Log(LogLevel::Info, "stopped", {{"cut", std::to_string(this->aborted_calls)}});
