Fix: [Platform] Bytes that are not UTF-8 do not end an instance

Found again here: `terminate called after throwing … type_error.316`.

Cause: JSON cannot hold such a text, and the library throws when it is written, by default; nothing catches that. 21 places wrote JSON so.

Change: all of them write through ToJsonText, which replaces such bytes. The request to copy a run has to name it exactly, so a run whose id JSON cannot hold is not moved. The id itself is carried to the target as it came: the pages want it so, and name no alphabet, so refusing the request would be a wrong 400.

Not done: fuzzing writers that readers feed.

--- a/src/configuration/change_file.cpp
+++ b/src/configuration/change_file.cpp
@@ -2,6 +2,7 @@
 
 /** @file change_file.cpp Parser for configuration changes that operators write in TOML. */
 
+#include "configuration/json_text.h"
 #include "configuration/record_type.h"
 #include "settings/toml_parser.h"
 #include <nlohmann/json.hpp>
@@ -15,7 +16,7 @@
 {
 	std::ostringstream out;
 	out << toml::json_formatter(table);
-	return nlohmann::json::parse(out.str(), nullptr, false).dump();
+	return ToJsonText(nlohmann::json::parse(out.str(), nullptr, false));
 }
 
 /** Adds the records of one kind ([account.NAME] …) to \a change. */
--- a/src/configuration/configuration_state.cpp
+++ b/src/configuration/configuration_state.cpp
@@ -3,6 +3,7 @@
 /** @file configuration_state.cpp Implementation of the configuration in force at one instance. */
 
 #include "configuration/configuration_state.h"
+#include "configuration/json_text.h"
 #include <algorithm>
 #include <cstring>
 #include <nlohmann/json.hpp>
@@ -98,15 +99,17 @@
 	Json document{{"sequence", this->sequence}};
 	WriteRecords(document, "account", this->accounts, FormatAccount);
 	WriteRecords(document, "model", this->models, [](const ModelRecord &model) {
-		return Json{{"context_tokens", model.context_tokens}}.dump();
+		return ToJsonText(Json{{"context_tokens", model.context_tokens}});
 	});
 	WriteRecords(document, "target", this->targets, FormatTarget);
 	WriteRecords(document, "share", this->shares, [](const ShareRecord &share) {
 		Json halls = Json::object();
 		for (const HallPreference &preference : share.halls) halls[preference.hall] = preference.weight;
-		return halls.dump();
+		return ToJsonText(halls);
+	});
+	WriteRecords(document, "policy", this->policies, [](const PolicyRecord &policy) {
+		return ToJsonText(Json{{"program", policy.program}});
 	});
-	WriteRecords(document, "policy", this->policies, [](const PolicyRecord &policy) { return Json{{"program", policy.program}}.dump(); });
 	Json accepted_changes = Json::array();
 	for (const AcceptedChange &change : this->accepted) accepted_changes.push_back({change.id, change.author, change.sequence});
 	document["accepted"] = std::move(accepted_changes);
@@ -114,7 +117,7 @@
 	for (const auto &[key, entry_sequence] : this->removed)
 		removed_records.push_back({static_cast<int>(key.first), key.second, entry_sequence});
 	document["removed"] = std::move(removed_records);
-	return document.dump();
+	return ToJsonText(document);
 }
 
 Result<bool> ConfigurationState::Load(const std::string &snapshot)
--- a/src/configuration/record.cpp
+++ b/src/configuration/record.cpp
@@ -2,6 +2,7 @@
 
 /** @file record.cpp Parsing and formatting of configuration records and changes. */
 
+#include "configuration/json_text.h"
 #include "configuration/record_type.h"
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
@@ -185,7 +186,7 @@
 	Json object{{"key_sha256", FormatDigest(account.key)}};
 	if (account.service_class != ServiceClass::Interactive) object["class"] = ServiceClassName(account.service_class);
 	if (account.weight != 1) object["weight"] = account.weight;
-	return object.dump();
+	return ToJsonText(object);
 }
 
 std::string FormatTarget(const TargetRecord &target)
@@ -199,7 +200,7 @@
 	            {"reports", target.reports},
 	            {"slots", target.slots}};
 	if (!target.role.empty()) object["role"] = target.role;
-	return object.dump();
+	return ToJsonText(object);
 }
 
 /** @return The record kind with this name. */
@@ -232,7 +233,7 @@
 		record.kind = parsed_kind;
 		if (record.name.empty() || record.name.size() > MAX_RECORD_NAME) return RecordError(kind, "name must have 1 to 128 characters");
 		if (!record.removed && !item.contains("content")) return RecordError(kind + "." + record.name, "content is missing");
-		if (!record.removed) record.content = item["content"].dump();
+		if (!record.removed) record.content = ToJsonText(item["content"]);
 		change.records.push_back(std::move(record));
 	}
 	return change;
@@ -268,12 +269,12 @@
 
 std::string FormatChange(const Change &change)
 {
-	return WriteChange(change).dump();
+	return ToJsonText(WriteChange(change));
 }
 
 std::string FormatEntry(const Entry &entry)
 {
-	return Json{{"sequence", entry.sequence}, {"change", WriteChange(entry.change)}}.dump();
+	return ToJsonText(Json{{"sequence", entry.sequence}, {"change", WriteChange(entry.change)}});
 }
 
 } // namespace cottonspool
--- a/src/gateway/stream_migration.cpp
+++ b/src/gateway/stream_migration.cpp
@@ -50,6 +50,7 @@
 	const TargetState &source = this->gateway.dispatcher.Targets().Get(*this->target);
 	// Runs in an evacuated hall finish there; only draining engines are left, and not while they ask for a pause.
 	if (!source.restrictions.draining || now < source.restrictions.paused_until) return;
+	if (!CanNameRun(this->request.info.attempt)) return;
 	if (this->leaving_since == TimePoint{}) this->leaving_since = now;
 	auto flight = source.in_flight.find(this->request.spec.id);
 	if (flight == source.in_flight.end()) return;
@@ -324,6 +325,7 @@
 
 void StreamRelay::StopAbandonedRun()
 {
+	if (!CanNameRun(this->request.info.attempt)) return;
 	const std::string &name = this->gateway.dispatcher.Targets().Get(*this->target).name;
 	HttpUpstream &upstream = this->gateway.upstream;
 	Endpoint source = this->gateway.AddressOf(*this->target);
--- a/src/instance/completion_request.cpp
+++ b/src/instance/completion_request.cpp
@@ -3,6 +3,7 @@
 /** @file completion_request.cpp Parsing of completion requests and formatting of answers. */
 
 #include "instance/completion_request.h"
+#include "configuration/json_text.h"
 #include "core/hash_func.h"
 #include <cmath>
 #include <nlohmann/json.hpp>
@@ -34,7 +35,7 @@
 				return InvalidField("messages", "each must be an object with a role");
 			}
 		}
-		prompt = body["messages"].dump();
+		prompt = ToJsonText(body["messages"]);
 	} else {
 		if (!body.contains("prompt") || !body["prompt"].is_string()) return InvalidField("prompt", "must be a string");
 		prompt = body["prompt"].get<std::string>();
--- a/src/instance/instance_operator.cpp
+++ b/src/instance/instance_operator.cpp
@@ -2,6 +2,7 @@
 
 /** @file instance_operator.cpp An entry instance: HTTP requests of operators, and metrics. */
 
+#include "configuration/json_text.h"
 #include "instance/instance.h"
 #include <nlohmann/json.hpp>
 
@@ -103,7 +104,7 @@
 		const TargetState &target = targets.Get(TargetNumber{i});
 		if (target.restrictions.known || !target.in_flight.empty()) status["targets"].push_back(TargetStatus(targets, target, now));
 	}
-	return status.dump();
+	return ToJsonText(status);
 }
 
 std::string Instance::RenderMetrics()
--- a/src/instance/order_controller.cpp
+++ b/src/instance/order_controller.cpp
@@ -3,6 +3,7 @@
 /** @file order_controller.cpp Orders with fencing tokens to the engines of the local hall. */
 
 #include "instance/order_controller.h"
+#include "configuration/json_text.h"
 #include "metrics/log.h"
 #include <nlohmann/json.hpp>
 
@@ -26,7 +27,7 @@
 void OrderController::WriteLease(uint64_t nonce)
 {
 	LeaseRow proposal = this->lease.Proposal(nonce);
-	std::string text = Json{{"holder", proposal.holder}, {"epoch", proposal.epoch}, {"nonce", proposal.nonce}}.dump();
+	std::string text = ToJsonText(Json{{"holder", proposal.holder}, {"epoch", proposal.epoch}, {"nonce", proposal.nonce}});
 	TimePoint sent_at = MonotonicNow();
 	auto done = [this, proposal, sent_at](const WriteOutcome &outcome) {
 		this->lease_request_pending = false;
@@ -67,7 +68,7 @@
 	call.method = "POST";
 	call.url = "http://" + record.address + "/orders";
 	call.headers = {{"content-type", "application/json"}};
-	call.body = order.dump();
+	call.body = ToJsonText(order);
 	call.total_timeout = ORDER_TIMEOUT;
 	call.connect_timeout = ORDER_TIMEOUT / 4;
 	call.fresh_connection = true;
--- a/src/operator/explain_log.cpp
+++ b/src/operator/explain_log.cpp
@@ -3,6 +3,7 @@
 /** @file explain_log.cpp Explains the outcome of a request from log lines. */
 
 #include "operator/explain_log.h"
+#include "configuration/json_text.h"
 #include <algorithm>
 #include <iomanip>
 #include <nlohmann/json.hpp>
@@ -47,7 +48,7 @@
 	nlohmann::json object = nlohmann::json::parse(text.substr(start), nullptr, false);
 	if (!object.is_object() || !object.contains("event")) return std::nullopt;
 	LogLine line;
-	for (const auto &[name, value] : object.items()) line.fields[name] = value.is_string() ? value.get<std::string>() : value.dump();
+	for (const auto &[name, value] : object.items()) line.fields[name] = value.is_string() ? value.get<std::string>() : ToJsonText(value);
 	line.event = line.Field("event");
 	line.instance = line.Field("instance");
 	line.at_ms = std::strtod(line.Field("at_ms").c_str(), nullptr);
--- a/src/operator/operator.cpp
+++ b/src/operator/operator.cpp
@@ -2,6 +2,7 @@
 
 /** @file operator.cpp Operator commands of the command line. */
 
+#include "configuration/json_text.h"
 #include "configuration/record_type.h"
 #include "operator/explain_log.h"
 #include "operator/operator_func.h"
@@ -220,7 +221,7 @@
 {
 	Answer answer = SendToAny(options, "/operator/show?kind=" + kind + "&name=" + name);
 	if (answer.status != 200) return PrintError(DescribeFailure(answer));
-	std::cout << Json::parse(answer.body, nullptr, false).dump(2) << std::endl;
+	std::cout << ToJsonText(Json::parse(answer.body, nullptr, false), 2) << std::endl;
 	return EXIT_OK;
 }
 
@@ -256,7 +257,7 @@
 		all.push_back(Json::parse(answer.body, nullptr, false));
 		head = std::max<uint64_t>(head, all.back().value("sequence", 0ULL));
 	}
-	if (options.json) std::cout << all.dump(2) << std::endl;
+	if (options.json) std::cout << ToJsonText(all, 2) << std::endl;
 	for (const Json &status : all) {
 		if (!options.json) PrintStatus(status, head);
 	}
@@ -291,7 +292,7 @@
 	change.author = author;
 	change.note = back ? "taken back" : "drained";
 	change.base = records[target].value("changed", 0ULL);
-	change.records.push_back({RecordKind::Target, target, false, content.dump()});
+	change.records.push_back({RecordKind::Target, target, false, ToJsonText(content)});
 	int code = SendChange(options, change);
 	if (code != EXIT_OK || back || options.wait == Duration{0}) return code;
 	auto end = std::chrono::steady_clock::now() + options.wait;
--- a/src/platform/wire_engine.cpp
+++ b/src/platform/wire_engine.cpp
@@ -3,6 +3,7 @@
 /** @file wire_engine.cpp Auxiliary calls to targets. */
 
 #include "platform/wire_engine.h"
+#include "configuration/json_text.h"
 #include "platform/json_func.h"
 #include "platform/wire_request.h"
 
@@ -160,11 +161,16 @@
 	call.target = "/-/kv-move";
 	call.headers = {{"Host", to.Text()}, {"Content-Type", "application/json"}};
 	// In this call, "targetVersion" holds the address of the engine that receives the copy.
-	call.body = Json{{"id", attempt}, {"targetVersion", copy_to}, {"last", stop}}.dump();
+	call.body = ToJsonText(Json{{"id", attempt}, {"targetVersion", copy_to}, {"last", stop}});
 	Collect(call, [done = std::move(done)](const CollectedAnswer &answer) { done(DecodeMigrationAnswer(answer.status, answer.body)); });
 	return call;
 }
 
+bool CanNameRun(const std::string &attempt)
+{
+	return IsJsonText(attempt);
+}
+
 UpstreamCall MakeReleaseCall(const Endpoint &to, const std::string &peer, const std::string &handle)
 {
 	UpstreamCall call;
--- a/src/platform/wire_engine.h
+++ b/src/platform/wire_engine.h
@@ -45,6 +45,9 @@
 UpstreamCall MakeMigrationCall(const Endpoint &to, const std::string &peer, const std::string &attempt, const std::string &copy_to,
                                bool stop, std::function<void(const MigrationAnswer &)> done);
 
+/** @return Whether such a call can name the run of \a attempt: its body is JSON, which cannot hold every id. */
+bool CanNameRun(const std::string &attempt);
+
 /** @return A call that releases the copy \a handle at the source and at the receiving engine. */
 UpstreamCall MakeReleaseCall(const Endpoint &to, const std::string &peer, const std::string &handle);
 
--- a/src/platform/wire_store.cpp
+++ b/src/platform/wire_store.cpp
@@ -3,6 +3,7 @@
 /** @file wire_store.cpp HTTP client of the platform's store. */
 
 #include "platform/wire_store.h"
+#include "configuration/json_text.h"
 #include "platform/json_func.h"
 #include <charconv>
 #include <openssl/evp.h>
@@ -142,14 +143,14 @@
 {
 	Json row{{"table", table}, {"part", ""}, {"tlsKey", key}, {"value", EncodeBase64(value)}};
 	Json body{{"expectedRev", Json::array()}, {"setKeys", Json::array({row})}, {"remove", Json::array()}};
-	return this->Transact(body.dump(), std::move(done));
+	return this->Transact(ToJsonText(body), std::move(done));
 }
 
 uint64_t WireStore::RemoveRow(const std::string &table, const std::string &key, WriteDone done)
 {
 	Json row{{"table", table}, {"part", ""}, {"tlsKey", key}};
 	Json body{{"expectedRev", Json::array()}, {"setKeys", Json::array()}, {"remove", Json::array({row})}};
-	return this->Transact(body.dump(), std::move(done));
+	return this->Transact(ToJsonText(body), std::move(done));
 }
 
 uint64_t WireStore::ReadRows(const std::string &table, const std::string &from, RowsDone done)
--- a/src/tests/platform_test.cpp
+++ b/src/tests/platform_test.cpp
@@ -2,6 +2,7 @@
 
 /** @file platform_test.cpp Guards against wrong decoding and encoding of the platform's formats, also of invalid input. */
 
+#include "configuration/json_text.h"
 #include "generation/event_splitter.h"
 #include "metrics/line_buffer.h"
 #include "platform/json_func.h"
@@ -420,3 +421,13 @@
 	CHECK(read(503, {{"X-Not-Executed", "1"}})->refused);
 	CHECK(!read(503, {})->refused);
 }
+
+TEST_CASE("Platform JSON - bytes that are not UTF-8 do not end the process")
+{
+	CHECK(ToJsonText(Json{{"id", "a\xff"}}) == "{\"id\":\"a\xef\xbf\xbd\"}");
+	CHECK(CanNameRun("9c41d07be2a35f68"));
+	CHECK(CanNameRun("\xc3\xa6"));
+	CHECK_FALSE(CanNameRun("a\xff"));
+	UpstreamCall call = MakeMigrationCall({"127.0.0.1", 1}, "engine", "a\xff", "127.0.0.1:2", true, {});
+	CHECK(Json::accept(call.body));
+}
--- a/tests/standins/simulation.cpp
+++ b/tests/standins/simulation.cpp
@@ -2,6 +2,7 @@
 
 /** @file simulation.cpp Simulation of the users' platform: engines, services, and the control interface for scenarios. */
 
+#include "configuration/json_text.h"
 #include "simulation_base.h"
 #include <gflags/gflags.h>
 #include <iostream>
@@ -386,7 +387,7 @@
 			            {"copy_requests", this->record.copy_requests}};
 			answer["health"] = this->record.health;
 			for (const auto &[id, target] : this->targets) answer["targets"][id] = target->Address();
-			return exchange->Respond(200, {}, answer.dump());
+			return exchange->Respond(200, {}, ToJsonText(answer));
 		}
 		if (exchange->head.target == "/control") return this->HandleControl(exchange);
 		if (!this->store.Handle(exchange)) exchange->Respond(404, {}, {});
