Fix: [Gateway] A run that its engine did not stop is not taken for a stopped one afterwards

An engine that is asked to stop a run and answers that it has none (the run is preempted, or about to end) goes on with it. When that run's stream ended later, with its engine or by an unmarked end, nothing ended the caller's answer: callers waited 13.8 s, until their deadline.

Cause: a migration that failed kept what it knew of the request to stop, so the end of the stream was left to an answer that had come long ago.

Change: a migration that fails forgets all but the turn of its copies. A request that is quarantined between the stop and the take-over is not sent on any more.

--- a/src/gateway/stream_migration.cpp
+++ b/src/gateway/stream_migration.cpp
@@ -217,6 +217,7 @@
 
 void StreamRelay::ResumeFromCopy()
 {
+	if (this->IsQuarantined() && this->Stage() != RunStage::Stable) return this->FailRun("the request is quarantined");
 	this->migration.used_handle = this->migration.handle;
 	this->Resume({this->gateway.AddressOf(*this->target).Text(), this->migration.handle, this->last_event}, MonotonicNow());
 }
@@ -237,10 +238,11 @@
 void StreamRelay::FailMigration(const char *why)
 {
 	this->LogMigration("failed", why);
-	this->migration.phase = MigrationPhase::None;
-	if (this->migration.counted) this->gateway.OnCopyFinished(this->request, this->migration.to);
-	this->migration.counted = false;
-	this->migration.handle.clear();
+	std::optional<TimePoint> copy_not_before = this->migration.copy_not_before;
+	uint32_t copies_requested = this->migration.copies_requested;
+	this->ResetMigration();
+	this->migration.copy_not_before = copy_not_before;
+	this->migration.copies_requested = copies_requested;
 	if (this->upstream_call == 0) this->FailRun(why);
 }
 
--- a/tests/standins/simulated_migration.cpp
+++ b/tests/standins/simulated_migration.cpp
@@ -21,6 +21,7 @@
 	uint64_t made = found->made;
 	bool last = body.value("last", false);
 	if (last && this->stop_failure == "busy" && this->asked_to_stop.insert(attempt).second) return exchange->Respond(409, {}, {});
+	if (last && this->stop_failure == "absent") return exchange->Respond(404, {}, {});
 	if (last) this->StopRun(found);
 	if (last && this->stop_failure == "silent") return this->unanswered.push_back(exchange);
 	bool has_room = !last || this->stop_failure != "no-room";
--- a/tests/standins/simulation_base.h
+++ b/tests/standins/simulation_base.h
@@ -161,8 +161,9 @@
 	bool muted = false;      ///< The engine produces events and does not send them.
 	bool keeps_runs = false; ///< The engine does not drop a run when its connection closes.
 	/**
-	 * What becomes of a copy for which the engine has to stop the run: "no-room" at the other engine, "silent", with no answer, or "busy",
-	 * when it is stopped only at the second request; empty if it is made.
+	 * What becomes of a copy for which the engine has to stop the run: "no-room" at the other engine, "silent", with no answer, "busy",
+	 * when it is stopped only at the second request, or "absent", when the engine does not stop it and says that it has none; empty if it
+	 * is made.
 	 */
 	std::string stop_failure;
 
