--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -114,9 +114,12 @@
 	Connection(const Connection &) = delete;
 	Connection &operator=(const Connection &) = delete;
 
-	static std::unique_ptr<Connection> To(const std::string &ip, int port)
+	/** Connect. @param receive_buffer, segment Size of the receive buffer and of segments; 0 for the usual ones. */
+	static std::unique_ptr<Connection> To(const std::string &ip, int port, int receive_buffer = 0, int segment = 0)
 	{
 		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		if (receive_buffer > 0) setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof(receive_buffer));
+		if (segment > 0) setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof(segment));
 		sockaddr_in address{};
 		address.sin_family = AF_INET;
 		address.sin_port = htons(static_cast<uint16_t>(port));
@@ -242,6 +245,16 @@
 	std::mutex write_mutex;
 };
 
+/** @return Number of the events in \a text that have an id and are complete. */
+inline int CountEvents(const std::string &text)
+{
+	int count = 0;
+	for (size_t at = text.find("id: "); at != std::string::npos; at = text.find("id: ", at + 1)) {
+		if (text.find("\n\n", at) != std::string::npos) count++;
+	}
+	return count;
+}
+
 /** An HTTP server with a thread for each connection. */
 class Server {
 public:
