--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 4 to 8 into review/build-2/.
+# Builds the stand-ins of the cases 4 and 5 into review/build-2/.
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p build-2
--- a/review/standins-2/paused_reader.cpp
+++ b/review/standins-2/paused_reader.cpp
@@ -14,8 +14,8 @@
 static constexpr int CLIENTS = 10;            ///< All clients.
 static constexpr double PAUSE_MS = 6000;      ///< Time for which they stop.
 static constexpr double PAUSE_AFTER_MS = 600; ///< From the request to the pause.
-static constexpr int EVENTS = 188;            ///< Events of a stream, as on the sheet.
-static constexpr int EVENT_BYTES = 400;       ///< Their size, as in the site file.
+static constexpr int EVENTS = 236;            ///< Events of a stream, as on the sheet.
+static constexpr int EVENT_BYTES = 220;       ///< Their size, as in the site file.
 static constexpr double EVENT_MS = 28;        ///< Four steps of 7 ms.
 static constexpr int RECEIVE_BUFFER = 2048;   ///< Of all clients.
 static constexpr int SEGMENT_BYTES = 536;     ///< Of all clients.
@@ -41,7 +41,7 @@
 		auto serve = [&](const std::string &name, Connection &connection, const Message &request) {
 			if (request.Word(1) == "/-/report") {
 				Json report{{"stage", "both"}, {"models", Json::array()}, {"busy", false}, {"sequence", 2}, {"queued", 0}, {"running", 0},
-				            {"kvUsed", 0},     {"kvTotal", 26892},        {"handles", 0}};
+				            {"kvUsed", 0},     {"kvTotal", 34545},        {"handles", 0}};
 				return connection.Write(AnswerText(200, "Content-Type: application/json\r\n", report.dump()));
 			}
 			std::string id = request.Get("x-attempt-id");
@@ -68,22 +68,30 @@
 			std::string name = "e-" + std::to_string(e);
 			engines.push_back(
 			        std::make_unique<Server>("127.0.0.1", 0, [&, name](Connection &c, const Message &m) { return serve(name, c, m); }));
-			store.Write("servers", {{name, ServerRow("spool-lm", engines.back()->Address(), zones[e], 24, "ready")}});
+			store.Write("servers", {{name, ServerRow("spool-fleet", engines.back()->Address(), zones[e], 64, "ready")}});
 		}
-		Json engine{{"capacity", 24}, {"kvTokenCapacity", 26892}, {"kvTokenBytes", 18432}, {"linkMbps", 2700.0},
+		Json engine{{"capacity", 64}, {"kvTokenCapacity", 34545}, {"kvTokenBytes", 18432}, {"linkMbps", 2700.0},
 		            {"moves", true},  {"backups", true},          {"stride", 4},           {"handleS", 5.0}};
-		Json route{{"name", "r-menu"},      {"host", "menu.example"},  {"pathPrefix", "/menu/"},  {"routeType", "streaming"},
-		           {"timeoutMs", LIMIT_MS}, {"targetLatencyMs", 1800}, {"priority", 0},           {"service", "spool-lm"},
-		           {"maxAttempts", 1},      {"public", true},          {"sessionAffinity", true}, {"resumable", false},
+		Json route{{"name", "r-summary"},
+		           {"host", "summary.example"},
+		           {"pathPrefix", "/summary/"},
+		           {"routeType", "streaming"},
+		           {"timeoutMs", LIMIT_MS},
+		           {"targetLatencyMs", 1800},
+		           {"priority", 0},
+		           {"service", "spool-fleet"},
+		           {"maxAttempts", 1},
+		           {"public", true},
+		           {"sessionAffinity", true},
+		           {"resumable", false},
 		           {"gapAimMs", 180}};
-		Json service{{"name", "spool-lm"}, {"healthPath", "/healthz"}, {"maxConnections", 522}, {"protocol", "h1"},
-		             {"tls", false},       {"engine", engine}};
+		Json service{{"name", "spool-fleet"}, {"healthPath", "/healthz"}, {"maxConnections", 442}, {"protocol", "h1"},
+		             {"tls", false},          {"engine", engine}};
 		store.Write("op", {{"config", Configuration(7, Json::array({route}), Json::array({service}))}});
 		std::vector<std::unique_ptr<Instance>> instances;
 		for (int i = 0; i < 2; i++) {
 			instances.push_back(std::make_unique<Instance>(arguments.binary, arguments.temporary, "edge-" + std::to_string(i),
 			                                               "127.0.0." + std::to_string(61 + i), zones[i], store.Address()));
-			instances.back()->more_bounds = {{"contactMs", 4000}, {"drainMs", 3000}, {"configApplyMs", 3000}, {"retrySlack", 158}};
 			instances.back()->Start(true);
 		}
 		for (auto &each : instances) {
@@ -102,8 +110,8 @@
 				auto connection = Connection::To(instance.ip, instance.FrontPort(), RECEIVE_BUFFER, SEGMENT_BYTES);
 				std::string body = std::string(3000, 'p');
 				bool sent = connection &&
-				            connection->Write("POST /menu/one HTTP/1.1\r\nHost: menu.example\r\nX-Attempt-Id: " + id +
-				                              "\r\nX-Model: m\r\nX-Token-Count: 3079,752\r\nX-Prompt-Prefix: 5c1e07a2:79,91bd3f0" +
+				            connection->Write("POST /summary/one HTTP/1.1\r\nHost: summary.example\r\nX-Attempt-Id: " + id +
+				                              "\r\nX-Model: m\r\nX-Token-Count: 3079,944\r\nX-Prompt-Prefix: 5c1e07a2:79,91bd3f0" +
 				                              std::to_string(c) + ":3000\r\nX-Deadline-Ms: 39000\r\nContent-Length: 3000\r\n\r\n" + body);
 				double started = NowMs();
 				bool paused = false;
--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -1,7 +1,7 @@
 /* This file is part of cottonspool. It is under the MIT licence; see LICENSE. */
 
 /**
- * @file standins.h Stand-ins for the review cases 4 to 8: the platform's store, servers, clients, and the start of instances.
+ * @file standins.h Stand-ins for the review cases 4 and 5: the platform's store, servers, clients, and the start of instances.
  *
  * They use blocking sockets and one thread per connection, on loopback addresses only.
  */
@@ -597,7 +597,6 @@
 		          {"blobBytes", 8388608},
 		          {"blobMs", 25.0},
 		          {"blobMbS", 80.0}}}};
-		settings["bounds"].update(this->more_bounds);
 		std::string path = this->folder + "/" + this->name + ".json";
 		std::ofstream(path) << settings.dump(1);
 		std::string log = this->folder + "/" + this->name + ".log";
@@ -664,7 +663,6 @@
 	int ReadyPort() const { return this->first_port + 1; }
 
 	std::string binary, folder, name, ip, zone, store;
-	Json more_bounds = Json::object(); ///< Bounds that differ from those of the site mawqif-cloud.
 
 private:
 	static constexpr int PORTS = 8; ///< Front, ready, and the internal ones.
--- a/review/standins-2/zone_reclaimed.cpp
+++ b/review/standins-2/zone_reclaimed.cpp
@@ -16,7 +16,7 @@
 static constexpr int SLOTS = 6;
 static constexpr double WORK_MS = 20;
 static constexpr double DRAIN_MS = 2000;    ///< drainMs.
-static constexpr double SERVE_ON_MS = 3500; ///< Time after which a server ends whose row has gone.
+static constexpr double SERVE_ON_MS = 2500; ///< Time after which a server ends whose row has gone.
 static constexpr int CLIENTS = 60;
 
 int main(int argc, char **argv)
