Add: [Registry] Log targets that stay in use without a row, and how old the removal may be

The log of an instance did not tell whether a target whose row was removed is still used, why, or for how long: the line target-leaving came at the end of that time, and nothing before it.

TableWatch now tells how old the changes may be that it took in last: the time since its view was last complete, and whether reads of the store failed in between. The registry passes that on, target-kept logs it, and target-leaving says for how long the store may have acknowledged the leaving. No decision changes.

--- a/src/decision/target_registry.cpp
+++ b/src/decision/target_registry.cpp
@@ -14,7 +14,7 @@
 	bool unchanged = usable == entry.usable && !changed;
 	entry.usable = usable;
 	if (unchanged) return;
-	events.push_back({usable ? TargetChange::Usable : TargetChange::Draining, entry.target, source});
+	events.push_back({usable ? TargetChange::Usable : TargetChange::Draining, entry.target, source, entry.acknowledged_after});
 }
 
 void TargetRegistry::Terminate(Entry &entry, const char *source, TimePoint now, std::vector<TargetEvent> &events)
@@ -25,7 +25,7 @@
 	entry.usable = false;
 	entry.usable_without_row_until = TimePoint{};
 	// A draining target still finishes its runs until it terminates, so the event is needed even if it was not usable.
-	if (was_usable || !entry.terminated) events.push_back({TargetChange::Terminated, entry.target, source});
+	if (was_usable || !entry.terminated) events.push_back({TargetChange::Terminated, entry.target, source, now});
 	entry.terminated = true;
 }
 
@@ -34,7 +34,7 @@
 	return now < this->restore_distrusted_until && target.incarnation.started_ms < latest.target.incarnation.started_ms;
 }
 
-void TargetRegistry::ApplyRow(const ListedTarget &target, bool full, TimePoint now, std::vector<TargetEvent> &events)
+void TargetRegistry::ApplyRow(const ListedTarget &target, bool full, TimePoint now, const UpdateAge &age, std::vector<TargetEvent> &events)
 {
 	std::string name = target.incarnation.Name();
 	// A late row of an incarnation that has terminated.
@@ -58,6 +58,7 @@
 	bool was_retired = entry.retired;
 	entry.target = target;
 	entry.missing = entry.relisted = false;
+	if (target.draining && !entry.retired) entry.acknowledged_after = now - age.longest;
 	entry.retired = entry.retired || target.draining;
 	if (added) entry.usable = !entry.retired;
 	// Later changes of a draining target's row don't matter.
@@ -65,18 +66,21 @@
 	this->UpdateUsable(entry, target.draining ? "notice" : "listed", changed, now, events);
 }
 
-void TargetRegistry::MarkMissing(Entry &entry, const char *source, TimePoint now, std::vector<TargetEvent> &events)
+void TargetRegistry::MarkMissing(Entry &entry, const char *source, TimePoint now, const UpdateAge &age, std::vector<TargetEvent> &events)
 {
 	entry.relisted = false;
 	if (!entry.missing) {
 		entry.missing = true;
 		entry.missing_since = now;
+		if (!entry.retired) entry.acknowledged_after = now - age.longest;
 		entry.usable_without_row_until = this->expiry_grace_until;
+		bool kept = !entry.retired && now < entry.usable_without_row_until;
+		if (kept && this->on_kept) this->on_kept({entry.target, source, age, entry.usable_without_row_until});
 	}
 	this->UpdateUsable(entry, source, false, now, events);
 }
 
-void TargetRegistry::MarkAllMissing(const std::vector<Entry *> &removed, const char *source, TimePoint now,
+void TargetRegistry::MarkAllMissing(const std::vector<Entry *> &removed, const char *source, TimePoint now, const UpdateAge &age,
                                     std::vector<TargetEvent> &events)
 {
 	// Many rows that disappear at once without notice expired during a store outage, even if this instance did not notice the outage.
@@ -86,40 +90,40 @@
 	bool mass_expiry = newly_missing >= this->limits.mass_expiry_min_rows &&
 	                   static_cast<double>(newly_missing) >= this->limits.mass_expiry_min_fraction * static_cast<double>(usable);
 	if (mass_expiry) this->expiry_grace_until = std::max(this->expiry_grace_until, now + this->limits.expiry_grace);
-	for (Entry *entry : removed) this->MarkMissing(*entry, source, now, events);
+	for (Entry *entry : removed) this->MarkMissing(*entry, source, now, age, events);
 }
 
-std::vector<TargetEvent> TargetRegistry::OnFullList(const std::vector<TargetRow> &rows, TimePoint now)
+std::vector<TargetEvent> TargetRegistry::OnFullList(const std::vector<TargetRow> &rows, TimePoint now, const UpdateAge &age)
 {
 	std::vector<TargetEvent> events;
 	std::set<std::string> listed;
 	for (const TargetRow &row : rows) {
 		if (!row.target) continue;
 		listed.insert(row.target->incarnation.Name());
-		this->ApplyRow(*row.target, true, now, events);
+		this->ApplyRow(*row.target, true, now, age, events);
 	}
 	std::vector<Entry *> removed;
 	for (auto &[name, entry] : this->entries) {
 		if (!listed.contains(name)) removed.push_back(&entry);
 	}
-	this->MarkAllMissing(removed, "not-listed", now, events);
+	this->MarkAllMissing(removed, "not-listed", now, age, events);
 	return events;
 }
 
-std::vector<TargetEvent> TargetRegistry::OnChanges(const std::vector<TargetRow> &rows, TimePoint now)
+std::vector<TargetEvent> TargetRegistry::OnChanges(const std::vector<TargetRow> &rows, TimePoint now, const UpdateAge &age)
 {
 	std::vector<TargetEvent> events;
 	std::vector<Entry *> removed;
 	for (const TargetRow &row : rows) {
 		if (row.target) {
-			this->ApplyRow(*row.target, false, now, events);
+			this->ApplyRow(*row.target, false, now, age, events);
 			continue;
 		}
 		auto latest = this->latest.find(row.id);
 		auto found = latest == this->latest.end() ? this->entries.end() : this->entries.find(latest->second);
 		if (found != this->entries.end()) removed.push_back(&found->second);
 	}
-	this->MarkAllMissing(removed, "removed", now, events);
+	this->MarkAllMissing(removed, "removed", now, age, events);
 	return events;
 }
 
@@ -128,6 +132,7 @@
 	std::vector<TargetEvent> events;
 	auto found = this->entries.find(name);
 	if (found == this->entries.end()) return events;
+	if (!found->second.retired && !found->second.missing) found->second.acknowledged_after = now;
 	found->second.retired = true;
 	this->UpdateUsable(found->second, source, false, now, events);
 	return events;
--- a/src/decision/target_registry.h
+++ b/src/decision/target_registry.h
@@ -5,6 +5,8 @@
 #pragma once
 
 #include "decision/serving_type.h"
+#include "decision/update_age_type.h"
+#include <functional>
 #include <map>
 
 namespace cottonspool {
@@ -21,6 +23,16 @@
 	TargetChange change = TargetChange::Usable;
 	ListedTarget target;     ///< The target as last listed.
 	const char *source = ""; ///< Origin of the information, for logs.
+	/** Unless it is usable: earliest time at which the store may have acknowledged that the target leaves. */
+	TimePoint acknowledged_after;
+};
+
+/** A target without a row that may be live. */
+struct KeptTarget {
+	ListedTarget target;     ///< The target as last listed.
+	const char *source = ""; ///< Origin of the information that it has no row.
+	UpdateAge age;           ///< How old the removal of its row may be.
+	TimePoint usable_until;  ///< Until then it stays usable without a row.
 };
 
 /** One row of the target list, or the removal of a row. */
@@ -51,11 +63,14 @@
 public:
 	explicit TargetRegistry(RegistryLimits limits) : limits(limits) {}
 
-	/** Handle the full list. */
-	std::vector<TargetEvent> OnFullList(const std::vector<TargetRow> &rows, TimePoint now);
+	/** Called for each target that stays usable although its row was removed. */
+	std::function<void(const KeptTarget &)> on_kept;
+
+	/** Handle the full list. @param age How old the changes may be that it shows. */
+	std::vector<TargetEvent> OnFullList(const std::vector<TargetRow> &rows, TimePoint now, const UpdateAge &age = {});
 
-	/** Handle written and removed rows. */
-	std::vector<TargetEvent> OnChanges(const std::vector<TargetRow> &rows, TimePoint now);
+	/** Handle written and removed rows. @param age How old the changes may be. */
+	std::vector<TargetEvent> OnChanges(const std::vector<TargetRow> &rows, TimePoint now, const UpdateAge &age = {});
 
 	/**
 	 * Handle a drain notice from the target incarnation \a name itself, which is final, whatever the list shows.
@@ -66,7 +81,7 @@
 	/** Handle an answer from another incarnation at the address of the target incarnation \a name. */
 	std::vector<TargetEvent> OnOtherIncarnation(const std::string &name, TimePoint now);
 
-	/** Handle the end of a store outage. */
+	/** Handle the end of a store outage in which rows of live targets may have expired. */
 	void OnStoreReconnected(TimePoint now);
 
 	/** Handle a restore of the store from a backup; OnFullList() is called next. */
@@ -87,6 +102,7 @@
 		bool missing = false;               ///< Whether its row is missing.
 		bool usable = true;                 ///< Whether it was last reported as usable.
 		TimePoint missing_since;            ///< When its row disappeared.
+		TimePoint acknowledged_after;       ///< Earliest time at which the store may have acknowledged that it leaves.
 		TimePoint usable_without_row_until; ///< Until then it is usable without a row, after a store outage.
 		TimePoint distrusted_until;         ///< Until then an unchanged row is ignored, after a restore of the store.
 		bool relisted = false;              ///< Whether such a row is in the list.
@@ -97,13 +113,14 @@
 	/** Update whether \a entry is usable, and add an event if that or its row (\a changed) has changed. */
 	void UpdateUsable(Entry &entry, const char *source, bool changed, TimePoint now, std::vector<TargetEvent> &events);
 	/** Mark the row of \a entry as missing. */
-	void MarkMissing(Entry &entry, const char *source, TimePoint now, std::vector<TargetEvent> &events);
+	void MarkMissing(Entry &entry, const char *source, TimePoint now, const UpdateAge &age, std::vector<TargetEvent> &events);
 	/** @return Whether a row of the full list that says \a target may come from a backup, from before the incarnation \a latest started. */
 	bool MayBeOutdated(const ListedTarget &target, const Entry &latest, TimePoint now) const;
 	/** Apply a row. @param full Whether it comes from the full list instead of a change. */
-	void ApplyRow(const ListedTarget &target, bool full, TimePoint now, std::vector<TargetEvent> &events);
+	void ApplyRow(const ListedTarget &target, bool full, TimePoint now, const UpdateAge &age, std::vector<TargetEvent> &events);
 	/** Mark the rows of \a removed as missing, after a check whether they expired in a store outage. */
-	void MarkAllMissing(const std::vector<Entry *> &removed, const char *source, TimePoint now, std::vector<TargetEvent> &events);
+	void MarkAllMissing(const std::vector<Entry *> &removed, const char *source, TimePoint now, const UpdateAge &age,
+	                    std::vector<TargetEvent> &events);
 
 	RegistryLimits limits;
 	std::map<std::string, Entry> entries;      ///< Incarnations by name.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -309,7 +309,9 @@
 	/** Add or update a target in use. */
 	void UseTarget(const ListedTarget &target);
 	/** Stop new requests to a target, and migrate runs away from it. */
-	void DrainTarget(const ListedTarget &target, const char *source, TimePoint now);
+	void DrainTarget(const TargetEvent &event, TimePoint now);
+	/** Log that a target stays usable although its row was removed. */
+	void OnTargetKept(const KeptTarget &kept);
 	/** Fail the requests at the target incarnation \a name, which has ended. */
 	void FailCallsAt(const std::string &name, TimePoint now);
 	/** Update all targets in use, as their pools may have changed. */
--- a/src/gateway/gateway_store.cpp
+++ b/src/gateway/gateway_store.cpp
@@ -100,6 +100,7 @@
 		log(away, at);
 		this->registry.OnStoreReconnected(at);
 	};
+	this->registry.on_kept = [this](const KeptTarget &kept) { this->OnTargetKept(kept); };
 	watch.filter_rows = [this](std::vector<StoredRow> &rows, bool is_snapshot) { this->SelectTargets(rows, is_snapshot); };
 	watch.on_snapshot = [this](const std::vector<StoredRow> &rows, TimePoint at) { this->OnTargetRows(rows, true, at); };
 	watch.on_changes = [this](const std::vector<StoredRow> &rows, TimePoint at) { this->OnTargetRows(rows, false, at); };
--- a/src/gateway/gateway_targets.cpp
+++ b/src/gateway/gateway_targets.cpp
@@ -45,7 +45,21 @@
 			this->ReportUnreadable(row.key, target.error());
 		}
 	}
-	this->OnTargetEvents(is_snapshot ? this->registry.OnFullList(decoded, now) : this->registry.OnChanges(decoded, now), now);
+	const UpdateAge &age = this->target_watch.LastUpdateAge();
+	this->OnTargetEvents(is_snapshot ? this->registry.OnFullList(decoded, now, age) : this->registry.OnChanges(decoded, now, age), now);
+}
+
+void Gateway::OnTargetKept(const KeptTarget &kept)
+{
+	this->metrics.Count("cottonspool_targets_kept_total");
+	Log(LogLevel::Info, "target-kept",
+	    {{"target", kept.target.incarnation.Name()},
+	     {"pool", kept.target.pool},
+	     {"hall", kept.target.hall},
+	     {"source", kept.source},
+	     {"removed_ms", FormatMilliseconds(kept.age.longest)},
+	     {"store_failed", kept.age.after_failures ? "yes" : "no"},
+	     {"kept_ms", FormatMilliseconds(kept.usable_until - MonotonicNow())}});
 }
 
 void Gateway::ReportUnreadable(const std::string &key, const Error &error)
@@ -67,7 +81,7 @@
 	for (const TargetEvent &event : events) {
 		std::string name = event.target.incarnation.Name();
 		if (event.change != TargetChange::Usable) {
-			this->DrainTarget(event.target, event.source, now);
+			this->DrainTarget(event, now);
 			if (event.change == TargetChange::Terminated) this->FailCallsAt(name, now);
 			continue;
 		}
@@ -110,15 +124,17 @@
 	this->LogSpeed(number, "peer", MonotonicNow());
 }
 
-void Gateway::DrainTarget(const ListedTarget &listed, const char *source, TimePoint now)
+void Gateway::DrainTarget(const TargetEvent &event, TimePoint now)
 {
+	const ListedTarget &listed = event.target;
 	std::string name = listed.incarnation.Name();
 	this->usable.erase(name);
 	std::optional<TargetNumber> number = this->dispatcher.Targets().Find(name);
 	Log(LogLevel::Info, "target-leaving",
 	    {{"target", name},
 	     {"pool", listed.pool},
-	     {"source", source},
+	     {"source", event.source},
+	     {"acknowledged_ms", FormatMilliseconds(now - event.acknowledged_after)},
 	     {"own_calls", number ? std::to_string(this->dispatcher.Targets().Get(*number).in_flight.size()) : "0"}});
 	if (!number) return;
 	this->dispatcher.Targets().MarkDraining(*number);
--- a/src/store/table_watch.cpp
+++ b/src/store/table_watch.cpp
@@ -138,8 +138,11 @@
 		// The first update after an outage shows that the store is available to a peer: end the backoff.
 		if (this->unavailable && now - this->peer_update_at > this->takeover_delay) this->next_call_at = std::min(this->next_call_at, now);
 		this->peer_update_at = now;
+		bool up_to_date = update.to == this->rows_version;
+		// A peer publishes these updates right after a read, but sends a snapshot at any time.
+		if (recovers || up_to_date) this->SetComplete(up_to_date && !update.full ? now : this->complete_until, now);
 		if (recovers) this->OnAnswered(now);
-		if (update.to == this->rows_version) this->confirmed_at = now;
+		if (up_to_date) this->confirmed_at = now;
 		// Advance the position for a later takeover, as the store truncates its change history.
 		if (update.to == this->rows_version && update.read.epoch == this->version.epoch)
 			this->version = std::max(this->version, update.read);
@@ -176,6 +179,7 @@
 	if (epoch_changed && this->on_store_restored) this->on_store_restored({before, update.to, true}, now);
 	this->AdvanceRowsVersion({});
 	this->confirmed_at = now;
+	this->SetComplete(full ? this->complete_until : now, now);
 	this->UpdateKeptRows(update.rows, full);
 	if (full && this->on_snapshot) this->on_snapshot(update.rows, now);
 	if (!full && this->on_changes) this->on_changes(update.rows, now);
@@ -309,6 +313,7 @@
 	if (first) {
 		this->pages.clear();
 		this->pages_version = read;
+		this->pages_begun_at = now;
 	}
 	std::move(page.rows.begin(), page.rows.end(), std::back_inserter(this->pages));
 	if (page.more && !this->pages.empty()) {
@@ -328,6 +333,7 @@
 	std::vector<StoredRow> rows = std::move(this->pages);
 	this->OnSnapshotKnown(now);
 	this->DiscardRefutedUpdate();
+	this->SetComplete(this->pages_begun_at, now);
 	this->OnAnswered(now);
 	if (epoch_changed && this->on_store_restored) this->on_store_restored({before, this->version, false}, now);
 	this->AdvanceRowsVersion(rows);
@@ -356,6 +362,7 @@
 	this->AdvanceRowsVersion(rows);
 	if (this->filter_rows) this->filter_rows(rows, false);
 	this->UpdateKeptRows(rows, false);
+	this->SetComplete(now, now);
 	this->OnAnswered(now);
 	this->PublishRead(changed ? before : this->rows_version, false, rows, now);
 	if (changed) this->next_call_at = now + this->limits.batch_delay;
@@ -374,6 +381,12 @@
 	this->next_call_at = now + this->backoff;
 }
 
+void TableWatch::SetComplete(TimePoint complete, TimePoint now)
+{
+	this->update_age = {std::chrono::duration_cast<Duration>(now - this->complete_until), this->unavailable};
+	this->complete_until = std::max(this->complete_until, complete);
+}
+
 void TableWatch::OnAnswered(TimePoint now)
 {
 	this->confirmed_at = now;
--- a/src/store/table_watch.h
+++ b/src/store/table_watch.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include "decision/update_age_type.h"
 #include "store/table_store_base.h"
 #include <map>
 #include <memory>
@@ -138,6 +139,9 @@
 	/** @return When the local view was last confirmed to be up to date. */
 	TimePoint ConfirmedAt() const { return this->confirmed_at; }
 
+	/** @return How old the changes may be that were taken in last, or whether reads failed before they succeeded again. */
+	const UpdateAge &LastUpdateAge() const { return this->update_age; }
+
 	/** @return Version of the store up to which the table is known. */
 	StoreVersion Version() const { return this->version; }
 
@@ -173,6 +177,8 @@
 	void OnChanges(RowsAnswer answer);
 	void OnFailure(const RowsAnswer &answer, TimePoint now);
 	void OnAnswered(TimePoint now);
+	/** The local view has all changes that the store acknowledged before \a complete, according to what arrived \a now. */
+	void SetComplete(TimePoint complete, TimePoint now);
 	void PublishRead(StoreVersion from, bool full, const std::vector<StoredRow> &rows, TimePoint now);
 	/** @return Whether a snapshot has to be read from the store, as no peer has sent one in time. */
 	bool SnapshotIsDue(TimePoint now) const { return this->needs_snapshot && now >= this->snapshot_due; }
@@ -201,6 +207,9 @@
 	TimePoint next_call_at;             ///< Earliest time of the next call.
 	TimePoint confirmed_at;             ///< When the local view was last confirmed to be up to date.
 	TimePoint unavailable_since;        ///< When the store became unavailable.
+	TimePoint pages_begun_at;           ///< When the first page of the snapshot being read arrived.
+	TimePoint complete_until;           ///< The local view has all changes that the store acknowledged before this time.
+	UpdateAge update_age;               ///< How old the changes may be that were taken in last.
 	Duration backoff{0};                ///< Current backoff; zero after a success.
 	Duration read_timeout{0};           ///< Current timeout for a page.
 	Duration takeover_delay{0};         ///< Time without an update from a peer after which this instance polls; zero to poll always.
