Fix: [Registry] Targets without a row get no request after the drain time since their removal was acknowledged

Cause: six rows that are removed together, more than a third of the usable targets, were taken for rows that had expired in a store outage, and their targets were kept for 2 s from when the removal was read, whatever the drain time is. Reading (0.16 s) and the scan (0.1 s) came on top.

Change: a target without a row stays usable until the grace ends, or until the drain time since the earliest possible acknowledgement, less 0.3 s for connecting and the scan, whichever is first. This holds for every way in which a row can be missing, and for every drain time, also one that changes with the settings. Reads that failed for less than two heartbeats are no outage, since no live row expires in that time; after a longer one the time counts from its end. The pause between two reads is a tenth of the drain time at most.

Why it works: the time begins at the last moment at which the row was known to be there, so it can't end later than that of the store's acknowledgement. The grace after an outage keeps its 2 s with a drain time of 2.3 s or longer, and 1.7 s with one of 2 s.

--- a/src/decision/target_registry.cpp
+++ b/src/decision/target_registry.cpp
@@ -34,6 +34,12 @@
 	return now < this->restore_distrusted_until && target.incarnation.started_ms < latest.target.incarnation.started_ms;
 }
 
+TimePoint TargetRegistry::AcknowledgedAfter(const UpdateAge &age, TimePoint now) const
+{
+	// A row that disappears in a store outage says nothing of its target, so that time counts from the end of the outage.
+	return this->MayHaveExpired(age) ? now : now - age.longest;
+}
+
 void TargetRegistry::ApplyRow(const ListedTarget &target, bool full, TimePoint now, const UpdateAge &age, std::vector<TargetEvent> &events)
 {
 	std::string name = target.incarnation.Name();
@@ -58,7 +64,7 @@
 	bool was_retired = entry.retired;
 	entry.target = target;
 	entry.missing = entry.relisted = false;
-	if (target.draining && !entry.retired) entry.acknowledged_after = now - age.longest;
+	if (target.draining && !entry.retired) entry.acknowledged_after = this->AcknowledgedAfter(age, now);
 	entry.retired = entry.retired || target.draining;
 	if (added) entry.usable = !entry.retired;
 	// Later changes of a draining target's row don't matter.
@@ -72,8 +78,9 @@
 	if (!entry.missing) {
 		entry.missing = true;
 		entry.missing_since = now;
-		if (!entry.retired) entry.acknowledged_after = now - age.longest;
-		entry.usable_without_row_until = this->expiry_grace_until;
+		if (!entry.retired) entry.acknowledged_after = this->AcknowledgedAfter(age, now);
+		// Even if the row has expired, the target may have left: until its row returns, that can't be told apart.
+		entry.usable_without_row_until = std::min(this->expiry_grace_until, this->LastSendTime(entry.acknowledged_after));
 		bool kept = !entry.retired && now < entry.usable_without_row_until;
 		if (kept && this->on_kept) this->on_kept({entry.target, source, age, entry.usable_without_row_until});
 	}
@@ -95,6 +102,7 @@
 
 std::vector<TargetEvent> TargetRegistry::OnFullList(const std::vector<TargetRow> &rows, TimePoint now, const UpdateAge &age)
 {
+	this->OnReadsResumed(age, now);
 	std::vector<TargetEvent> events;
 	std::set<std::string> listed;
 	for (const TargetRow &row : rows) {
@@ -112,6 +120,7 @@
 
 std::vector<TargetEvent> TargetRegistry::OnChanges(const std::vector<TargetRow> &rows, TimePoint now, const UpdateAge &age)
 {
+	this->OnReadsResumed(age, now);
 	std::vector<TargetEvent> events;
 	std::vector<Entry *> removed;
 	for (const TargetRow &row : rows) {
@@ -151,6 +160,11 @@
 	this->expiry_grace_until = now + this->limits.expiry_grace;
 }
 
+void TargetRegistry::OnReadsResumed(const UpdateAge &age, TimePoint now)
+{
+	if (this->MayHaveExpired(age)) this->OnStoreReconnected(now);
+}
+
 void TargetRegistry::OnStoreRestored(TimePoint now)
 {
 	this->OnStoreReconnected(now);
--- a/src/decision/target_registry.h
+++ b/src/decision/target_registry.h
@@ -44,6 +44,12 @@
 /** Parameters of the registry. */
 struct RegistryLimits {
 	Duration expiry_grace = std::chrono::seconds(2); ///< Time after a store outage for which targets with an expired row remain usable.
+	/** Time from the acknowledgement that a target leaves after which no request may reach it; the target may have ended then. */
+	Duration drain_bound = std::chrono::seconds(5);
+	/** Time before the end of that time at which the last request is sent: it has to connect, and targets are scanned only now and then. */
+	Duration send_margin = std::chrono::milliseconds(300);
+	/** Shortest time without a successful read in which rows of live targets can expire: they do after three missed heartbeats. */
+	Duration min_expiry_gap = std::chrono::milliseconds(2400);
 	Duration departed_retention = std::chrono::minutes(2); ///< Time for which terminated targets and those without a row are remembered.
 	/**
 	 * Time after a restore of the store from a backup for which its rows of targets that were already removed are ignored: the backup may
@@ -84,6 +90,18 @@
 	/** Handle the end of a store outage in which rows of live targets may have expired. */
 	void OnStoreReconnected(TimePoint now);
 
+	/** Handle a successful read of the store after failed ones. @param age Time since the one before, at least. */
+	void OnReadsResumed(const UpdateAge &age, TimePoint now);
+
+	/** Set the time from the acknowledgement that a target leaves after which no request may reach it. */
+	void SetDrainBound(Duration bound) { this->limits.drain_bound = bound; }
+
+	/** @return The last time at which a request may be sent to a target whose leaving was acknowledged at \a acknowledged_at. */
+	TimePoint LastSendTime(TimePoint acknowledged_at) const
+	{
+		return acknowledged_at + std::max(Duration(0), this->limits.drain_bound - this->limits.send_margin);
+	}
+
 	/** Handle a restore of the store from a backup; OnFullList() is called next. */
 	void OnStoreRestored(TimePoint now);
 
@@ -112,6 +130,10 @@
 	void Terminate(Entry &entry, const char *source, TimePoint now, std::vector<TargetEvent> &events);
 	/** Update whether \a entry is usable, and add an event if that or its row (\a changed) has changed. */
 	void UpdateUsable(Entry &entry, const char *source, bool changed, TimePoint now, std::vector<TargetEvent> &events);
+	/** @return Whether rows of live targets may have expired in a store outage during the time of \a age. */
+	bool MayHaveExpired(const UpdateAge &age) const { return age.after_failures && age.longest >= this->limits.min_expiry_gap; }
+	/** @return The earliest time at which the store may have acknowledged a change of that \a age. */
+	TimePoint AcknowledgedAfter(const UpdateAge &age, TimePoint now) const;
 	/** Mark the row of \a entry as missing. */
 	void MarkMissing(Entry &entry, const char *source, TimePoint now, const UpdateAge &age, std::vector<TargetEvent> &events);
 	/** @return Whether a row of the full list that says \a target may come from a backup, from before the incarnation \a latest started. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -406,6 +406,7 @@
 	if (!read) return Log(LogLevel::Error, "reload-refused", {{"error", FormatError(read.error())}});
 	// Addresses of listeners only change with a restart.
 	this->settings.platform_bounds = read.value().platform_bounds;
+	this->registry.SetDrainBound(this->settings.platform_bounds.drain);
 	this->settings.halls = read.value().halls;
 	this->placement.SetRegions(this->settings.halls);
 	this->RefreshHalls(MonotonicNow());
--- a/src/gateway/gateway_limits.cpp
+++ b/src/gateway/gateway_limits.cpp
@@ -36,11 +36,14 @@
 	const PlatformBounds &platform_bounds = settings.platform_bounds;
 	Duration bound = std::min({platform_bounds.config_apply, platform_bounds.drain, platform_bounds.empty});
 	limits.return_to_source_window = platform_bounds.drain / 2;
+	limits.registry.drain_bound = platform_bounds.drain;
+	limits.registry.min_expiry_gap = 2 * settings.heartbeat;
 	limits.watch.wait = bound * 5 / 20;
 	limits.watch.slack = bound * 2 / 20;
 	limits.watch.takeover_delay = bound * 8 / 20;
 	limits.watch.takeover_delay_step = bound / 40;
 	limits.watch.max_takeover_delay = bound * 12 / 20;
+	limits.watch.batch_delay = std::min<Duration>(limits.watch.batch_delay, bound / 10);
 	// The store may recover right after a call was sent in vain: the rest of that call, the backoff and the next answer have to fit
 	// into the recovery time that the platform grants, with a quarter of it left for forwarding the rows.
 	limits.watch.max_read_timeout = platform_bounds.recovery * 9 / 20;
--- a/src/gateway/gateway_store.cpp
+++ b/src/gateway/gateway_store.cpp
@@ -98,7 +98,7 @@
 	this->LogStoreState(watch, "targets", [this](TimePoint at) { this->registry.OnStoreRestored(at); });
 	watch.on_reconnected = [this, log = watch.on_reconnected](Duration away, TimePoint at) {
 		log(away, at);
-		this->registry.OnStoreReconnected(at);
+		this->registry.OnReadsResumed(this->target_watch.LastUpdateAge(), at);
 	};
 	this->registry.on_kept = [this](const KeptTarget &kept) { this->OnTargetKept(kept); };
 	watch.filter_rows = [this](std::vector<StoredRow> &rows, bool is_snapshot) { this->SelectTargets(rows, is_snapshot); };
--- a/tests/scenarios/lib.lua
+++ b/tests/scenarios/lib.lua
@@ -224,10 +224,11 @@
 
 -- Starts an instance (`cottonspool gateway`) on the simulated platform and waits until it is ready; prefix: words before the program;
 -- memory_mb: the instance's memory, unknown to it without a value; switch: names for --switch.
-function lib.gateway(name, hall, prefix, memory_mb, switch)
+-- drain_ms: time for which a target may get requests after the store has acknowledged that it leaves.
+function lib.gateway(name, hall, prefix, memory_mb, switch, drain_ms)
 	local settings = string.format('{"nodeName":"%s","zone":"%s","ip":"127.0.0.1","zones":{"hall-a":"r","hall-b":"r2"},"listen":{"front":'
-		.. '"127.0.0.1:0","ready":"127.0.0.1:0"},"internalPorts":[0,1],"platform":{"address":"%s"},"bounds":{"graceS":8}%s}',
-		name, hall or "hall-a", lib.ports.world, memory_mb and ',"limits":{"memoryMb":' .. memory_mb .. "}" or "")
+		.. '"127.0.0.1:0","ready":"127.0.0.1:0"},"internalPorts":[0,1],"platform":{"address":"%s"},"bounds":{"graceS":8,"drainMs":%d}%s}',
+		name, hall or "hall-a", lib.ports.world, drain_ms or 2000, memory_mb and ',"limits":{"memoryMb":' .. memory_mb .. "}" or "")
 	local words = prefix or {}
 	for _, word in ipairs{ BIN .. "/cottonspool", "gateway", "--settings", write_file(name .. ".json", settings) } do words[#words + 1] = word end
 	if switch then words[#words + 1] = "--switch=" .. switch end
--- a/tests/standins/simulation.cpp
+++ b/tests/standins/simulation.cpp
@@ -16,12 +16,12 @@
 DEFINE_uint64(event_bytes, 0, "world: bytes of padding in each event of a stream");
 DEFINE_int32(segment_bytes, 0, "world: largest TCP segment of the targets' connections; 0 for the default");
 DEFINE_int32(keeping_engines, 1, "world: number of engines that work on when the connection of a run closes; the others drop it");
+DEFINE_int32(notice_ms, 1500, "world: time after a drain announcement from which new requests are recorded as late, in milliseconds");
 DEFINE_uint64(answer_bytes, 0, "world: bytes of padding in each answer of a service");
 
 namespace cottonspool {
 
 static constexpr uint64_t STEP_MS = 5;                ///< Interval of the timer for running generations.
-static constexpr int64_t NOTICE_MS = 1500;            ///< Time after a drain announcement from which new requests are recorded as late.
 static constexpr uint64_t RESUME_MS = 80;             ///< Time until a migrated run sends its next event.
 static constexpr uint64_t MEMORY_TOKENS = 40000;      ///< Memory size in load reports.
 static constexpr size_t MAX_UNREAD_BYTES = 64U << 10; ///< Unread bytes of a stream from which its engine waits for the reader.
@@ -188,7 +188,7 @@
 	if (target == "/-/kv-move") return this->MigrateRun(exchange);
 	std::string attempt(FindHeader(exchange->head.headers, "X-Attempt-Id"));
 	if (FindHeader(exchange->head.headers, "X-Expect-Instance") != this->id) return exchange->Respond(421, {}, {});
-	if ((this->draining || this->drains_by_header) && this->drain_started_at != 0 && NowMs() - this->drain_started_at > NOTICE_MS)
+	if ((this->draining || this->drains_by_header) && this->drain_started_at != 0 && NowMs() - this->drain_started_at > FLAGS_notice_ms)
 		this->record.late.push_back(
 		        {{"request", attempt}, {"target", this->id}, {"after_ms", NowMs() - this->drain_started_at}, {"at", NowMs()}});
 	if (!this->limit.empty() || NowMs() < this->paused_until)
