Fix: [Gateway] Runs are not resumed at an engine after the drain time since its removal was acknowledged

What callers saw: a run that had been stopped at its old engine was resumed at the one with its copy, although that one had been removed meanwhile and may have ended. The same with a run that returned to its old engine.

Cause: whether the new engine is usable was asked when the copy was complete, and not again when the run is resumed: 0.8 s later, if the old engine does not answer. The window for a return began when this instance noticed that the engine drains, which may be the end of a grace.

Change: each target has a last time at which a request may be sent to it, from the same rule as its grace; both ways ask it. A run whose new engine is past it returns to its old engine if that one is not, and fails otherwise.

Test: scenario platform_leaving_copy (drain time 0.4 s). With the drain times of the deployments (2 s and 3 s) the old code needs a removal that is read late for it.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -130,6 +130,9 @@
 	/** @return The address of \a target. */
 	const Endpoint &AddressOf(TargetNumber target) const { return this->records[target.value].address; }
 
+	/** @return Whether a request may still be sent to \a target, which may have left some time after the store acknowledged that. */
+	bool MaySendTo(TargetNumber target, TimePoint now) const { return now < this->records[target.value].last_send; }
+
 	/** @return The limits on callers that are in force. */
 	const FrontLimits &ActiveFrontLimits() const { return this->front.limits; }
 
@@ -169,14 +172,15 @@
 		Endpoint address;
 		std::string pool;
 		TargetIncarnation incarnation;
-		bool engine = false;       ///< Whether it is an engine, which has load reports.
-		uint64_t reports = 0;      ///< Reports applied so far.
-		TimePoint next_report;     ///< When to fetch the next report.
-		TimePoint idle_at;         ///< When it was last known to be idle.
-		TimePoint reported_at;     ///< When the last report arrived, fetched here or by a peer.
-		TimePoint report_deadline; ///< When the fetch in progress times out.
-		uint64_t report_call = 0;  ///< Fetch in progress; 0 for none.
-		TargetSignals signals;     ///< Its signals, as last logged.
+		bool engine = false;                    ///< Whether it is an engine, which has load reports.
+		TimePoint last_send = TimePoint::max(); ///< Last time at which a request may be sent to it, as it leaves.
+		uint64_t reports = 0;                   ///< Reports applied so far.
+		TimePoint next_report;                  ///< When to fetch the next report.
+		TimePoint idle_at;                      ///< When it was last known to be idle.
+		TimePoint reported_at;                  ///< When the last report arrived, fetched here or by a peer.
+		TimePoint report_deadline;              ///< When the fetch in progress times out.
+		uint64_t report_call = 0;               ///< Fetch in progress; 0 for none.
+		TargetSignals signals;                  ///< Its signals, as last logged.
 		TimePoint signals_logged_at;
 		std::optional<double> factor_as_logged; ///< Its time factor, as last logged.
 		bool limited_as_logged = false;         ///< Whether the last logged change set a rate limit, rather than removed it.
--- a/src/gateway/gateway_targets.cpp
+++ b/src/gateway/gateway_targets.cpp
@@ -120,6 +120,7 @@
 	record.pool = listed.pool;
 	record.incarnation = listed.incarnation;
 	record.engine = engine;
+	record.last_send = TimePoint::max();
 	// Its speed may have been received before the target itself.
 	this->LogSpeed(number, "peer", MonotonicNow());
 }
@@ -137,6 +138,7 @@
 	     {"acknowledged_ms", FormatMilliseconds(now - event.acknowledged_after)},
 	     {"own_calls", number ? std::to_string(this->dispatcher.Targets().Get(*number).in_flight.size()) : "0"}});
 	if (!number) return;
+	this->records[number->value].last_send = this->registry.LastSendTime(event.acknowledged_after);
 	this->dispatcher.Targets().MarkDraining(*number);
 	this->dispatcher.Targets().Forget(*number);
 	this->upstream.CloseIdle(name);
--- a/src/gateway/stream_migration.cpp
+++ b/src/gateway/stream_migration.cpp
@@ -218,8 +218,13 @@
 void StreamRelay::ResumeFromCopy()
 {
 	if (this->IsQuarantined() && this->Stage() != RunStage::Stable) return this->FailRun("the request is quarantined");
+	TimePoint now = MonotonicNow();
+	if (!this->gateway.MaySendTo(this->migration.to, now)) {
+		bool returns = this->migration.source == SourceRun::Stopped && this->ResumeAtSource(now);
+		return returns ? void() : this->FailRun("the new engine may have left");
+	}
 	this->migration.used_handle = this->migration.handle;
-	this->Resume({this->gateway.AddressOf(*this->target).Text(), this->migration.handle, this->last_event}, MonotonicNow());
+	this->Resume({this->gateway.AddressOf(*this->target).Text(), this->migration.handle, this->last_event}, now);
 }
 
 bool StreamRelay::IsBeingStopped() const
@@ -361,9 +366,9 @@
 
 bool StreamRelay::ResumeAtSource(TimePoint now)
 {
-	bool is_new = now - this->leaving_since <= this->gateway.limits.return_to_source_window;
+	bool is_new = now - this->leaving_since <= this->gateway.limits.return_to_source_window && this->gateway.MaySendTo(*this->target, now);
 	if (!is_new || this->migration.to == *this->target || this->IsQuarantined()) return false;
-	this->LogMigration("return", "refused by the new engine");
+	this->LogMigration("return", "the new engine does not take it");
 	if (this->migration.counted) this->gateway.OnCopyFinished(this->request, this->migration.to);
 	this->migration.counted = false;
 	this->migration.to = *this->target;
