Fix: [Gateway] An answer that is cut after a part of it has reached its caller ends the request

What callers saw: no end. With a first answer of 500 and a second one that is cut after 8 MB, the caller waits until it leaves. Where the answer is cut first and a try is left, the request's place at the next target is never given back.

Cause: BufferedRelay::OnEnd reported a loss that another target may replace, before it looked whether the answer was being forwarded. The dispatcher then rejected the request or sent it once more, and nothing ended either. Ruled out: a caller that reads slowly.

Change: such a loss is final. The dispatcher counts it as lost after delivery, and the exchange is reset, so that it does not look whole.

Test: scenario platform_cut_answers, answers of 9 MB.

--- a/src/gateway/relay_call.cpp
+++ b/src/gateway/relay_call.cpp
@@ -325,7 +325,8 @@
 		return this->FinishSend(SendOutcome::NotSent);
 	}
 	this->gateway.OnSendInterrupted(this->request, *this->target, this->Stage(), MonotonicNow());
-	this->FinishSend(SendOutcome::Lost);
+	// Another target's answer can't take the place of one that has begun to reach its caller.
+	this->FinishSend(this->forwarding ? SendOutcome::LostAfterDelivery : SendOutcome::Lost);
 	if (this->request.spec.repeatable && !this->forwarding) return;
 	this->Fail(502, "answer-lost");
 }
--- a/tests/standins/simulation.cpp
+++ b/tests/standins/simulation.cpp
@@ -26,6 +26,7 @@
 static constexpr uint64_t MEMORY_TOKENS = 40000;      ///< Memory size in load reports.
 static constexpr size_t MAX_UNREAD_BYTES = 64U << 10; ///< Unread bytes of a stream from which its engine waits for the reader.
 static constexpr uint64_t CRASH_DELAY_MS = 40;        ///< Time until a request with a crash body crashes the target.
+static constexpr uint64_t CUT_DELAY_MS = 300;         ///< Time until an answer without its last byte is cut.
 static constexpr uint64_t BRITTLE_WORK_MS = 60;       ///< Time that a brittle service takes for a request.
 static constexpr uint64_t RESTART_DELAY_MS = 1500;    ///< Time until a crashed target restarts.
 static constexpr uint64_t LISTEN_RETRY_MS = 50;       ///< Interval at which a restarting target tries to get its port back.
@@ -247,6 +248,16 @@
 	return true;
 }
 
+/** Answer \a exchange with \a body, and reset the connection before its last byte. */
+static void CutLate(uv_loop_t *loop, const Exchange &exchange, const HttpHeaders &headers, const std::string &body)
+{
+	exchange->Start(200, headers, body.size());
+	exchange->Write(body.substr(0, body.size() - 1));
+	After(loop, CUT_DELAY_MS, [exchange] {
+		if (!exchange->IsOver()) exchange->Abort();
+	});
+}
+
 void SimulatedTarget::Serve(const Exchange &exchange, const std::string &attempt)
 {
 	if (this->RefuseWhileFull(exchange, attempt)) return;
@@ -262,12 +273,13 @@
 	bool fails = static_cast<double>(this->answers % 10) < this->error_ratio * 10;
 	std::string how = this->corruption;
 	if (exchange->body.starts_with(CRASH_BODY_PREFIX)) return this->CrashDuring(attempt);
-	After(this->loop, this->places > 0 ? BRITTLE_WORK_MS : 5, [exchange, headers, body, fails, how] {
+	After(this->loop, this->places > 0 ? BRITTLE_WORK_MS : 5, [this, exchange, headers, body, fails, how] {
 		if (how == "reset") {
 			exchange->Start(200, headers, body.size());
 			exchange->Write(body.substr(0, 3));
 			return exchange->Abort();
 		}
+		if (how == "cut") return CutLate(this->loop, exchange, headers, body);
 		if (how == "unframed") {
 			exchange->EndBodyByClose();
 			exchange->Start(200, headers, std::nullopt);
--- a/tests/standins/simulation_base.h
+++ b/tests/standins/simulation_base.h
@@ -147,10 +147,12 @@
 	/** Write the row, as a heartbeat does. */
 	void WriteHeartbeat();
 
-	std::string id;          ///< Name; the key of its row.
-	int64_t cold_ms = 0;     ///< Remaining cold start time written to the row, in milliseconds.
-	double error_ratio = 0;  ///< Fraction of answers that are 500.
-	std::string corruption;  ///< "reset" truncates and resets answers, "unframed" ends bodies by closing the connection; empty for none.
+	std::string id;         ///< Name; the key of its row.
+	int64_t cold_ms = 0;    ///< Remaining cold start time written to the row, in milliseconds.
+	double error_ratio = 0; ///< Fraction of answers that are 500.
+	/** "reset" truncates and resets answers, "cut" resets them before their last byte, "unframed" ends bodies by closing; empty for none.
+	 */
+	std::string corruption;
 	std::string limit;       ///< Rate limit announced in answers; empty for none.
 	std::string percent;     ///< Time that work takes, as stated in answers; empty for none.
 	uint64_t places = 0;     ///< Requests that a brittle service processes at once; 0 if it is not brittle.
