Fix: [Gateway] A request's time limit also ends the calls and copies beside its own call

What callers saw: an engine that held the copy of a stream at its time limit looked fuller than it is, to this instance and its peers, for good.

Cause: the time limit cancelled the stream's call to its engine, and left the migration's calls and the count of its copy (found by the review, by reading). Change: they are cancelled first, as when the caller leaves.

Test: scenario platform_copy_time_limit.

--- a/src/gateway/relay_call.cpp
+++ b/src/gateway/relay_call.cpp
@@ -174,6 +174,7 @@
 	bool sent = this->target.has_value() || this->passed_to.has_value();
 	if (this->upstream_call != 0) this->gateway.upstream.Cancel(this->upstream_call);
 	this->upstream_call = 0;
+	this->CancelAuxiliaryCalls();
 	if (this->passed_to) this->EndPass(ForwardResult::Unreachable);
 	if (!sent) this->gateway.dispatcher.CancelWaiting(this->request.spec.id);
 	if (sent) this->FinishSend(SendOutcome::LostAfterDelivery);
