Fix: [Net] Answers that never end are limited in every part, and don't fill the memory of an instance

Cause: an answer was buffered up to 8 MB, and one that reports a failure without a limit, for each of the callers at such a target; what exceeded the buffer was written to the caller however slowly that one read. Interim answers, and answers to earlier requests, were not counted.

Change: AnswerLimits bounds what a server may send as the answer to a call; the connection of one that exceeds it is closed, and the call ends as broken, which counts against its target like any failure. All calls take it: requests, passed requests, reports, health checks, copies, the store. A buffered answer takes a 256th of the memory at most, 256 KB to 8 MB; a success is forwarded from there on, and its target is not read while its caller is behind; a failure is broken off.

Not measured: 200 callers, other rates, streams, several such targets, the readers of libcurl in `serve`.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -149,6 +149,7 @@
 	this->metrics.Gauge("cottonspool_store_calls", static_cast<double>(this->configuration_watch.Calls() + this->target_watch.Calls()));
 	this->metrics.Gauge("cottonspool_upstream_connects", static_cast<double>(this->upstream.Counters().connects));
 	this->metrics.Gauge("cottonspool_stray_answers", static_cast<double>(this->upstream.Counters().stray_answers));
+	this->metrics.Gauge("cottonspool_oversized_answers", static_cast<double>(this->upstream.Counters().oversized_answers));
 	this->metrics.Gauge("cottonspool_quarantined_requests", static_cast<double>(this->quarantined.size()));
 	this->metrics.Gauge("cottonspool_ends_not_written", static_cast<double>(this->crash_records.Waiting()));
 	this->metrics.Gauge("cottonspool_log_lines_dropped", static_cast<double>(DroppedLogLines()));
--- a/src/gateway/gateway_limits.cpp
+++ b/src/gateway/gateway_limits.cpp
@@ -4,6 +4,7 @@
 
 #include "gateway/gateway_type.h"
 #include "platform/node_settings.h"
+#include <algorithm>
 
 namespace cottonspool {
 
@@ -13,6 +14,9 @@
 static constexpr double BYTES_PER_MBIT = 125000;
 /** The settings do not say which kind of megabyte they mean; this is the smaller one. */
 static constexpr uint64_t BYTES_PER_MB = 1000000;
+/** Part of the memory that one buffered answer may take: many callers may wait for a target whose answers never end. */
+static constexpr size_t ANSWER_MEMORY_DIVISOR = 256;
+static constexpr size_t MIN_BUFFERED_ANSWER_BYTES = 256U << 10;
 static constexpr double FORWARD_LINK_FRACTION = 0.2;  ///< Fraction of the network link for forwarding rows to other instances.
 static constexpr double SNAPSHOT_LINK_FRACTION = 0.5; ///< Fraction of the network link for sending table snapshots to instances that start.
 /** Assumed number of instances that share the slack of the retry budget until the real one is known. */
@@ -26,6 +30,9 @@
 	pool.burst = std::max(1.0, settings.platform_bounds.retry_slack / ASSUMED_INSTANCES);
 	limits.dispatch.pool_retry = pool;
 	limits.memory.memory_bytes = settings.memory_mb * BYTES_PER_MB;
+	if (limits.memory.memory_bytes > 0)
+		limits.max_buffered_answer_bytes = std::clamp<size_t>(limits.memory.memory_bytes / ANSWER_MEMORY_DIVISOR, MIN_BUFFERED_ANSWER_BYTES,
+		                                                      limits.max_buffered_answer_bytes);
 	limits.retry_slack = settings.platform_bounds.retry_slack;
 	limits.exchange.link_mbps = settings.link_mbps;
 	limits.exchange.bootstrap = settings.bootstrap;
--- a/src/gateway/gateway_type.h
+++ b/src/gateway/gateway_type.h
@@ -43,8 +43,8 @@
 	Duration answer_margin = std::chrono::milliseconds(30); ///< Time before a request's deadline at which the final answer is given.
 	/** Longest idle time of a reused connection for requests that may run only once; a stale connection could lose such a request. */
 	Duration single_run_max_idle = std::chrono::milliseconds(1500);
-	size_t max_buffered_answer_bytes =
-	        8U << 20; ///< Answers of plain services up to this size are buffered completely before they are forwarded.
+	size_t max_buffered_answer_bytes = 8U << 20; ///< Answers of plain services up to this size are buffered completely before they are
+	                                             ///< forwarded; failures may not exceed it.
 	/** Time for which an instance that stops keeps running after it failed readiness, even without requests. */
 	Duration drain_delay = std::chrono::milliseconds(2600);
 	/** Time before the platform kills the process at which the remaining requests are aborted. */
--- a/src/gateway/relay_call.cpp
+++ b/src/gateway/relay_call.cpp
@@ -186,10 +186,15 @@
 void RelayCall::OnTargetCrashed()
 {
 	if (this->concluded || !this->target || this->upstream_call == 0) return;
+	this->BreakOffAnswer("the target has terminated");
+}
+
+void RelayCall::BreakOffAnswer(const char *cause)
+{
 	auto keep = this->shared_from_this();
 	uint64_t call = this->upstream_call;
 	this->gateway.upstream.Cancel(call);
-	this->OnEnd(call, UpstreamEnd::Broken, "the target has terminated");
+	this->OnEnd(call, UpstreamEnd::Broken, cause);
 }
 
 void RelayCall::OnQuarantined()
@@ -291,22 +296,40 @@
 void BufferedRelay::OnBody(uint64_t, std::string_view bytes)
 {
 	if (this->concluded) return;
-	if (this->forwarding) return this->exchange->Write(bytes);
+	if (this->forwarding) {
+		this->exchange->Write(bytes);
+		return this->UpdateFlowControl();
+	}
 	this->answer.body.append(bytes);
 	this->exchange->SetBuffered(this->answer.body.capacity());
+	if (this->answer.body.size() <= this->gateway.limits.max_buffered_answer_bytes) return;
+	// A failure may be replaced by another target's answer, so that its body can't be forwarded before it is complete.
 	bool success = this->answer.head.status / 100 == 2 && this->answer.info.stamped;
-	if (this->answer.body.size() <= this->gateway.limits.max_buffered_answer_bytes || !success) return;
+	if (!success) return this->BreakOffAnswer("the body of a failure exceeds its size limit");
+	this->StartForwarding();
+}
+
+void BufferedRelay::StartForwarding()
+{
 	this->forwarding = true;
 	this->exchange->Start(this->answer.head.status, this->AnswerHeaders(this->answer.head), this->answer.head.length,
 	                      this->answer.head.reason);
+	std::weak_ptr<RelayCall> weak = this->weak_from_this();
+	this->exchange->on_drained = [weak] {
+		auto self = std::static_pointer_cast<BufferedRelay>(weak.lock());
+		if (self && !self->concluded) self->UpdateFlowControl();
+	};
 	this->exchange->Write(this->answer.body);
 	this->answer.body = {};
 	this->exchange->SetBuffered(0);
+	this->UpdateFlowControl();
 }
 
 void BufferedRelay::UpdateFlowControl()
 {
-	if (this->upstream_call != 0) this->gateway.upstream.SetReading(this->upstream_call, !this->held_back);
+	if (this->upstream_call == 0) return;
+	bool behind = this->forwarding && this->exchange->Backlog() > this->gateway.ActiveFrontLimits().max_backlog_bytes;
+	this->gateway.upstream.SetReading(this->upstream_call, !this->held_back && !behind);
 }
 
 void BufferedRelay::OnEnd(uint64_t, UpstreamEnd end, const char *cause)
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -80,6 +80,9 @@
 	/** @return Whether a send is in progress. */
 	virtual bool HasSend() const { return this->upstream_call != 0; }
 
+	/** Break off the answer of the target, which is then taken for one that the target broke off. @param cause Reason for logs. */
+	void BreakOffAnswer(const char *cause);
+
 	/** Pause or continue reading from the target, as far as the present call calls for it. */
 	virtual void UpdateFlowControl() = 0;
 
@@ -183,6 +186,8 @@
 		std::string body;
 	};
 
+	/** Begin to forward the answer, which exceeds the buffer. */
+	void StartForwarding();
 	/** Deliver a complete answer, or try another target. */
 	void OnCompleteAnswer();
 	/** Give \a complete as the final answer. */
--- a/src/gateway/stream_relay.cpp
+++ b/src/gateway/stream_relay.cpp
@@ -43,9 +43,10 @@
 {
 	if (this->concluded || from != this->upstream_call) return;
 	if (!this->streaming) {
-		this->answer_body.append(bytes.substr(0, this->gateway.limits.max_buffered_answer_bytes));
+		this->answer_body.append(bytes);
 		this->exchange->SetBuffered(this->answer_body.capacity());
-		return;
+		bool too_large = this->answer_body.size() > this->gateway.limits.max_buffered_answer_bytes;
+		return too_large ? this->BreakOffAnswer("the body of a failure exceeds its size limit") : void();
 	}
 	auto keep = this->shared_from_this();
 	if (this->target) this->gateway.OnTargetAnswered(this->request);
--- a/src/net/http_upstream.cpp
+++ b/src/net/http_upstream.cpp
@@ -38,13 +38,19 @@
 private:
 	void OnData(std::string_view bytes);
 	void OnHead(HttpHead &&head);
+	void OnBody(std::string_view bytes);
+	void OnOtherAnswer();
 	void OnComplete();
+	/** Break the answer off, as it exceeds a limit. @param cause Which one, for logs. */
+	void OnLimitExceeded(const char *cause);
 	void OnStreamEnd(TcpEnd end, const char *cause);
 	void EndCall(UpstreamEnd end, const char *cause);
 	void ReturnToPool();
 
 	HttpUpstream &owner;                          ///< Client with the pool.
 	HttpReader reader{HttpReader::Kind::Answers}; ///< Parser of the answers.
+	uint32_t other_answers = 0;                   ///< Interim answers and answers to earlier requests since the call was sent.
+	size_t body_bytes = 0;                        ///< Size of the bodies received since then.
 	bool answer_matches = false;                  ///< The answer being received belongs to the current call.
 	bool reusable = false;                        ///< The server allows reuse after this answer.
 	bool stray_answer_seen = false;               ///< An answer to an earlier request was received: the connection must not be reused.
@@ -54,9 +60,7 @@
     : stream(std::move(stream)), peer(std::move(peer)), to(to), owner(owner)
 {
 	this->reader.on_head = [this](HttpHead &&head) { this->OnHead(std::move(head)); };
-	this->reader.on_body = [this](std::string_view bytes) {
-		if (this->answer_matches && this->number != 0 && this->call.on_body) this->call.on_body(bytes);
-	};
+	this->reader.on_body = [this](std::string_view bytes) { this->OnBody(bytes); };
 	this->reader.on_complete = [this] { this->OnComplete(); };
 }
 
@@ -77,6 +81,8 @@
 	this->number = call_number;
 	this->answer_matches = false;
 	this->reusable = false;
+	this->other_answers = 0;
+	this->body_bytes = 0;
 	this->started = MonotonicNow();
 	this->reader.Resume();
 	this->reader.answers_head_request = this->call.method == "HEAD";
@@ -95,11 +101,11 @@
 {
 	if (this->number == 0) return;
 	this->answer_matches = false;
-	if (head.status / 100 == 1) return;
+	if (head.status / 100 == 1) return this->OnOtherAnswer();
 	if (this->call.on_head && !this->call.on_head(head)) {
 		this->stray_answer_seen = true;
 		this->owner.counters.stray_answers++;
-		return;
+		return this->OnOtherAnswer();
 	}
 	this->answer_matches = true;
 	this->reusable = head.keep_alive && (head.length || head.chunked || head.status == 204 || head.status == 304);
@@ -112,6 +118,26 @@
 	}
 }
 
+void UpstreamConnection::OnOtherAnswer()
+{
+	if (++this->other_answers > this->call.limits.max_other_answers)
+		this->OnLimitExceeded("too many answers before the one to this request");
+}
+
+void UpstreamConnection::OnBody(std::string_view bytes)
+{
+	if (this->number == 0) return;
+	this->body_bytes += bytes.size();
+	if (this->body_bytes > this->call.limits.max_body_bytes) return this->OnLimitExceeded("the body exceeds its size limit");
+	if (this->answer_matches && this->call.on_body) this->call.on_body(bytes);
+}
+
+void UpstreamConnection::OnLimitExceeded(const char *cause)
+{
+	this->owner.counters.oversized_answers++;
+	this->EndCall(UpstreamEnd::Broken, cause);
+}
+
 void UpstreamConnection::OnData(std::string_view bytes)
 {
 	auto keep_alive = this->shared_from_this();
@@ -120,7 +146,7 @@
 		this->owner.counters.stray_answers++;
 		return this->Close();
 	}
-	if (this->reader.Add(bytes)) return;
+	if (this->reader.Add(bytes) || this->number == 0) return;
 	this->EndCall(UpstreamEnd::Broken, "malformed answer");
 }
 
@@ -129,7 +155,7 @@
 	if (this->number == 0) return;
 	if (this->answer_matches) return this->EndCall(UpstreamEnd::Complete, "");
 	// It was an interim answer, or one to an earlier request; the answer to this call is still to come.
-	if (!this->reader.Resume()) this->EndCall(UpstreamEnd::Broken, "malformed answer");
+	if (!this->reader.Resume() && this->number != 0) this->EndCall(UpstreamEnd::Broken, "malformed answer");
 }
 
 /** @return Outcome of a call whose connection ended with \a end before the answer was complete. */
--- a/src/net/http_upstream.h
+++ b/src/net/http_upstream.h
@@ -27,6 +27,15 @@
 	return end == UpstreamEnd::NotSent || end == UpstreamEnd::Refused;
 }
 
+/**
+ * Limits on what a server sends as the answer to a call. A faulty server may send without end, and closing the connection is all that
+ * stops it: where a limit is exceeded, the call ends as Broken. The head has the size limit of HttpReader.
+ */
+struct AnswerLimits {
+	uint32_t max_other_answers = 16;   ///< Interim answers, and answers to earlier requests, before the answer to the call.
+	size_t max_body_bytes = 64U << 20; ///< Size of the body, and of those of such other answers together.
+};
+
 /** A call. Its callbacks are called from the event loop, never during Start(). */
 struct UpstreamCall {
 	Endpoint to;                ///< Address of the server.
@@ -37,6 +46,7 @@
 	std::string body;           ///< Body.
 	Duration connect_timeout = std::chrono::milliseconds(500); ///< Time limit for connecting.
 	Duration max_reuse_idle = std::chrono::seconds(4); ///< Longest idle time of a pooled connection to be used; zero for a new connection.
+	AnswerLimits limits;                               ///< Limits on the answer.
 	std::function<bool(const HttpHead &)> on_head;     ///< Head of an answer; returns false to drop an answer to an earlier request.
 	std::function<void(std::string_view)> on_body;     ///< A part of the body.
 	std::function<void(UpstreamEnd, const char *)> on_end; ///< End of the call; the text is the cause of a failure.
@@ -44,9 +54,10 @@
 
 /** Counters of calls and connections. */
 struct UpstreamCounters {
-	uint64_t calls = 0;         ///< Calls started.
-	uint64_t connects = 0;      ///< Connections opened.
-	uint64_t stray_answers = 0; ///< Answers dropped, as they did not belong to the current request.
+	uint64_t calls = 0;             ///< Calls started.
+	uint64_t connects = 0;          ///< Connections opened.
+	uint64_t stray_answers = 0;     ///< Answers dropped, as they did not belong to the current request.
+	uint64_t oversized_answers = 0; ///< Answers broken off, as they exceeded a limit.
 };
 
 /** HTTP client with a connection pool. */
--- a/src/platform/wire_engine.cpp
+++ b/src/platform/wire_engine.cpp
@@ -55,6 +55,8 @@
 }
 
 static constexpr size_t MAX_REPORT_BYTES = 64U << 10; ///< Part of an answer that is parsed.
+/** Size limit of the answer to any call that is not a caller's request. */
+static constexpr AnswerLimits CONTROL_ANSWER_LIMITS{.max_body_bytes = 1U << 20};
 
 const char *const REPORT_PATH = "/-/report";
 
@@ -74,6 +76,7 @@
 static void Collect(UpstreamCall &call, std::function<void(const CollectedAnswer &)> done)
 {
 	auto answer = std::make_shared<CollectedAnswer>();
+	call.limits = CONTROL_ANSWER_LIMITS;
 	call.on_head = [answer](const HttpHead &head) {
 		answer->status = head.status;
 		return true;
@@ -113,6 +116,7 @@
 	call.target = path;
 	call.headers = {{"Host", to.Text()}};
 	call.max_reuse_idle = Duration(0);
+	call.limits = CONTROL_ANSWER_LIMITS;
 	call.on_head = [probe, incarnation](const HttpHead &head) {
 		std::string_view id = FindHeader(head.headers, "X-Instance-Id");
 		probe->result = id.empty() || id == incarnation.id ? ProbeResult::Answered : ProbeResult::OtherIncarnation;
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -56,7 +56,7 @@
 
 int main(int argc, char **argv)
 {
-	gflags::SetUsageMessage("cottonspool-standin engine|service|platform|relay|world|callers [flags]");
+	gflags::SetUsageMessage("cottonspool-standin engine|service|platform|relay|world|callers|endless [flags]");
 	gflags::ParseCommandLineFlags(&argc, &argv, true);
 	std::signal(SIGPIPE, SIG_IGN);
 	std::string verb = argc > 1 ? argv[1] : "";
@@ -67,6 +67,7 @@
 	if (verb == "relay") return cottonspool::RunRelay(loop);
 	if (verb == "world") return cottonspool::RunPlatformSimulation(loop);
 	if (verb == "callers") return cottonspool::RunCallers(loop);
+	if (verb == "endless") return cottonspool::RunEndless(loop);
 	std::cerr << gflags::ProgramUsage() << std::endl;
 	return 2;
 }
--- a/tests/standins/standin_func.h
+++ b/tests/standins/standin_func.h
@@ -51,6 +51,7 @@
 int RunRelay(uv_loop_t *loop);              ///< TCP proxy that injects network faults.
 int RunPlatformSimulation(uv_loop_t *loop); ///< Simulation of the users' platform: store, engines and services.
 int RunCallers(uv_loop_t *loop);            ///< Load generator that verifies each answer.
+int RunEndless(uv_loop_t *loop);            ///< Faulty server whose answers never end.
 
 /** Run an HTTP server with \a handler at --ip and --port until the process is killed. @return Exit code. */
 int Serve(uv_loop_t *loop, HttpServer::Handler handler);
