Fix: [Net] Callers that stop reading for a while keep their answers; those that are gone are told by acknowledgements

Cause: TCP_USER_TIMEOUT of 4 s on all connections counts a closed receive window as silence, and so did the idle timeout (FrontLimits::close_unread). Unread bytes were taken for a caller that is gone.

Evidence: on this kernel (6.18) a closed window shows no unacknowledged segment, and each probe is answered; a socket that drops all that arrives shows unacknowledged segments or unanswered probes and no further acknowledgement.

Change: no TCP_USER_TIMEOUT; AckWatch judges once a second by TCP_INFO; keepalive probes after 2 s and 1 s end idle connections after the same 4 s as before. The idle timeout holds for an unread answer only after the time for which the caller waits. Near the end of a planned stop the kernel is given what it takes of unread answers. The silence of a target says nothing while its stream is not read.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -23,6 +23,8 @@
 static constexpr Duration STOPPING_RETRY_AFTER = std::chrono::milliseconds(50);
 /** Requests with a longer timeout are rejected while this instance stops. */
 static constexpr Duration MAX_TIMEOUT_WHILE_STOPPING = std::chrono::milliseconds(5000);
+/** Longest time for which an answer is kept for a caller that does not read it, however long the caller says that it waits. */
+static constexpr Duration MAX_ANSWER_WAIT = std::chrono::minutes(10);
 static constexpr size_t ACCOUNT_SERIES = 64; ///< Client accounts with metrics of their own.
 
 /** Timer of the ticks, hidden from users of the header. */
@@ -251,6 +253,7 @@
 {
 	this->CheckSuspension(MonotonicNow());
 	request.info = ReadRequest(exchange->head);
+	if (request.info.deadline) exchange->awaited_until = exchange->read_at + std::min<Duration>(*request.info.deadline, MAX_ANSWER_WAIT);
 	if (!this->Admit(exchange, &request)) return;
 	this->FillCallSpec(&request, exchange->read_at);
 	std::string_view host = FindHeader(exchange->head.headers, "host");
@@ -437,6 +440,7 @@
 void Gateway::AdvanceShutdown(TimePoint now)
 {
 	Duration since = now - this->stop_started;
+	if (since >= this->limits.drain_delay) this->front.PassBacklogsToKernel();
 	bool at_once = since >= this->settings.platform_bounds.stop_grace - this->limits.kill_margin;
 	bool answered = this->calls.empty() && since >= this->limits.drain_delay;
 	if (!at_once && !answered) return;
--- a/src/gateway/relay_call.cpp
+++ b/src/gateway/relay_call.cpp
@@ -325,11 +325,14 @@
 	this->UpdateFlowControl();
 }
 
+bool BufferedRelay::IsCallerBehind() const
+{
+	return this->forwarding && this->exchange->Backlog() > this->gateway.ActiveFrontLimits().max_backlog_bytes;
+}
+
 void BufferedRelay::UpdateFlowControl()
 {
-	if (this->upstream_call == 0) return;
-	bool behind = this->forwarding && this->exchange->Backlog() > this->gateway.ActiveFrontLimits().max_backlog_bytes;
-	this->gateway.upstream.SetReading(this->upstream_call, !this->held_back && !behind);
+	if (this->upstream_call != 0) this->gateway.upstream.SetReading(this->upstream_call, !this->IsReadingPaused());
 }
 
 void BufferedRelay::OnEnd(uint64_t, UpstreamEnd end, const char *cause)
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -86,6 +86,9 @@
 	/** Pause or continue reading from the target, as far as the present call calls for it. */
 	virtual void UpdateFlowControl() = 0;
 
+	/** @return Whether nothing is read from the target at present, so that its silence says nothing. */
+	virtual bool IsReadingPaused() const = 0;
+
 	/** @return The progress at the target. */
 	virtual RunStage Stage() const { return RunStage::Waiting; }
 
@@ -177,8 +180,11 @@
 	void OnEnd(uint64_t from, UpstreamEnd end, const char *cause) override;
 	bool DeliverKeptAnswer() override;
 	void UpdateFlowControl() override;
+	bool IsReadingPaused() const override { return this->held_back || this->IsCallerBehind(); }
 
 private:
+	/** @return Whether the caller reads the answer that is forwarded more slowly than the target sends it. */
+	bool IsCallerBehind() const;
 	/** An answer of a target. */
 	struct Answer {
 		HttpHead head;
--- a/src/gateway/relay_forward.cpp
+++ b/src/gateway/relay_forward.cpp
@@ -36,7 +36,7 @@
 
 void RelayCall::CheckSilence(TimePoint now)
 {
-	if (this->concluded || !this->target || this->upstream_call == 0 || this->held_back) return;
+	if (this->concluded || !this->target || this->upstream_call == 0 || this->IsReadingPaused()) return;
 	const ReachLimits &limits = this->gateway.limits.reach;
 	Duration silence = this->request.spec.generated ? limits.stream_silence : limits.plain_silence;
 	if (now - this->LastProgress() > silence) this->gateway.OnTargetSilent(*this->target);
--- a/src/gateway/stream_relay.h
+++ b/src/gateway/stream_relay.h
@@ -31,6 +31,7 @@
 	void UpdateFlowControl() override;
 	bool HasSend() const override { return this->upstream_call != 0 || this->migration.resume_call != 0; }
 	RunStage Stage() const override;
+	bool IsReadingPaused() const override { return this->held_back || this->paused; }
 	TimePoint LastProgress() const override { return this->has_event ? this->last_event_at : this->sent_at; }
 
 private:
--- a/src/net/front_connection.cpp
+++ b/src/net/front_connection.cpp
@@ -104,7 +104,7 @@
 		this->discarding = false;
 		if (this->keep_after_discarding) return;
 		this->refused = true;
-		this->front.EndStream(this->stream);
+		this->front.EndStream(this->stream, this->awaited_until);
 		return this->Unregister();
 	}
 	if (this->refused || !this->exchange) return;
@@ -122,7 +122,7 @@
 	if (this->exchange) this->exchange->connection = nullptr;
 	this->exchange.reset();
 	if (!this->discarding) this->stream->Write(std::move(text));
-	this->front.EndStream(this->stream);
+	this->front.EndStream(this->stream, this->awaited_until);
 	this->Unregister();
 }
 
@@ -137,9 +137,9 @@
 	this->Refuse(this->reader.Error() == HttpReadError::HeadersTooBig ? 431 : 400);
 }
 
-bool FrontConnection::HasBacklogSince(TimePoint now, Duration timeout) const
+bool FrontConnection::IsUnread(TimePoint now, TimePoint until) const
 {
-	return this->stream->Backlog() > 0 && now - this->progress_at > timeout;
+	return now > until && this->stream->Backlog() > 0 && now - this->progress_at > this->front.limits.idle_timeout;
 }
 
 void FrontConnection::OnTick(TimePoint now)
@@ -148,13 +148,14 @@
 	uint64_t sent = this->stream->SentBytes();
 	if (sent != this->sent_bytes || this->stream->Backlog() == 0) this->progress_at = now;
 	this->sent_bytes = sent;
-	if (this->in_handler && limits.close_unread && this->HasBacklogSince(now, limits.idle_timeout)) return this->Close(true);
+	if (this->in_handler && limits.close_unread && this->IsUnread(now, this->exchange->awaited_until)) return this->Close(true);
 	if (this->in_handler || this->refused) return;
 	Duration waited = now - this->waiting_since;
 	if (this->IsIdle()) {
-		// A complete answer is delivered as long as its caller reads.
-		if (this->stream->Backlog() > 0 && !this->HasBacklogSince(now, limits.idle_timeout)) return;
-		if (waited > limits.idle_timeout) this->Close(false);
+		if (this->stream->Backlog() > 0 && !this->IsUnread(now, this->awaited_until)) return;
+		// The kernel soon gives up what it holds for a caller that does not read at present, once the connection is closed.
+		bool undelivered = now < this->awaited_until && waited > limits.idle_timeout && this->stream->UndeliveredBytes() > 0;
+		if (waited > limits.idle_timeout && !undelivered) this->Close(false);
 		return;
 	}
 	if (this->discarding && waited > limits.body_timeout) return this->Close(false);
@@ -171,13 +172,14 @@
 void FrontConnection::OnAnswered(bool keep_alive)
 {
 	auto self_reference = this->shared_from_this();
+	this->awaited_until = std::max(this->awaited_until, this->exchange->awaited_until);
 	this->exchange->connection = nullptr;
 	this->exchange.reset();
 	this->in_handler = false;
 	this->waiting_since = MonotonicNow();
 	if (!keep_alive || this->refused) {
 		this->refused = true;
-		this->front.EndStream(this->stream);
+		this->front.EndStream(this->stream, this->awaited_until);
 		return this->Unregister();
 	}
 	this->paused = false;
--- a/src/net/front_connection.h
+++ b/src/net/front_connection.h
@@ -57,7 +57,8 @@
 	void Refuse(int status);
 	void RefuseMalformed();
 	void Unregister();
-	bool HasBacklogSince(TimePoint now, Duration timeout) const;
+	/** @return Whether the caller, who waits for its answer \a until then at least, has read nothing for the idle timeout. */
+	bool IsUnread(TimePoint now, TimePoint until) const;
 
 	HttpReader reader{HttpReader::Kind::Requests}; ///< Parser of the requests.
 	std::shared_ptr<FrontExchange> exchange;       ///< Request being received or processed.
@@ -71,6 +72,7 @@
 	bool paused = false;                           ///< Reading, or the source of the answer, is paused as memory is scarce.
 	bool discarding = false;                       ///< The request was rejected, and the rest of its body is discarded.
 	bool keep_after_discarding = false;            ///< The connection stays open after that.
+	TimePoint awaited_until;                       ///< Until when the caller waits for the answers that it has not read yet.
 	uint64_t sent_bytes = 0;                       ///< Bytes sent until the last tick.
 	TimePoint progress_at;                         ///< Last tick at which nothing was unsent, or the caller had read something.
 };
--- a/src/net/http_front.cpp
+++ b/src/net/http_front.cpp
@@ -95,10 +95,10 @@
 	connection->Begin();
 }
 
-void HttpFront::EndStream(const std::shared_ptr<TcpStream> &stream)
+void HttpFront::EndStream(const std::shared_ptr<TcpStream> &stream, TimePoint awaited_until)
 {
 	stream->CloseAfterWrites();
-	if (!stream->IsClosed()) this->ending.push_back({stream, stream->UndeliveredBytes(), MonotonicNow()});
+	if (!stream->IsClosed()) this->ending.push_back({stream, awaited_until, stream->UndeliveredBytes(), MonotonicNow()});
 }
 
 void HttpFront::CloseDelivered(TimePoint now)
@@ -107,11 +107,18 @@
 		size_t undelivered = each.stream->UndeliveredBytes();
 		if (undelivered != each.undelivered) each.progress_at = now;
 		each.undelivered = undelivered;
-		if (undelivered == 0 || now - each.progress_at > this->limits.idle_timeout) each.stream->Close();
+		bool unread = now > each.awaited_until && now - each.progress_at > this->limits.idle_timeout;
+		if (undelivered == 0 || unread) each.stream->Close();
 	}
 	std::erase_if(this->ending, [](const EndingConnection &each) { return each.stream->IsClosed(); });
 }
 
+void HttpFront::PassBacklogsToKernel()
+{
+	for (const EndingConnection &each : this->ending) each.stream->PassBacklogToKernel();
+	for (const auto &connection : this->connections) connection->stream->PassBacklogToKernel();
+}
+
 size_t HttpFront::UndeliveredConnections() const
 {
 	auto ending_undelivered = [](const EndingConnection &each) { return each.stream->UndeliveredBytes() > 0; };
@@ -157,8 +164,20 @@
 	}
 }
 
+void HttpFront::CheckPeers(TimePoint now)
+{
+	if (now < this->next_peer_check) return;
+	this->next_peer_check = now + PEER_CHECK_INTERVAL;
+	for (const EndingConnection &each : this->ending) each.stream->CheckPeer(now);
+	std::vector<std::shared_ptr<TcpStream>> streams;
+	streams.reserve(this->connections.size());
+	for (const auto &connection : this->connections) streams.push_back(connection->stream);
+	for (const auto &stream : streams) stream->CheckPeer(now);
+}
+
 void HttpFront::OnTick(TimePoint now)
 {
+	this->CheckPeers(now);
 	this->CloseDelivered(now);
 	for (auto it = this->connections.begin(); it != this->connections.end();) {
 		std::shared_ptr<FrontConnection> connection = *it++;
--- a/src/net/http_front.h
+++ b/src/net/http_front.h
@@ -21,7 +21,7 @@
 	Duration idle_timeout = std::chrono::seconds(15); ///< Idle time after which a connection is closed.
 	Duration body_timeout = std::chrono::seconds(10); ///< Time limit between two parts of a body; then the answer is 408.
 	size_t max_backlog_bytes = 256U << 10;            ///< Unsent bytes of an answer from which its source should be paused.
-	bool close_unread = false;                        ///< The idle timeout also applies to callers that do not read their answer.
+	bool close_unread = false;                        ///< The idle timeout also applies to callers that do not read their answer in time.
 };
 
 /** A request and its answer. */
@@ -32,6 +32,7 @@
 	Endpoint from;                       ///< Address of the caller.
 	TimePoint begun_at;                  ///< When the head of the request was received.
 	TimePoint read_at;                   ///< When the request was received completely.
+	TimePoint awaited_until;             ///< Until when the caller waits for its answer, however slowly it reads; zero if unknown.
 	std::function<void()> on_disconnect; ///< The caller disconnected before the answer was complete.
 	std::function<void()> on_drained;    ///< All bytes written so far have been sent.
 	std::function<void(bool)> on_pause;  ///< The source of the answer should pause (true) or may continue, as memory is scarce.
@@ -111,6 +112,9 @@
 	/** @return Number of open connections. */
 	size_t Connections() const { return this->connections.size(); }
 
+	/** Lets the kernel take the unsent bytes of all answers, as the process ends soon; see TcpStream::PassBacklogToKernel(). */
+	void PassBacklogsToKernel();
+
 	/** @return Number of connections whose callers have not received all that was sent to them. */
 	size_t UndeliveredConnections() const;
 
@@ -132,19 +136,23 @@
 	/** A connection after its last answer, which is open until its caller has received it. */
 	struct EndingConnection {
 		std::shared_ptr<TcpStream> stream; ///< TCP connection.
+		TimePoint awaited_until;           ///< Until when its caller waits.
 		size_t undelivered = 0;            ///< Undelivered bytes at the last tick.
 		TimePoint progress_at;             ///< Last tick at which the caller had received something.
 	};
 
 	void OnStream(std::shared_ptr<TcpStream> stream);
-	/** Close \a stream once its caller has received what was sent. */
-	void EndStream(const std::shared_ptr<TcpStream> &stream);
-	/** Close the ending connections that are delivered, or whose callers do not read. */
+	/** End the connections of callers that are gone, if it is time to check. */
+	void CheckPeers(TimePoint now);
+	/** Close \a stream once its caller, who waits until \a awaited_until, has received what was sent. */
+	void EndStream(const std::shared_ptr<TcpStream> &stream, TimePoint awaited_until);
+	/** Close the ending connections that are delivered, or whose callers neither read nor wait any more. */
 	void CloseDelivered(TimePoint now);
 
 	uv_loop_s *loop;                                         ///< Event loop.
 	Handler handler;                                         ///< Called for each request.
 	bool closing = false;                                    ///< Connections are closed after their next answer.
+	TimePoint next_peer_check;                               ///< When the callers are checked next.
 	uint64_t next_id = 1;                                    ///< Number of the next connection.
 	std::list<std::shared_ptr<FrontConnection>> connections; ///< Open connections.
 	std::list<EndingConnection> ending;                      ///< Connections on which nothing more is read or written.
--- a/src/net/http_upstream.cpp
+++ b/src/net/http_upstream.cpp
@@ -279,8 +279,19 @@
 	for (const auto &connection : connections) connection->stream->Close();
 }
 
+void HttpUpstream::CheckPeers(TimePoint now)
+{
+	if (now < this->next_peer_check) return;
+	this->next_peer_check = now + PEER_CHECK_INTERVAL;
+	std::vector<std::shared_ptr<TcpStream>> streams;
+	streams.reserve(this->active.size());
+	for (const auto &[number, connection] : this->active) streams.push_back(connection->stream);
+	for (const auto &stream : streams) stream->CheckPeer(now);
+}
+
 void HttpUpstream::OnTick(TimePoint now)
 {
+	this->CheckPeers(now);
 	std::vector<std::shared_ptr<UpstreamConnection>> timed_out;
 	for (const auto &[number, connection] : this->active) {
 		if (!connection->stream->WasOpen() && now - connection->started > connection->call.connect_timeout) timed_out.push_back(connection);
--- a/src/net/http_upstream.h
+++ b/src/net/http_upstream.h
@@ -8,6 +8,7 @@
 #include "net/tcp_stream.h"
 #include <list>
 #include <map>
+#include <vector>
 
 namespace cottonspool {
 
@@ -96,11 +97,14 @@
 
 private:
 	std::shared_ptr<UpstreamConnection> AcquireIdle(const UpstreamCall &call, TimePoint now);
+	/** End the calls to servers that are gone, if it is time to check. */
+	void CheckPeers(TimePoint now);
 
 	uv_loop_s *loop;                                                            ///< Event loop.
 	std::map<uint64_t, std::shared_ptr<UpstreamConnection>> active;             ///< Connections in use, by call number.
 	std::map<std::string, std::list<std::shared_ptr<UpstreamConnection>>> idle; ///< Idle connections by peer.
 	uint64_t next = 1;                                                          ///< Number of the next call.
+	TimePoint next_peer_check;                                                  ///< When the servers are checked next.
 	UpstreamCounters counters;                                                  ///< Counters.
 
 	friend class UpstreamConnection;
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -15,14 +15,14 @@
 
 namespace cottonspool {
 
-static constexpr size_t READ_BUFFER = 64U << 10; ///< Size of the read buffer.
-static constexpr int LISTEN_BACKLOG = 1024;      ///< Connections that the kernel queues until they are accepted.
-/** Time after which unacknowledged bytes, or an idle connection without an answer to its keepalive probes, fail (TCP_USER_TIMEOUT). */
-static constexpr unsigned int USER_TIMEOUT_MS = 4000;
-static constexpr unsigned int KEEPALIVE_IDLE_S = 3; ///< Idle time before the first TCP keepalive probe.
-static constexpr int KEEPALIVE_INTERVAL_S = 1;      ///< Interval of TCP keepalive probes.
-/** Unanswered keepalive probes after which a connection fails; not counted on Linux, where USER_TIMEOUT_MS decides instead. */
-static constexpr int KEEPALIVE_PROBES = 3;
+static constexpr size_t READ_BUFFER = 64U << 10;            ///< Size of the read buffer.
+static constexpr int LISTEN_BACKLOG = 1024;                 ///< Connections that the kernel queues until they are accepted.
+static constexpr unsigned int KEEPALIVE_IDLE_S = 2;         ///< Idle time before the first TCP keepalive probe.
+static constexpr int KEEPALIVE_INTERVAL_S = 1;              ///< Interval of TCP keepalive probes.
+static constexpr int KEEPALIVE_PROBES = 2;                  ///< Unanswered keepalive probes after which an idle connection fails.
+static constexpr size_t MAX_KERNEL_BUFFER_BYTES = 4U << 20; ///< Send buffer that is requested at most for a connection.
+/** TCP_USER_TIMEOUT where the kernel does not tell of acknowledgements. It also ends connections whose other side does not read. */
+static constexpr unsigned int FALLBACK_USER_TIMEOUT_MS = 4000;
 
 Result<Endpoint> ParseEndpoint(std::string_view text)
 {
@@ -115,13 +115,37 @@
 {
 	uv_tcp_nodelay(&this->handle->tcp, 1);
 	uv_tcp_keepalive(&this->handle->tcp, 1, KEEPALIVE_IDLE_S);
-	uv_os_fd_t fd = -1;
-	if (uv_fileno(reinterpret_cast<uv_handle_t *>(&this->handle->tcp), &fd) != 0) return;
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &USER_TIMEOUT_MS, sizeof(USER_TIMEOUT_MS));
+	int fd = this->Descriptor();
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &KEEPALIVE_INTERVAL_S, sizeof(KEEPALIVE_INTERVAL_S));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &KEEPALIVE_PROBES, sizeof(KEEPALIVE_PROBES));
 }
 
+int TcpStream::Descriptor() const
+{
+	uv_os_fd_t fd = -1;
+	return uv_fileno(reinterpret_cast<const uv_handle_t *>(&this->handle->tcp), &fd) == 0 ? fd : -1;
+}
+
+void TcpStream::CheckPeer(TimePoint now)
+{
+	if (this->closed || !this->opened) return;
+	// An idle connection without undelivered bytes is left to the keepalive probes.
+	bool wrote = std::exchange(this->checked_bytes, this->written_bytes) != this->written_bytes;
+	if (!wrote && !this->has_undelivered) return;
+	int fd = this->Descriptor();
+	std::optional<AckState> state = ReadAckState(fd);
+	if (!state) {
+		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &FALLBACK_USER_TIMEOUT_MS, sizeof(FALLBACK_USER_TIMEOUT_MS));
+		return;
+	}
+	this->has_undelivered = state->HasUndelivered() || state->AwaitsAck();
+	if (this->has_undelivered && !this->limits_probe_interval) {
+		this->limits_probe_interval = true;
+		LimitProbeInterval(fd);
+	}
+	if (this->ack_watch.IsPeerGone(*state, now)) this->End(TcpEnd::Reset, "the other side acknowledges nothing");
+}
+
 void TcpStream::StartReading()
 {
 	if (this->closed || this->reading || !this->opened || !this->want_read) return;
@@ -141,10 +165,8 @@
 {
 	// libuv reports EOF on a hang-up after a partial read, even if the connection was reset. The socket tells them apart: a read returns 0
 	// after an orderly close and an error after a reset.
-	uv_os_fd_t fd = -1;
-	if (uv_fileno(reinterpret_cast<const uv_handle_t *>(&this->handle->tcp), &fd) != 0) return true;
 	char byte = 0;
-	ssize_t length = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	ssize_t length = recv(this->Descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 	return length < 0 && errno != EAGAIN && errno != EINTR;
 }
 
@@ -243,9 +265,8 @@
 size_t TcpStream::UndeliveredBytes() const
 {
 	if (this->closed) return 0;
-	uv_os_fd_t fd = -1;
 	int in_kernel = 0;
-	bool is_known = uv_fileno(reinterpret_cast<const uv_handle_t *>(&this->handle->tcp), &fd) == 0 && ioctl(fd, SIOCOUTQ, &in_kernel) == 0;
+	bool is_known = ioctl(this->Descriptor(), SIOCOUTQ, &in_kernel) == 0;
 	return this->Backlog() + (is_known ? static_cast<size_t>(in_kernel) : 0);
 }
 
@@ -262,7 +283,10 @@
 	this->closed = true;
 	this->CountHeld();
 	auto *handle_base = reinterpret_cast<uv_handle_t *>(&this->handle->tcp);
-	if (!uv_is_closing(handle_base)) uv_close(handle_base, FreeHandle);
+	if (uv_is_closing(handle_base)) return;
+	// With the limit the kernel would soon give up what it still has to deliver to a side that does not read at present.
+	if (this->limits_probe_interval) RestoreProbeInterval(this->Descriptor());
+	uv_close(handle_base, FreeHandle);
 }
 
 void TcpStream::CloseAfterWrites()
@@ -293,6 +317,15 @@
 		uv_close(handle_base, FreeHandle);
 }
 
+void TcpStream::PassBacklogToKernel()
+{
+	if (this->closed || this->backlog_passed || this->Backlog() == 0) return;
+	this->backlog_passed = true;
+	// The kernel counts its own overhead as well, and limits the value by itself.
+	int bytes = static_cast<int>(std::min<size_t>(2 * this->UndeliveredBytes(), MAX_KERNEL_BUFFER_BYTES));
+	setsockopt(this->Descriptor(), SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
+}
+
 /** libuv's handle of a listener. */
 struct TcpListener::Handle {
 	uv_tcp_t tcp{}; ///< The handle itself.
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -6,6 +6,7 @@
 
 #include "core/error_type.h"
 #include "core/time_type.h"
+#include "net/ack_state.h"
 #include "net/held_counter.h"
 #include <cstdint>
 #include <functional>
@@ -18,6 +19,8 @@
 
 namespace cottonspool {
 
+static constexpr Duration PEER_CHECK_INTERVAL = std::chrono::seconds(1); ///< Interval of TcpStream::CheckPeer().
+
 /** An IPv4 address and port. */
 struct Endpoint {
 	std::string ip;    ///< Address in dotted form.
@@ -59,6 +62,12 @@
 	/** Accept a connection of \a listener. @return The connection; null if that failed. */
 	static std::shared_ptr<TcpStream> Accept(uv_stream_s *listener);
 
+	/**
+	 * Ends the connection if the other side is gone, as opposed to one that does not read at present; to be called at intervals of
+	 * PEER_CHECK_INTERVAL. Idle connections are ended by the kernel's keepalive probes.
+	 */
+	void CheckPeer(TimePoint now);
+
 	/** Send \a bytes. */
 	void Write(std::string bytes);
 
@@ -77,6 +86,12 @@
 	/** Reset the connection, if it is open. */
 	void Abort();
 
+	/**
+	 * Lets the kernel take as many of the unsent bytes as it can, as it delivers what it has even after the end of this process. To be
+	 * called when that is near.
+	 */
+	void PassBacklogToKernel();
+
 	/** @return Number of bytes that were written but not yet passed to the kernel. */
 	size_t Backlog() const;
 
@@ -108,18 +123,25 @@
 	void End(TcpEnd end, const char *cause);
 	void SetOptions();
 	bool IsReset() const;
-
-	Handle *handle;                    ///< libuv's handle; deleted by its close callback.
-	bool opened = false;               ///< The connection has been established.
-	bool closed = false;               ///< Closed here, or ended by the other side.
-	bool reading = false;              ///< libuv is reading.
-	bool want_read = true;             ///< Reading is not paused.
-	bool closing_after_writes = false; ///< Nothing more is written.
-	bool shut_down = false;            ///< The end of the stream has been passed to the kernel.
-	std::string joined;                ///< Bytes that wait for the current write to end.
-	size_t submitted_memory = 0;       ///< Memory of the writes in libuv's queue.
-	size_t submitted_writes = 0;       ///< Number of writes in libuv's queue.
-	uint64_t written_bytes = 0;        ///< Number of bytes passed to Write() so far.
+	/** @return The descriptor of the socket; -1 if there is none. */
+	int Descriptor() const;
+
+	Handle *handle;                     ///< libuv's handle; deleted by its close callback.
+	bool opened = false;                ///< The connection has been established.
+	bool closed = false;                ///< Closed here, or ended by the other side.
+	bool reading = false;               ///< libuv is reading.
+	bool want_read = true;              ///< Reading is not paused.
+	bool closing_after_writes = false;  ///< Nothing more is written.
+	bool shut_down = false;             ///< The end of the stream has been passed to the kernel.
+	std::string joined;                 ///< Bytes that wait for the current write to end.
+	size_t submitted_memory = 0;        ///< Memory of the writes in libuv's queue.
+	size_t submitted_writes = 0;        ///< Number of writes in libuv's queue.
+	uint64_t written_bytes = 0;         ///< Number of bytes passed to Write() so far.
+	uint64_t checked_bytes = 0;         ///< Those at the last check of the other side.
+	bool has_undelivered = false;       ///< Bytes had not arrived at the last check.
+	bool limits_probe_interval = false; ///< The kernel's probe interval is limited.
+	bool backlog_passed = false;        ///< PassBacklogToKernel() was called.
+	AckWatch ack_watch;                 ///< Tells whether the other side is gone.
 
 	friend class TcpListener;
 };
