Fix: [Dispatcher] The retry budget of all instances holds while they are killed, started and pass requests on

Without kills, with planned stops in turn, with cuts and with crashing targets it held.

Cause: each process started with the whole share of the slack (54/7), whatever the process before it had used: counted at the targets, each of about 100 lives made up to 7.4 repeats beyond the ratio. Besides, by the same counting: instances that were cut off passed a request on to one after the other that had each sent it to a full target, which nobody paid for (196 arrivals beyond the first for a route of one attempt); a request whose targets could not be reached, or that was passed on, counted several times.

Change: the budget of a process that is not one of the first start is empty, and fills with requests. A request counts once, where a target gets it. An instance that refuses a request tells how often it has sent it; passing it on then is a retry of the instance that passes it on. One rule for what all instances divide (Gateway::ShareOf): nothing is used of a share until what the former process may have used of it counts no more; it now holds for cold targets and refusals too, whose shares are also refreshed each second.

--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -76,7 +76,11 @@
 	this->counters.rejected[static_cast<size_t>(reason)]++;
 	if (IsOverload(reason)) this->overloads[call.model.value].OnRejected(now);
 	decisions.rejections.push_back({call.id, reason, this->RetryAfter(call, now)});
-	this->calls.erase(call.id);
+	auto found = this->calls.find(call.id);
+	if (found == this->calls.end()) return;
+	// Another instance may serve it, which counts it then.
+	if (found->second.attempts == 0) this->WithdrawFromBudget(found->second);
+	this->calls.erase(found);
 }
 
 /** @return Retry-After for a call that no target may get for \a wait, with jitter from \a random so that callers don't return together. */
@@ -187,6 +191,7 @@
 	auto found = this->calls.find(id);
 	if (found == this->calls.end()) return;
 	TrackedCall &tracked = found->second;
+	this->WithdrawFromBudget(tracked);
 	if (!tracked.holder) return this->CancelWaiting(id);
 	this->targets.OnEnded(*tracked.holder, id, SendResult::Unreachable, now);
 	this->in_flight--;
@@ -213,11 +218,8 @@
 	if (!target) return false;
 	tracked.holder = target;
 	tracked.charged_tokens = this->ExpectedTokens(call);
-	if (tracked.attempts++ > 0) {
-		this->counters.retries++;
-	} else if (RetryBudget *pool = this->PoolBudget(call.model)) {
-		pool->OnFirstAttempt();
-	}
+	if (tracked.attempts++ > 0) this->counters.retries++;
+	this->CountFirstAttempt(tracked);
 	this->counters.sends++;
 	this->in_flight++;
 	std::optional<ExpectedLateness> lateness = this->LatenessAt(tracked.call, *target, now);
@@ -290,6 +292,31 @@
 	return &this->pool_budgets.try_emplace(model.value, *this->limits.pool_retry).first->second;
 }
 
+void Dispatcher::CountFirstAttempt(TrackedCall &tracked)
+{
+	// A call is sent once more without being counted again where its target could not be reached.
+	if (tracked.counted || tracked.call.sent_elsewhere) return;
+	tracked.counted = true;
+	if (RetryBudget *pool = this->PoolBudget(tracked.call.model)) pool->OnFirstAttempt();
+}
+
+void Dispatcher::WithdrawFromBudget(TrackedCall &tracked)
+{
+	RetryBudget *pool = this->PoolBudget(tracked.call.model);
+	if (pool == nullptr) return;
+	// The present attempt, if there is one, has not reached its target.
+	uint32_t received = tracked.attempts - (tracked.holder ? 1 : 0);
+	if (received > 0) return pool->OnRetryWithdrawn();
+	if (tracked.counted) pool->OnAttemptWithdrawn();
+	tracked.counted = false;
+}
+
+bool Dispatcher::TryRetryElsewhere(ModelNumber model)
+{
+	RetryBudget *pool = this->PoolBudget(model);
+	return pool == nullptr || pool->TryRetry();
+}
+
 bool Dispatcher::SpendRetry(const TrackedCall &tracked)
 {
 	RetryBudget *pool = this->PoolBudget(tracked.call.model);
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -89,6 +89,9 @@
 	/** Remove \a call, which another instance will serve: it waits, or its target could not be reached and has got nothing of it. */
 	void Withdraw(CallId call, TimePoint now);
 
+	/** @return Whether a call for \a model that a target has got may be sent to another one by another instance; it is a retry. */
+	[[nodiscard]] bool TryRetryElsewhere(ModelNumber model);
+
 	/** Remove the waiting \a call because its caller disconnected. */
 	void CancelWaiting(CallId call);
 
@@ -166,6 +169,7 @@
 		std::optional<TargetNumber> holder; ///< Target to which it was sent.
 		uint32_t attempts = 0;              ///< Attempts so far.
 		uint32_t unreachable_sends = 0;     ///< Consecutive targets that could not be reached.
+		bool counted = false;               ///< Its first attempt was counted in the retry budget of its pool.
 		double charged_tokens = 0;          ///< Tokens charged to its flow in the queue.
 		TimePoint not_before;               ///< Earliest time of the next attempt.
 		bool waits_for_headroom = false;    ///< Whether it waits although a target without headroom may get it.
@@ -214,6 +218,10 @@
 	void RetryUnreachable(TrackedCall &tracked, TimePoint now, Decisions &decisions);
 	/** Restart the wait limit of the call \a tracked for its next attempt. @return The time after which it must not be retried. */
 	TimePoint ExtendDeadline(TrackedCall &tracked, TimePoint now) const;
+	/** Count the first attempt of the call \a tracked in the retry budget of its pool, unless that was done before. */
+	void CountFirstAttempt(TrackedCall &tracked);
+	/** Take the attempt back that the call \a tracked was to have next, as it will have none here. */
+	void WithdrawFromBudget(TrackedCall &tracked);
 	/** Deduct a retry of the call \a tracked from the retry budgets. @return Whether they allow it. */
 	bool SpendRetry(const TrackedCall &tracked);
 	/** @return The retry budget of \a model, or null if models have none. */
--- a/src/decision/request_type.h
+++ b/src/decision/request_type.h
@@ -56,6 +56,7 @@
 	int route_priority = 0;                                 ///< Priority of its route; 0 is the most urgent.
 	double urgent_room = 0;                                 ///< Memory of its target, in tokens, that it leaves free for more urgent calls.
 	bool generated = true;                                  ///< Whether it is a generation of a model; false for a service call.
+	bool sent_elsewhere = false;                            ///< The instance that passed it on has sent it to a target before.
 	TimePoint response_deadline = TimePoint::max();         ///< Latest time for its complete answer.
 	Duration objective{0};                                  ///< Latency objective for its answer or first event; zero for none.
 	Duration gap_objective{0};                              ///< Objective for the time between events of its stream; zero for none.
--- a/src/decision/retry_budget.cpp
+++ b/src/decision/retry_budget.cpp
@@ -18,6 +18,16 @@
 	this->tokens = std::min(this->limits.burst, this->tokens + this->limits.ratio);
 }
 
+void RetryBudget::OnAttemptWithdrawn()
+{
+	this->tokens = std::max(0.0, this->tokens - this->limits.ratio);
+}
+
+void RetryBudget::OnRetryWithdrawn()
+{
+	this->tokens = std::min(this->limits.burst, this->tokens + 1);
+}
+
 bool RetryBudget::TryRetry()
 {
 	if (this->tokens < 1) return false;
--- a/src/decision/retry_budget.h
+++ b/src/decision/retry_budget.h
@@ -13,6 +13,7 @@
 struct RetryLimits {
 	double ratio = 0.1;                                    ///< Retries added to the budget by each first attempt.
 	double burst = 10;                                     ///< Maximum number of retries in the budget.
+	bool starts_empty = false;                             ///< Only first attempts fill the budget; otherwise it is full at the start.
 	Duration backoff_base = std::chrono::milliseconds(50); ///< Maximum delay before the first retry; doubles with each further one.
 	Duration backoff_max = std::chrono::seconds(2);        ///< Maximum delay before any retry.
 };
@@ -20,7 +21,7 @@
 /** Token bucket that first attempts fill and retries empty. */
 class RetryBudget {
 public:
-	explicit RetryBudget(RetryLimits limits) : limits(limits), tokens(limits.burst) {}
+	explicit RetryBudget(RetryLimits limits) : limits(limits), tokens(limits.starts_empty ? 0 : limits.burst) {}
 
 	/** Set the maximum number of retries in the budget. */
 	void SetBurst(double burst);
@@ -28,6 +29,12 @@
 	/** Handle a first attempt. */
 	void OnFirstAttempt();
 
+	/** Handle that a first attempt did not take place: no target has got it. */
+	void OnAttemptWithdrawn();
+
+	/** Handle that a retry for which TryRetry() was called does not take place. */
+	void OnRetryWithdrawn();
+
 	/** @return Whether a retry may be made; if so it is deducted from the budget. */
 	[[nodiscard]] bool TryRetry();
 
--- a/src/decision/target_placement.cpp
+++ b/src/decision/target_placement.cpp
@@ -15,9 +15,13 @@
 
 void TargetTable::SetCold(TargetNumber number, TimePoint end, RateShare share)
 {
-	TargetState &target = this->targets[number.value];
-	target.restrictions.cold.SetShare(share);
-	target.restrictions.cold.ExtendTo(end);
+	this->targets[number.value].restrictions.cold.ExtendTo(end);
+	this->SetColdShare(number, share);
+}
+
+void TargetTable::SetColdShare(TargetNumber number, RateShare share)
+{
+	this->targets[number.value].restrictions.cold.SetShare(share);
 }
 
 AdmissionVerdict TargetTable::CheckAdmission(const TargetState &target, const CallSpec &call, TimePoint now)
--- a/src/decision/target_table.h
+++ b/src/decision/target_table.h
@@ -137,6 +137,9 @@
 	/** Limit the requests of this instance to \a target to \a share until \a end, during its cold start. */
 	void SetCold(TargetNumber target, TimePoint end, RateShare share);
 
+	/** Change that share of \a target. */
+	void SetColdShare(TargetNumber target, RateShare share);
+
 	/** Handle the signals in an answer of \a target to a request sent at \a asked. @return Whether its rate limit has changed. */
 	bool OnSignals(TargetNumber target, const TargetSignals &signals, TimePoint asked, TimePoint now);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -172,7 +172,7 @@
 	     {"retry_after_ms", retry_after ? FormatMilliseconds(*retry_after) : ""}});
 	this->metrics.Count(std::string("cottonspool_requests_total{outcome=\"") + reason + "\"}");
 	HttpHeaders headers = OwnAnswerHeaders(info.attempt, retry_after);
-	if (!request.passed_by.empty()) MarkNotRun(headers, reason);
+	if (!request.passed_by.empty()) MarkNotRun(headers, reason, 0);
 	exchange->Respond(status, headers, {});
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -196,7 +196,7 @@
 	/** \a target has become brittle, is so no longer, or bears another number of refusals. */
 	void OnBrittleChanged(TargetNumber target, TimePoint now);
 	/** Recompute this instance's share of the refusals that the brittle \a target bears. */
-	void UpdateRefusalShare(TargetNumber target);
+	void UpdateRefusalShare(TargetNumber target, TimePoint now);
 	/** Apply what another instance has learned from a target. */
 	void OnPeerSignals(const TargetSignalUpdate &update);
 	/** Apply the time factor that \a target stated to this instance. @param source As for logs: answer or probe. */
@@ -220,11 +220,21 @@
 	/** @return Names of the instances that share the rate limits of targets in \a hall; see PeerExchange::SharersOf(). */
 	const std::vector<std::string> &SharersOf(const std::string &hall);
 	/**
-	 * @return Whether this instance has restarted so recently that requests and leases of its former incarnation may still count against
-	 *         a rate limit; it uses none of the limit until then.
-	 * @param window Length of the limit's window.
+	 * @return Whether this instance has restarted so recently that what its former incarnation has used of a budget that all instances
+	 *         divide may still count; it uses none of the budget until then.
+	 * @param counts_for Time for which a use of the budget counts.
 	 */
-	bool HasJustStarted(Duration window, TimePoint now) const;
+	bool HasJustStarted(Duration counts_for, TimePoint now) const;
+	/**
+	 * @return The share of this instance in the \a limit of \a target, which \a sharers divide.
+	 * @param lent_for Time for which shares of this limit are lent to other instances.
+	 */
+	RateShare ShareOf(const std::string &target, RateLimit limit, const std::vector<std::string> &sharers, Duration lent_for,
+	                  TimePoint now) const;
+	/** Recompute this instance's shares of what cold targets bear, and forget those that are cold no longer. */
+	void RefreshColdShares(TimePoint now);
+	/** @return This instance's share of what the cold target \a number, of \a pool, bears. */
+	RateShare ColdShareOf(TargetNumber number, const Pool &pool, TimePoint now) const;
 	/** Recompute this instance's share of the rate limit of \a target. */
 	void UpdateLimitShare(TargetNumber target, TimePoint now);
 	/** Request leases of the rate limit of \a target from its other sharers, as far as callers here need more. */
@@ -366,6 +376,7 @@
 	NameTable<AccountNumber> accounts;              ///< Numbers of client accounts.
 	std::set<TargetNumber> limited;                 ///< Targets with a rate limit.
 	std::set<TargetNumber> brittle;                 ///< Targets that say that they are brittle.
+	std::set<TargetNumber> cold;                    ///< Targets in their cold start, with a limited rate.
 	std::map<std::string, TimePoint> drain_notices; ///< Target incarnations that announced their draining, with the time of the notice.
 	/** A probe for the speed of a target in progress. */
 	struct SpeedCall {
--- a/src/gateway/gateway_forward.cpp
+++ b/src/gateway/gateway_forward.cpp
@@ -5,7 +5,6 @@
 #include "gateway/forward_headers.h"
 #include "gateway/gateway.h"
 #include "metrics/log.h"
-#include <charconv>
 #include <random>
 
 namespace cottonspool {
@@ -99,15 +98,6 @@
 	       FromSeconds(std::uniform_real_distribution<double>(0, Seconds(forward.retry_after_jitter))(this->random));
 }
 
-/** @return The number in \a text; nothing if it is none. */
-static std::optional<uint64_t> WholeNumber(const std::string &text)
-{
-	uint64_t number = 0;
-	auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
-	bool whole = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
-	return whole ? std::optional(number) : std::nullopt;
-}
-
 void Gateway::HandleForwarded(const std::shared_ptr<FrontExchange> &exchange)
 {
 	RelayRequest request;
@@ -115,6 +105,7 @@
 	request.passed_by = TakeHeader(headers, PASSED_BY_FIELD);
 	std::optional<uint64_t> version = WholeNumber(TakeHeader(headers, CONFIGURATION_FIELD));
 	std::optional<uint64_t> attempts = WholeNumber(TakeHeader(headers, ATTEMPTS_FIELD));
+	request.spec.sent_elsewhere = WholeNumber(TakeHeader(headers, SENT_FIELD)).value_or(0) > 0;
 	if (request.passed_by.empty() || !version || !attempts) return exchange->Respond(400, {}, {});
 	request.info = ReadRequest(exchange->head);
 	// Its caller may have seen the effect of a configuration that is not known here yet.
--- a/src/gateway/gateway_leases.cpp
+++ b/src/gateway/gateway_leases.cpp
@@ -17,9 +17,17 @@
 	return found->second;
 }
 
-bool Gateway::HasJustStarted(Duration window, TimePoint now) const
+bool Gateway::HasJustStarted(Duration counts_for, TimePoint now) const
 {
-	return !this->settings.bootstrap && now - this->started_at < LEASE_TERM + window;
+	return !this->settings.bootstrap && now - this->started_at < counts_for;
+}
+
+RateShare Gateway::ShareOf(const std::string &target, RateLimit limit, const std::vector<std::string> &sharers, Duration lent_for,
+                           TimePoint now) const
+{
+	RateShare share = ShareRate(target, limit, sharers, this->settings.name);
+	if (this->HasJustStarted(share.window + lent_for, now)) share.max_requests = 0;
+	return share;
 }
 
 RateLimit Gateway::CellRateLimit(TargetNumber number, RateLimit limit) const
@@ -35,21 +43,21 @@
 	const TargetState &target = this->dispatcher.Targets().Get(number);
 	const TargetRateLimit &limit = target.restrictions.limit;
 	if (!limit.IsActive()) return;
-	RateShare share = ShareRate(target.name, this->CellRateLimit(number, limit.Bound()), this->SharersOf(target.hall), this->settings.name);
-	if (this->HasJustStarted(share.window, now)) share.max_requests = 0;
-	this->dispatcher.Targets().SetLimitShare(number, share);
+	RateLimit bound = this->CellRateLimit(number, limit.Bound());
+	this->dispatcher.Targets().SetLimitShare(number, this->ShareOf(target.name, bound, this->SharersOf(target.hall), LEASE_TERM, now));
 }
 
 void Gateway::RefreshLimits(TimePoint now)
 {
-	if (this->limited.empty() && this->drain_notices.empty() && this->brittle.empty()) return;
+	if (this->limited.empty() && this->drain_notices.empty() && this->brittle.empty() && this->cold.empty()) return;
 	if (now - this->limits_refreshed_at >= LIMITS_REFRESH) {
 		this->limits_refreshed_at = now;
 		this->sharers.clear();
 		std::erase_if(this->limited, [this](TargetNumber number) { return !this->dispatcher.Targets().Get(number).restrictions.known; });
 		std::erase_if(this->brittle, [this](TargetNumber number) { return !this->dispatcher.Targets().Get(number).restrictions.known; });
 		for (TargetNumber number : this->limited) this->UpdateLimitShare(number, now);
-		for (TargetNumber number : this->brittle) this->UpdateRefusalShare(number);
+		for (TargetNumber number : this->brittle) this->UpdateRefusalShare(number, now);
+		this->RefreshColdShares(now);
 		std::erase_if(this->drain_notices,
 		              [&](const auto &entry) { return now - entry.second > this->limits.registry.departed_retention; });
 	}
@@ -61,7 +69,7 @@
 	const TargetState &target = this->dispatcher.Targets().Get(number);
 	uint32_t demand = this->arrivals.Recent(this->records[number.value].pool, now);
 	if (!target.restrictions.limit.WantsLeases(demand, now)) return;
-	if (this->HasJustStarted(target.restrictions.limit.Share().window, now)) return;
+	if (this->HasJustStarted(target.restrictions.limit.Share().window + LEASE_TERM, now)) return;
 	const std::vector<std::string> &all = this->SharersOf(target.hall);
 	if (std::find(all.begin(), all.end(), this->settings.name) == all.end()) return;
 	RateLimit limit = this->CellRateLimit(number, target.restrictions.limit.Bound());
--- a/src/gateway/gateway_limits.cpp
+++ b/src/gateway/gateway_limits.cpp
@@ -28,6 +28,8 @@
 	RetryLimits pool;
 	pool.ratio = settings.platform_bounds.retry_ratio * 0.9;
 	pool.burst = std::max(1.0, settings.platform_bounds.retry_slack / ASSUMED_INSTANCES);
+	// What the process before this one has used of the slack counts for as long as its window lasts.
+	pool.starts_empty = !settings.bootstrap;
 	limits.dispatch.pool_retry = pool;
 	limits.memory.memory_bytes = settings.memory_mb * BYTES_PER_MB;
 	if (limits.memory.memory_bytes > 0)
--- a/src/gateway/gateway_placement.cpp
+++ b/src/gateway/gateway_placement.cpp
@@ -52,9 +52,9 @@
 {
 	const Pool *pool = this->routes.FindPool(listed.pool);
 	if (pool == nullptr || pool->cold_rate <= 0 || cold_remaining <= Duration(0)) return;
-	RateLimit bound = this->CellRateLimit(number, {pool->cold_rate, std::chrono::seconds(1)});
-	RateShare share = ShareRate(listed.incarnation.Name(), bound, this->peers.KnownInstances(), this->settings.name);
+	RateShare share = this->ColdShareOf(number, *pool, now);
 	this->dispatcher.Targets().SetCold(number, now + cold_remaining, share);
+	this->cold.insert(number);
 	Log(LogLevel::Info, "target-cold",
 	    {{"target", listed.incarnation.Name()},
 	     {"hall", listed.hall},
@@ -64,6 +64,22 @@
 	     {"window_ms", FormatMilliseconds(share.window)}});
 }
 
+RateShare Gateway::ColdShareOf(TargetNumber number, const Pool &pool, TimePoint now) const
+{
+	RateLimit bound = this->CellRateLimit(number, {pool.cold_rate, std::chrono::seconds(1)});
+	return this->ShareOf(this->records[number.value].incarnation.Name(), bound, this->peers.KnownInstances(), Duration(0), now);
+}
+
+void Gateway::RefreshColdShares(TimePoint now)
+{
+	TargetTable &targets = this->dispatcher.Targets();
+	std::erase_if(this->cold, [&](TargetNumber number) { return !targets.Get(number).restrictions.cold.IsCold(now); });
+	for (TargetNumber number : this->cold) {
+		const Pool *pool = this->routes.FindPool(this->records[number.value].pool);
+		if (pool != nullptr) targets.SetColdShare(number, this->ColdShareOf(number, *pool, now));
+	}
+}
+
 std::vector<HallPreference> Gateway::HallsFor(const RelayRequest &request) const
 {
 	const ServingConfiguration &configuration = this->routes.Configuration();
--- a/src/gateway/gateway_signals.cpp
+++ b/src/gateway/gateway_signals.cpp
@@ -99,7 +99,7 @@
 	const RefusalGuard &refusals = this->dispatcher.Targets().Get(number).restrictions.refusals;
 	if (refusals.IsActive()) this->brittle.insert(number);
 	if (!refusals.IsActive()) this->brittle.erase(number);
-	this->UpdateRefusalShare(number);
+	this->UpdateRefusalShare(number, now);
 	Log(LogLevel::Info, "target-brittle",
 	    {{"target", this->records[number.value].incarnation.Name()},
 	     {"bears_per_s", refusals.IsActive() ? FormatNumber(refusals.Bound()) : ""},
@@ -107,7 +107,7 @@
 	this->Execute(this->dispatcher.OnPlacementChanged(now));
 }
 
-void Gateway::UpdateRefusalShare(TargetNumber number)
+void Gateway::UpdateRefusalShare(TargetNumber number, TimePoint now)
 {
 	/** Part of the refusals that is shared out; the rest is for those that arrive late and for requests of instances not known here. */
 	static constexpr double SHARED_FRACTION = 0.8;
@@ -115,7 +115,7 @@
 	std::vector<std::string> instances = this->peers.KnownInstances();
 	RateLimit limit{target.restrictions.refusals.Bound() * SHARED_FRACTION, REFUSAL_SPAN};
 	this->dispatcher.Targets().SetRefusalShare(number, this->peers.Instances(),
-	                                           ShareRate(target.name, limit, instances, this->settings.name));
+	                                           this->ShareOf(target.name, limit, instances, Duration(0), now));
 }
 
 void Gateway::LogSignals(const RelayRequest &request, TargetNumber number, const TargetSignals &signals, TimePoint now)
--- a/src/gateway/relay_call.cpp
+++ b/src/gateway/relay_call.cpp
@@ -227,7 +227,7 @@
 		return this->Conclude(reason, 0);
 	}
 	HttpHeaders headers = OwnAnswerHeaders(this->request.info.attempt, retry_after);
-	if (!this->request.passed_by.empty() && status == 503) MarkNotRun(headers, reason);
+	if (!this->request.passed_by.empty() && status == 503) MarkNotRun(headers, reason, this->delivered);
 	this->exchange->Respond(status, headers, {});
 	this->Conclude(reason, status);
 }
--- a/src/gateway/relay_forward.cpp
+++ b/src/gateway/relay_forward.cpp
@@ -20,10 +20,19 @@
 	return value;
 }
 
-void MarkNotRun(HttpHeaders &headers, const char *reason)
+std::optional<uint64_t> WholeNumber(std::string_view text)
+{
+	uint64_t number = 0;
+	auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+	bool whole = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+	return whole ? std::optional(number) : std::nullopt;
+}
+
+void MarkNotRun(HttpHeaders &headers, const char *reason, uint32_t sent)
 {
 	headers.push_back({RAN_FIELD, "no"});
 	headers.push_back({REASON_FIELD, reason});
+	headers.push_back({SENT_FIELD, std::to_string(sent)});
 }
 
 HttpHeaders RelayCall::AnswerHeaders(const HttpHead &head) const
@@ -62,6 +71,8 @@
 	if (!this->request.passed_by.empty() || this->IsQuarantined()) return false;
 	uint32_t most = this->request.spec.max_attempts > 0 ? this->request.spec.max_attempts : this->gateway.limits.dispatch.max_attempts;
 	if (this->delivered >= most) return false;
+	// Where a target has got it before, here or at an instance that refused it then, the next one gets it as a retry.
+	if (this->delivered > 0 && !this->gateway.dispatcher.TryRetryElsewhere(this->request.spec.model)) return false;
 	TimePoint now = MonotonicNow();
 	std::optional<InstanceAddress> to = this->gateway.ChooseInstance(this->request, this->refused_by, now);
 	if (!to) return false;
@@ -80,10 +91,11 @@
 	call.target = this->exchange->head.target;
 	call.headers = HeadersForInstance(this->exchange->head.headers,
 	                                  this->request.response_deadline - now - this->gateway.limits.forward.answer_margin);
-	for (const char *name : {PASSED_BY_FIELD, CONFIGURATION_FIELD, ATTEMPTS_FIELD}) TakeHeader(call.headers, name);
+	for (const char *name : {PASSED_BY_FIELD, CONFIGURATION_FIELD, ATTEMPTS_FIELD, SENT_FIELD}) TakeHeader(call.headers, name);
 	call.headers.push_back({PASSED_BY_FIELD, this->gateway.Name()});
 	call.headers.push_back({CONFIGURATION_FIELD, std::to_string(this->gateway.ConfigurationVersion())});
 	call.headers.push_back({ATTEMPTS_FIELD, std::to_string(most - this->delivered)});
+	call.headers.push_back({SENT_FIELD, std::to_string(this->delivered)});
 	call.body = this->exchange->body;
 	call.connect_timeout = this->gateway.limits.connect;
 	this->upstream_call = this->StartCall(std::move(call));
@@ -136,9 +148,11 @@
 
 bool RelayCall::SettlePassedAnswer(const HttpHead &head)
 {
+	static constexpr uint64_t MAX_SENT = 100; ///< More than any route allows.
 	if (FindHeader(head.headers, RAN_FIELD) == "no") {
 		bool lost = FindHeader(head.headers, REASON_FIELD) == POOL_LOST_REASON;
 		this->refused_by.push_back(*this->passed_to);
+		this->delivered += static_cast<uint32_t>(std::min(WholeNumber(FindHeader(head.headers, SENT_FIELD)).value_or(0), MAX_SENT));
 		this->peer_retry_after = RetryAfterOf(head);
 		this->EndPass(lost ? ForwardResult::PoolLost : ForwardResult::Busy);
 		this->ServeElsewhere();
--- a/tests/standins/callers.cpp
+++ b/tests/standins/callers.cpp
@@ -14,6 +14,9 @@
 DEFINE_uint64(seed, 1, "callers: seed of the random requests");
 DEFINE_int32(per_second, 40, "callers: requests started per second");
 DEFINE_int32(most_events, 150, "callers: longest stream, in events");
+DEFINE_double(streams, 0.35, "callers: fraction of requests that are streams");
+DEFINE_double(once, 0.3, "callers: fraction of requests that may run at most once; all others may be repeated");
+DEFINE_double(again, 0, "callers: fraction of failed requests that their callers repeat at once under another id");
 
 namespace cottonspool {
 
@@ -92,7 +95,7 @@
 		each->instance = chosen->first;
 		each->id = chosen->first + "-" + std::to_string(FLAGS_seed) + "-" + std::to_string(++this->last_request);
 		double kind = this->RandomFraction();
-		each->kind = kind < 0.35 ? 's' : kind < 0.65 ? 'o' : 'r';
+		each->kind = kind < FLAGS_streams ? 's' : kind < FLAGS_streams + FLAGS_once ? 'o' : 'r';
 		each->began = each->last_at = now;
 		each->length = 1 + this->random() % static_cast<uint64_t>(FLAGS_most_events);
 		if (each->kind == 's' && !this->harmful.empty() && this->RandomFraction() < HARMFUL_RATIO) each->harmful = this->harmful;
@@ -190,6 +193,7 @@
 		                       {"retry_after", each->retry_after},
 		                       {"harmful", each->harmful},
 		                       {"fault", each->violation}});
+		if (each->status != 200 && this->active && this->RandomFraction() < FLAGS_again) this->requests_due++;
 		this->open_requests.erase(each);
 	}
 
--- a/tests/standins/simulation.cpp
+++ b/tests/standins/simulation.cpp
@@ -80,6 +80,8 @@
 	if (!bound) return After(this->loop, LISTEN_RETRY_MS, [this] { this->Listen(); });
 	this->started_at = WallMs();
 	this->draining = this->drains_by_header = false;
+	this->working = 0;
+	this->queued.clear();
 	this->front = std::move(next);
 	this->port = bound.value();
 	LimitSegments(this->loop, this->port);
@@ -188,6 +190,8 @@
 	}
 	if (target == "/-/kv-move") return this->MigrateRun(exchange);
 	std::string attempt(FindHeader(exchange->head.headers, "X-Attempt-Id"));
+	bool resumes = !FindHeader(exchange->head.headers, "Kv-From").empty();
+	if (this->record.keep_sends) this->record.sends.push_back(Json::array({this->pool, attempt, NowMs(), this->id, resumes}));
 	if (FindHeader(exchange->head.headers, "X-Expect-Instance") != this->id) return exchange->Respond(421, {}, {});
 	if ((this->draining || this->drains_by_header) && this->drain_started_at != 0 && NowMs() - this->drain_started_at > FLAGS_notice_ms)
 		this->record.late.push_back(
@@ -261,19 +265,46 @@
 void SimulatedTarget::Serve(const Exchange &exchange, const std::string &attempt)
 {
 	if (this->RefuseWhileFull(exchange, attempt)) return;
+	if (this->slots > 0 && this->working >= this->slots) {
+		if (this->queued.size() < this->max_queue) return this->queued.emplace_back(exchange, attempt), void();
+		HttpHeaders headers = this->Headers(attempt);
+		headers.push_back({"X-Not-Executed", "1"});
+		headers.push_back(this->LoadField(std::to_string(this->working) + "," + std::to_string(this->queued.size()) + "," +
+		                                  std::to_string(this->slots)));
+		return exchange->Respond(503, headers, {});
+	}
+	this->Work(exchange, attempt);
+}
+
+void SimulatedTarget::FreeSlot()
+{
+	this->working -= this->working > 0 ? 1 : 0;
+	if (this->queued.empty()) return;
+	auto [exchange, attempt] = std::move(this->queued.front());
+	this->queued.pop_front();
+	if (exchange->IsOver()) return this->FreeSlot();
+	this->Work(exchange, attempt);
+}
+
+void SimulatedTarget::Work(const Exchange &exchange, const std::string &attempt)
+{
 	this->answers++;
+	this->working++;
 	this->record.runs.push_back({{"request", attempt},
 	                             {"target", this->id},
 	                             {"hall", this->hall},
 	                             {"account", FindHeader(exchange->head.headers, "X-Tenant")}});
 	HttpHeaders headers = this->Headers(attempt);
-	headers.push_back(
-	        this->LoadField(this->places == 0 ? "1,0,6" : std::to_string(this->processing) + ",0," + std::to_string(this->places)));
+	headers.push_back(this->LoadField(this->slots > 0 ? std::to_string(this->working) + "," + std::to_string(this->queued.size()) + "," +
+	                                                            std::to_string(this->slots)
+	                                  : this->places == 0 ? "1,0,6"
+	                                                      : std::to_string(this->processing) + ",0," + std::to_string(this->places)));
 	std::string body = "answer to " + attempt + Padding(FLAGS_answer_bytes);
 	bool fails = static_cast<double>(this->answers % 10) < this->error_ratio * 10;
 	std::string how = this->corruption;
 	if (exchange->body.starts_with(CRASH_BODY_PREFIX)) return this->CrashDuring(attempt);
-	After(this->loop, this->places > 0 ? BRITTLE_WORK_MS : 5, [this, exchange, headers, body, fails, how] {
+	After(this->loop, this->places > 0 ? BRITTLE_WORK_MS : this->work_ms, [this, exchange, headers, body, fails, how] {
+		this->FreeSlot();
 		if (how == "reset") {
 			exchange->Start(200, headers, body.size());
 			exchange->Write(body.substr(0, 3));
@@ -384,19 +415,13 @@
 	void Handle(const Exchange &exchange)
 	{
 		if (exchange->head.target == "/record") {
-			Json answer{{"runs", this->record.runs},
-			            {"late", this->record.late},
-			            {"overlaps", this->record.overlaps},
-			            {"stops", this->record.stops},
-			            {"works_on", this->record.works_on},
-			            {"crashes", this->record.crashes},
-			            {"arrivals", this->record.arrivals},
-			            {"pauses", this->record.pauses},
-			            {"falls", this->record.falls},
-			            {"limits", this->record.limits},
-			            {"reports", this->record.reports},
-			            {"store_calls", this->store.calls},
-			            {"copy_requests", this->record.copy_requests}};
+			Json answer{{"runs", this->record.runs},         {"late", this->record.late},
+			            {"overlaps", this->record.overlaps}, {"stops", this->record.stops},
+			            {"works_on", this->record.works_on}, {"crashes", this->record.crashes},
+			            {"arrivals", this->record.arrivals}, {"sends", this->record.sends},
+			            {"pauses", this->record.pauses},     {"falls", this->record.falls},
+			            {"limits", this->record.limits},     {"reports", this->record.reports},
+			            {"store_calls", this->store.calls},  {"copy_requests", this->record.copy_requests}};
 			answer["health"] = this->record.health;
 			for (const auto &[id, target] : this->targets) answer["targets"][id] = target->Address();
 			return exchange->Respond(200, {}, ToJsonText(answer));
@@ -449,6 +474,12 @@
 			this->targets.at(id)->bears = control.value("bears", 0);
 			this->targets.at(id)->places = control.value("places", 0);
 		}
+		this->record.keep_sends = control.value("keep_sends", this->record.keep_sends);
+		if (action == "slots") {
+			this->targets.at(id)->slots = control.value("slots", 0);
+			this->targets.at(id)->max_queue = control.value("queue", 0);
+			this->targets.at(id)->work_ms = control.value("work_ms", 5);
+		}
 		if (action == "say-leaving") this->targets.at(id)->DrainByHeader();
 		if (action == "pause") this->targets.at(id)->pause_ms = control.value("ms", 0);
 		if (action == "fail") this->targets.at(id)->error_ratio = control.value("part", 0.0);
--- a/tests/standins/simulation_base.h
+++ b/tests/standins/simulation_base.h
@@ -97,15 +97,17 @@
 	Json late = Json::array();                                      ///< Requests that arrived long after the target announced its drain.
 	std::map<std::string, std::pair<std::string, uint64_t>> copies; ///< KV cache copies by handle: request and number of events.
 	std::map<std::string, int64_t> resumed_at;                      ///< When a request was resumed on another engine.
-	Json overlaps = Json::array();      ///< Time for which the previous engine kept generating after that, in milliseconds.
-	Json stops = Json::array();         ///< Runs that an engine stopped to copy them completely: request, target, time.
-	Json works_on = Json::array();      ///< Runs that an engine still works on long after another one resumed them: request, target, time.
-	uint64_t reports = 0;               ///< Number of load reports given out.
-	Json arrivals = Json::array();      ///< Requests at targets with a rate limit or pause: target, request, time.
-	Json pauses = Json::array();        ///< Requested pauses: target, start, end.
-	Json limits = Json::array();        ///< Announced rate limits: target, requests per second (0 for none), time.
-	Json falls = Json::array();         ///< Crashes of brittle services: target, time.
-	Json crashes = Json::array();       ///< Crashes: request, target, time.
+	Json overlaps = Json::array(); ///< Time for which the previous engine kept generating after that, in milliseconds.
+	Json stops = Json::array();    ///< Runs that an engine stopped to copy them completely: request, target, time.
+	Json works_on = Json::array(); ///< Runs that an engine still works on long after another one resumed them: request, target, time.
+	uint64_t reports = 0;          ///< Number of load reports given out.
+	Json arrivals = Json::array(); ///< Requests at targets with a rate limit or pause: target, request, time.
+	bool keep_sends = false;       ///< Whether all requests that arrive are recorded.
+	Json sends = Json::array();    ///< All requests that arrived, whatever became of them: pool, request, time, target, whether resumed.
+	Json pauses = Json::array();   ///< Requested pauses: target, start, end.
+	Json limits = Json::array();   ///< Announced rate limits: target, requests per second (0 for none), time.
+	Json falls = Json::array();    ///< Crashes of brittle services: target, time.
+	Json crashes = Json::array();  ///< Crashes: request, target, time.
 	Json copy_requests = Json::array(); ///< Requests to copy a run to another engine: request, target, time, whether there was such a run.
 	std::map<std::string, int> health;  ///< Number of health checks by target.
 	uint64_t next_handle = 1;           ///< Number of the next handle.
@@ -155,6 +157,9 @@
 	std::string corruption;
 	std::string limit;       ///< Rate limit announced in answers; empty for none.
 	std::string percent;     ///< Time that work takes, as stated in answers; empty for none.
+	uint64_t slots = 0;      ///< Requests that a service works on at once; 0 for no limit.
+	uint64_t max_queue = 0;  ///< Requests that wait for one of them; more are refused as not executed.
+	uint64_t work_ms = 5;    ///< Time that a service takes for a request.
 	uint64_t places = 0;     ///< Requests that a brittle service processes at once; 0 if it is not brittle.
 	uint64_t bears = 0;      ///< Refusals in a second that it bears.
 	int64_t pause_ms = 0;    ///< Pause to request with the next rejection, in milliseconds; 0 for none.
@@ -192,8 +197,12 @@
 	void Begin(Run run);
 	/** Refuse a request if all places of a brittle service are taken, and crash after too many refusals. @return Whether it was refused. */
 	bool RefuseWhileFull(const Exchange &exchange, const std::string &attempt);
-	/** Handle a request to a service. */
+	/** Handle a request to a service: it is worked on, waits for a slot, or is refused. */
 	void Serve(const Exchange &exchange, const std::string &attempt);
+	/** Work on a request to a service, and answer it. */
+	void Work(const Exchange &exchange, const std::string &attempt);
+	/** A slot of the service is free. */
+	void FreeSlot();
 	/** @return The headers of an answer, with rate limit and drain announcement. */
 	HttpHeaders Headers(const std::string &attempt);
 	/** @return The load field of an answer with \a load. */
@@ -229,6 +238,8 @@
 	int64_t drain_started_at = 0;                        ///< When the drain was announced; 0 for not yet.
 	int64_t paused_until = 0;                            ///< End of the requested pause.
 	uint64_t processing = 0;                             ///< Requests that a brittle service processes.
+	uint64_t working = 0;                                ///< Slots of a service that are taken.
+	std::deque<std::pair<Exchange, std::string>> queued; ///< Requests that wait for a slot, with their ids.
 	std::deque<int64_t> refusals;                        ///< Times of its refusals.
 	uint64_t answers = 0;                                ///< Counter of answers and rows.
 	bool stopped = false;                                ///< It has stopped for good.
