Fix: [Main] Signals that come while an instance starts are handled once it can

What operators saw: SIGHUP ended an instance that had been started less than some 12 ms ago (25 ms beside load), as its handlers were set after the start of the gateway; `serve` was ended by it at any time.

Change: SIGTERM, SIGINT and SIGHUP are held back from the beginning of main() until their handlers are set. `serve` ignores SIGHUP, as it reads its settings at the start only.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -48,6 +48,29 @@
 	uv_signal_t interrupt{}; ///< SIGINT.
 };
 
+/** @return The signals that an instance handles. */
+static sigset_t InstanceSignals()
+{
+	sigset_t signals;
+	sigemptyset(&signals);
+	for (int number : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&signals, number);
+	return signals;
+}
+
+/** Hold back the signals that an instance handles, as they would end a process that has no handlers for them yet. */
+static void HoldSignals()
+{
+	sigset_t signals = InstanceSignals();
+	sigprocmask(SIG_BLOCK, &signals, nullptr);
+}
+
+/** Let the signals through that were held back; those that came meanwhile arrive now. */
+static void ReleaseSignals()
+{
+	sigset_t signals = InstanceSignals();
+	sigprocmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
 /** Run an entry instance until it is stopped. */
 static int RunServe()
 {
@@ -79,6 +102,9 @@
 		uv_signal_start(
 		        handle, [](uv_signal_t *signal, int) { static_cast<Instance *>(signal->data)->Stop(); }, number);
 	}
+	// Its settings are read at the start only.
+	std::signal(SIGHUP, SIG_IGN);
+	ReleaseSignals();
 	uv_run(loop, UV_RUN_DEFAULT);
 	return instance.AbortedCalls() == 0 ? EXIT_OK : EXIT_FAILED;
 }
@@ -127,6 +153,7 @@
 		handle->data = &gateway;
 		uv_signal_start(handle, number == SIGHUP ? +read_again : +stop, number);
 	}
+	ReleaseSignals();
 	uv_run(loop, UV_RUN_DEFAULT);
 	return gateway.AbortedCalls() == 0 ? EXIT_OK : EXIT_FAILED;
 }
@@ -160,6 +187,7 @@
 	std::string author = FLAGS_author.empty() && user != nullptr ? user : FLAGS_author;
 	if (verb == "serve") return RunServe();
 	if (verb == "gateway") return RunGateway();
+	ReleaseSignals();
 	if (verb == "settings") {
 		std::cout << SettingsReference();
 		return EXIT_OK;
@@ -182,6 +210,7 @@
 
 int main(int argc, char **argv)
 {
+	cottonspool::HoldSignals();
 	gflags::SetUsageMessage(cottonspool::USAGE);
 	gflags::SetVersionString("0.1.0");
 	std::signal(SIGPIPE, SIG_IGN);
