Fix: [Net] A copy of an answer without an id never speaks for another request

Cause: the order of answers on a connection was taken for what they answer. An answer without an id counted as the present request's, also where such an answer had come before; a request that may run once was sent to the same target again on the same connection, as its idle limit replaced the wish for a new one; and reports and health checks, whose answers have no id, shared the requests' connections.

Change: after an answer that does not name its call the connection is closed; calls whose answers never do have connections of their own; a second send to the same target takes a new connection.

--- a/src/gateway/relay_call.cpp
+++ b/src/gateway/relay_call.cpp
@@ -99,12 +99,16 @@
 	call.headers = HeadersForTarget(this->exchange->head.headers, info);
 	call.body = this->exchange->body;
 	call.connect_timeout = this->gateway.limits.connect;
+	// A copy of the target's earlier answer to this request would have its id; it can come on the earlier connection only.
+	if (std::find(this->sent_to.begin(), this->sent_to.end(), number) != this->sent_to.end()) call.max_reuse_idle = Duration(0);
+	this->sent_to.push_back(number);
 	return this->StartCall(std::move(call));
 }
 
 uint64_t RelayCall::StartCall(UpstreamCall call)
 {
-	if (this->request.route.kind != RouteType::Repeatable) call.max_reuse_idle = this->gateway.limits.single_run_max_idle;
+	if (this->request.route.kind != RouteType::Repeatable)
+		call.max_reuse_idle = std::min(call.max_reuse_idle, this->gateway.limits.single_run_max_idle);
 	std::weak_ptr<RelayCall> weak = this->weak_from_this();
 	auto call_number = std::make_shared<uint64_t>(0);
 	call.on_head = [weak, number = call_number](const HttpHead &head) {
@@ -117,6 +121,7 @@
 	call.on_end = [weak, number = call_number](UpstreamEnd end, const char *cause) {
 		if (auto self = weak.lock()) self->OnEnd(*number, end, cause);
 	};
+	call.names_call = [](const HttpHead &head) { return !ReadAnswer(head).attempt.empty(); };
 	*call_number = this->gateway.upstream.Start(std::move(call));
 	return *call_number;
 }
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -149,6 +149,7 @@
 	uint32_t attempts = 0;                    ///< Sends so far.
 	uint32_t delivered = 0;                   ///< Sends that may have reached their targets.
 	std::optional<std::string> passed_to;     ///< Instance that the request was passed on to.
+	std::vector<TargetNumber> sent_to;        ///< Targets that it was sent to, or that it was to be.
 	std::vector<std::string> refused_by;      ///< Instances that did not take it.
 	std::optional<Duration> peer_retry_after; ///< Retry-After of the last of them.
 	TimePoint sent_at;                        ///< Time of the last send.
--- a/src/net/http_upstream.cpp
+++ b/src/net/http_upstream.cpp
@@ -12,10 +12,18 @@
 static constexpr Duration IDLE_MARGIN =
         std::chrono::milliseconds(800); ///< Time by which a connection is closed before the peer's announced timeout.
 
+static const char *const UNNAMED_SUFFIX = "\nunnamed"; ///< End of the names of pools for calls whose answers don't name them.
+
+/** @return The name of the pool of connections that \a call may use. */
+static std::string PoolOf(const UpstreamCall &call)
+{
+	return call.names_call ? call.peer : call.peer + UNNAMED_SUFFIX;
+}
+
 /** A connection to a peer, with at most one call at a time. */
 class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection> {
 public:
-	UpstreamConnection(HttpUpstream &owner, std::shared_ptr<TcpStream> stream, std::string peer, const Endpoint &to);
+	UpstreamConnection(HttpUpstream &owner, std::shared_ptr<TcpStream> stream, std::string pool, const Endpoint &to);
 
 	/** Install the callbacks of the connection. */
 	void Begin();
@@ -29,7 +37,7 @@
 	UpstreamCall call;                            ///< Current call.
 	uint64_t number = 0;                          ///< Number of the current call; 0 while the connection is idle.
 	std::shared_ptr<TcpStream> stream;            ///< TCP connection.
-	std::string peer;                             ///< Name of the server process.
+	std::string pool;                             ///< Name of its pool.
 	Endpoint to;                                  ///< Address of the server.
 	TimePoint started;                            ///< When the call was sent.
 	TimePoint idle_since;                         ///< When the connection became idle.
@@ -56,8 +64,8 @@
 	bool stray_answer_seen = false;               ///< An answer to an earlier request was received: the connection must not be reused.
 };
 
-UpstreamConnection::UpstreamConnection(HttpUpstream &owner, std::shared_ptr<TcpStream> stream, std::string peer, const Endpoint &to)
-    : stream(std::move(stream)), peer(std::move(peer)), to(to), owner(owner)
+UpstreamConnection::UpstreamConnection(HttpUpstream &owner, std::shared_ptr<TcpStream> stream, std::string pool, const Endpoint &to)
+    : stream(std::move(stream)), pool(std::move(pool)), to(to), owner(owner)
 {
 	this->reader.on_head = [this](HttpHead &&head) { this->OnHead(std::move(head)); };
 	this->reader.on_body = [this](std::string_view bytes) { this->OnBody(bytes); };
@@ -108,7 +116,8 @@
 		return this->OnOtherAnswer();
 	}
 	this->answer_matches = true;
-	this->reusable = head.keep_alive && (head.length || head.chunked || head.status == 204 || head.status == 304);
+	bool may_be_repeated = this->call.names_call && !this->call.names_call(head);
+	this->reusable = head.keep_alive && !may_be_repeated && (head.length || head.chunked || head.status == 204 || head.status == 304);
 	std::string_view hint = FindHeader(head.headers, "keep-alive");
 	size_t at = hint.find("timeout=");
 	int seconds = 0;
@@ -193,7 +202,7 @@
 {
 	this->call = UpstreamCall{};
 	this->idle_since = MonotonicNow();
-	auto &list = this->owner.idle[this->peer];
+	auto &list = this->owner.idle[this->pool];
 	list.push_back(this->shared_from_this());
 	if (list.size() <= MAX_IDLE_PER_PEER) return;
 	auto oldest = list.front();
@@ -205,7 +214,7 @@
 {
 	auto keep_alive = this->shared_from_this();
 	this->stream->Close();
-	auto found = this->owner.idle.find(this->peer);
+	auto found = this->owner.idle.find(this->pool);
 	if (found == this->owner.idle.end()) return;
 	found->second.remove(keep_alive);
 	if (found->second.empty()) this->owner.idle.erase(found);
@@ -218,7 +227,7 @@
 
 std::shared_ptr<UpstreamConnection> HttpUpstream::AcquireIdle(const UpstreamCall &call, TimePoint now)
 {
-	auto found = this->idle.find(call.peer);
+	auto found = this->idle.find(PoolOf(call));
 	if (found == this->idle.end() || call.max_reuse_idle == Duration(0)) return nullptr;
 	// The most recently used connection is the least likely to be closed by the server just now.
 	std::shared_ptr<UpstreamConnection> connection = found->second.back();
@@ -238,7 +247,7 @@
 	std::shared_ptr<UpstreamConnection> connection = this->AcquireIdle(call, MonotonicNow());
 	if (!connection) {
 		this->counters.connects++;
-		connection = std::make_shared<UpstreamConnection>(*this, TcpStream::Connect(this->loop, call.to), call.peer, call.to);
+		connection = std::make_shared<UpstreamConnection>(*this, TcpStream::Connect(this->loop, call.to), PoolOf(call), call.to);
 		connection->stream->held.Bind(this->held, &HeldBytes::requests);
 		connection->Begin();
 	}
@@ -272,11 +281,13 @@
 
 void HttpUpstream::CloseIdle(const std::string &peer)
 {
-	auto found = this->idle.find(peer);
-	if (found == this->idle.end()) return;
-	std::list<std::shared_ptr<UpstreamConnection>> connections = std::move(found->second);
-	this->idle.erase(found);
-	for (const auto &connection : connections) connection->stream->Close();
+	for (const std::string &pool : {peer, peer + UNNAMED_SUFFIX}) {
+		auto found = this->idle.find(pool);
+		if (found == this->idle.end()) continue;
+		std::list<std::shared_ptr<UpstreamConnection>> connections = std::move(found->second);
+		this->idle.erase(found);
+		for (const auto &connection : connections) connection->stream->Close();
+	}
 }
 
 void HttpUpstream::CheckPeers(TimePoint now)
--- a/src/net/http_upstream.h
+++ b/src/net/http_upstream.h
@@ -49,7 +49,13 @@
 	Duration max_reuse_idle = std::chrono::seconds(4); ///< Longest idle time of a pooled connection to be used; zero for a new connection.
 	AnswerLimits limits;                               ///< Limits on the answer.
 	std::function<bool(const HttpHead &)> on_head;     ///< Head of an answer; returns false to drop an answer to an earlier request.
-	std::function<void(std::string_view)> on_body;     ///< A part of the body.
+	/**
+	 * Whether the head of an answer names the call that it answers; empty if answers to this call never do. A server may send an answer
+	 * twice, and only such a name tells the copy from the answer to the next call. After an answer without it the connection is closed, and
+	 * calls without this function have connections of their own.
+	 */
+	std::function<bool(const HttpHead &)> names_call;
+	std::function<void(std::string_view)> on_body;         ///< A part of the body.
 	std::function<void(UpstreamEnd, const char *)> on_end; ///< End of the call; the text is the cause of a failure.
 };
 
@@ -102,7 +108,7 @@
 
 	uv_loop_s *loop;                                                            ///< Event loop.
 	std::map<uint64_t, std::shared_ptr<UpstreamConnection>> active;             ///< Connections in use, by call number.
-	std::map<std::string, std::list<std::shared_ptr<UpstreamConnection>>> idle; ///< Idle connections by peer.
+	std::map<std::string, std::list<std::shared_ptr<UpstreamConnection>>> idle; ///< Idle connections by pool; see PoolOf().
 	uint64_t next = 1;                                                          ///< Number of the next call.
 	TimePoint next_peer_check;                                                  ///< When the servers are checked next.
 	UpstreamCounters counters;                                                  ///< Counters.
