--- a/tests/standins/simulation_base.h
+++ b/tests/standins/simulation_base.h
@@ -14,6 +14,8 @@
 
 using Exchange = std::shared_ptr<FrontExchange>;
 
+inline constexpr uint64_t RESTART_DELAY_MS = 1500; ///< Time until a crashed target restarts.
+
 /** The platform's store: versioned rows, a long-polling change feed, and simulated outages. */
 class SimulatedStore {
 public:
