--- a/tests/scenarios/platform_slow_callers.lua
+++ b/tests/scenarios/platform_slow_callers.lua
@@ -3,8 +3,6 @@
 local lib = require("lib")
 local CALLERS, EVENTS, EVENT_BYTES, MEMORY_MB = 500, 96, 16384, 96
 lib.start_platform{ engines = 8, services = 2, event_ms = 20, event_bytes = EVENT_BYTES, answer_bytes = 1 << 18, segment_bytes = 1400 }
--- The plain answers, too, are to wait for their callers and for memory, and not for the time limit of their route.
-lib.control("world", '{"config":' .. lib.configuration(2):gsub('"timeoutMs":2000', '"timeoutMs":30000') .. "}")
 lib.gateway("g1", "hall-a", nil, MEMORY_MB)
 local before = lib.memory_mb("g1")
 
